--- /dev/null
+++ b/include/rosemaryreach/config.h
@@ -0,0 +1,113 @@
+// The operators' configuration: services, targets and data centres at one
+// number. Parsing and rules are in config_json.h, patches in patch.h.
+#ifndef ROSEMARYREACH_CONFIG_H_
+#define ROSEMARYREACH_CONFIG_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+enum class transport_protocol : std::uint8_t { kTcp, kUdp };
+
+// Which plane serves a service: packets as they are, or HTTP/2 requests.
+enum class service_plane : std::uint8_t { kPackets, kRequests };
+
+enum class target_state : std::uint8_t { kActive, kDraining };
+
+enum class data_centre_state : std::uint8_t { kIn, kOut };
+
+struct data_centre_config {
+  std::string name;
+  std::string region;
+  data_centre_state state = data_centre_state::kIn;
+
+  bool operator==(const data_centre_config&) const = default;
+};
+
+struct target_config {
+  std::string name;
+  endpoint address;
+  std::string data_centre;
+  std::uint32_t weight = 100;
+  // Requests that the target runs at once; request plane only.
+  std::uint32_t slots = 1;
+  // New connections (or requests) a second that the target bears when cold.
+  std::uint32_t cold_rate_per_s = 10;
+  // Time from cold to full load.
+  std::uint32_t warmup_ms = 30'000;
+  target_state state = target_state::kActive;
+
+  bool operator==(const target_config&) const = default;
+};
+
+// Where a service's traffic goes that rosemaryreach does not take yet.
+struct legacy_config {
+  endpoint next_hop;
+  // Share of new work that rosemaryreach takes, 0 to 100.
+  std::uint32_t share_percent = 100;
+
+  bool operator==(const legacy_config&) const = default;
+};
+
+// How requests of a service are admitted, repeated and timed out.
+struct request_rules {
+  std::vector<std::string> idempotent_methods;
+  // Path prefixes served after interactive requests (downloads).
+  std::vector<std::string> bulk_prefixes;
+  // Path prefixes of long-lived streams, which hold no slot.
+  std::vector<std::string> watch_prefixes;
+  std::uint32_t queue_limit = 1'000;
+  std::uint32_t default_deadline_ms = 5'000;
+  std::uint32_t max_deadline_ms = 60'000;
+  std::uint32_t retry_budget_percent = 10;
+  std::uint32_t idempotency_window_ms = 600'000;
+
+  bool operator==(const request_rules&) const = default;
+};
+
+struct service_config {
+  std::string name;
+  std::vector<endpoint> addresses;
+  transport_protocol protocol = transport_protocol::kTcp;
+  service_plane plane = service_plane::kPackets;
+  // Number of hash buckets, a power of two; fixed for a service's life.
+  std::uint32_t buckets = 4'096;
+  std::uint32_t flow_idle_timeout_ms = 900'000;
+  std::optional<legacy_config> legacy;
+  request_rules requests;
+  std::vector<target_config> targets;
+
+  bool operator==(const service_config&) const = default;
+};
+
+struct configuration {
+  std::uint64_t number = 0;
+  std::vector<data_centre_config> data_centres;
+  std::vector<service_config> services;
+  // Next hop of packets to a service that is not declared.
+  std::optional<endpoint> default_legacy;
+
+  bool operator==(const configuration&) const = default;
+};
+
+// Returns the service called `name`, or nullptr.
+const service_config* FindService(const configuration& config,
+                                  std::string_view name);
+
+// Returns the data centre called `name`, or nullptr.
+const data_centre_config* FindDataCentre(const configuration& config,
+                                         std::string_view name);
+
+// Returns whether `target` may get new work: active, weighted, and in a data
+// centre that is in.
+bool AcceptsNewWork(const configuration& config, const target_config& target);
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONFIG_H_
--- /dev/null
+++ b/include/rosemaryreach/log.h
@@ -0,0 +1,39 @@
+// The port for logs: JSON lines, one for each routing or placement decision.
+#ifndef ROSEMARYREACH_LOG_H_
+#define ROSEMARYREACH_LOG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace rosemaryreach {
+
+enum class log_level : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+// One routing or placement decision. Views live as long as the call.
+struct decision {
+  std::string_view plane;    // "packets", "requests" or "fleet"
+  std::string_view service;  // empty where none applies
+  std::string_view subject;  // flow, request, bucket or target decided about
+  std::string_view target;   // chosen target or instance; empty if none
+  std::string_view rule;     // stable name of the rule that decided
+  std::uint64_t number = 0;  // configuration number in force
+};
+
+// Where log lines go. Implementations add time and instance.
+class log_sink {
+ public:
+  virtual ~log_sink() = default;
+
+  // Returns whether the next decision is to be logged, by level and sample.
+  // Callers build no decision when it returns false.
+  virtual bool WantsDecision() = 0;
+  virtual void Decide(const decision& decision) = 0;
+  virtual void Write(log_level level,
+                     std::string_view event,
+                     std::string_view detail) = 0;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_LOG_H_
--- /dev/null
+++ b/include/rosemaryreach/result.h
@@ -0,0 +1,62 @@
+// Errors as values: result<T> holds a value or an error.
+#ifndef ROSEMARYREACH_RESULT_H_
+#define ROSEMARYREACH_RESULT_H_
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/all_narrow.hpp>
+#include <boost/outcome/success_failure.hpp>
+#include <boost/outcome/try.hpp>
+#include <cstdint>
+#include <string>
+
+namespace rosemaryreach {
+
+// Kinds of error; the text in error::detail is for people.
+enum class errc : std::uint8_t {
+  kInvalidAddress,
+  kInvalidJson,
+  kSchemaViolation,
+  kRuleViolation,
+  kWrongBase,
+  kTooLarge,
+  kTruncated,
+  kUnsupported,
+  kNotFound,
+  kUnavailable,
+  kTimeout,
+  kUnauthenticated,
+  kStale,
+  kIo,
+  kLimit,
+};
+
+// Returns the stable lower-case name of `code`, as logs and JSON show it.
+const char* ErrcName(errc code);
+
+// One error. `path` is a JSON pointer or file name where that applies.
+struct error {
+  errc code = errc::kIo;
+  std::string path;
+  std::string detail;
+};
+
+// Returns "code at path: detail".
+std::string FormatError(const error& error);
+
+template <typename T>
+using result = boost::outcome_v2::
+    basic_result<T, error, boost::outcome_v2::policy::all_narrow>;
+
+using boost::outcome_v2::success;
+
+// Returns a failed result of any value type.
+inline boost::outcome_v2::failure_type<error> Fail(errc code,
+                                                   std::string detail,
+                                                   std::string path = {}) {
+  return boost::outcome_v2::failure(
+      error{code, std::move(path), std::move(detail)});
+}
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_RESULT_H_
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,3 @@
+// Entry point that every test program links.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
