--- /dev/null
+++ b/include/rosemaryreach/config_json.h
@@ -0,0 +1,59 @@
+// Reads and writes a configuration as JSON: the published schema first, then
+// the rules that a schema can't hold.
+#ifndef ROSEMARYREACH_CONFIG_JSON_H_
+#define ROSEMARYREACH_CONFIG_JSON_H_
+
+#include <cstddef>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosemaryreach/config.h"
+#include "rosemaryreach/result.h"
+
+namespace rosemaryreach {
+
+// Largest value that the platform holds, in octets; smaller ones pass.
+inline constexpr std::size_t kMaxValueBytes = 1'000'000;
+
+// A configuration, or every reason why the text is none.
+struct configuration_check {
+  configuration value;
+  std::vector<error> errors;
+
+  bool ok() const { return errors.empty(); }
+};
+
+// Checks the text of a whole configuration. Services, targets and data centres
+// come out sorted by name. Each error holds a JSON pointer, the value found
+// and what is expected there.
+configuration_check CheckConfiguration(std::string_view text);
+
+// Returns the configuration in `text`, or its first error.
+result<configuration> ParseConfiguration(std::string_view text);
+
+// Returns every rule that `config` breaks: addresses in two services, data
+// centres that are not declared, names used twice, values out of bounds.
+std::vector<error> CheckRules(const configuration& config);
+
+// Returns the canonical document of `config`: all members written out, keys
+// sorted; equal configurations give equal text.
+nlohmann::json ConfigurationToJson(const configuration& config);
+
+// Returns the canonical document of one service.
+nlohmann::json ServiceToJson(const service_config& service);
+
+// Returns the canonical document as indented text.
+std::string FormatConfiguration(const configuration& config);
+
+// Returns a digest of the content without the number: the sum of one hash for
+// each service and one for the rest.
+std::uint64_t ConfigurationDigest(const configuration& config);
+
+// Returns the part of ConfigurationDigest() that `service` adds.
+std::uint64_t ServiceDigest(const service_config& service);
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONFIG_JSON_H_
