Add the public headers of the request plane

The HTTP/2 adapter drives the router with events and carries out its actions. Attempts to targets and peers share one event shape, so that the adapter maps each stream end to one of five attempt_end values.

--- /dev/null
+++ b/include/rosemaryreach/request_types.h
@@ -0,0 +1,247 @@
+// What the request plane is told and what it decides: requests, attempts,
+// messages between instances and actions for the adapter.
+#ifndef ROSEMARYREACH_REQUEST_TYPES_H_
+#define ROSEMARYREACH_REQUEST_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+// A request on this instance; the adapter numbers them and never reuses one.
+struct request_id {
+  std::uint64_t value = 0;
+  auto operator<=>(const request_id&) const = default;
+};
+
+// One sending of a request to a target or a peer; the router numbers them.
+struct attempt_id {
+  std::uint64_t value = 0;
+  explicit operator bool() const { return value != 0; }
+  auto operator<=>(const attempt_id&) const = default;
+};
+
+// A target of a service: its TargetKey().
+struct target_id {
+  std::uint64_t value = 0;
+  explicit operator bool() const { return value != 0; }
+  auto operator<=>(const target_id&) const = default;
+};
+
+// How requests share slots. Watches hold none.
+enum class request_class : std::uint8_t { kInteractive, kBulk, kWatch };
+
+// What the caller may rely on: kNotRun is only said when it is certain.
+enum class run_state : std::uint8_t { kNotRun, kRun, kUnknown };
+
+// A request whose headers have arrived. Views live as long as the call.
+struct request_info {
+  request_id id;
+  std::string_view service;
+  std::string_view method;  // HTTP method
+  std::string_view path;    // for gRPC, "/package.Service/Method"
+  std::uint64_t caller = 0;
+  // Time left as the caller said it; zero takes the service's default.
+  duration timeout{};
+  // Hash of the idempotency-key header; zero if there is none.
+  std::uint64_t idempotency_key = 0;
+  // The instance that forwarded the request; zero if a caller sent it.
+  instance_id forwarded_by;
+};
+
+// What an owner tells of its room for one service; piggybacked on answers to
+// forwarded requests.
+struct peer_load {
+  std::uint32_t limit = 0;    // requests that its targets bear now
+  std::uint32_t running = 0;  // slots taken
+  std::uint32_t queued = 0;
+
+  bool operator==(const peer_load&) const = default;
+};
+
+// How an attempt ended.
+enum class attempt_end : std::uint8_t {
+  kDone,     // the whole answer was received
+  kUnsent,   // reached no target: connection never opened, peer had no room
+  kRefused,  // a target refused it without running it
+  kReset,    // the target ended the stream after it may have run
+  kLost,     // the connection was lost or silent; it may still run
+};
+
+// Why the router answers a request itself.
+enum class answer_condition : std::uint8_t {
+  kOverloaded,      // queue full, or no slot free before the deadline
+  kNoTarget,        // the service is unknown or has no usable target
+  kDeadline,        // the deadline passed
+  kTargetRefused,   // targets refused it and no retry was left
+  kTargetFailed,    // reset or lost after it was sent
+  kAnswerCut,       // reset or lost after answer headers were relayed
+  kKeyInProgress,   // an earlier request with the key is still running
+  kKeyDone,         // an earlier request with the key has run
+  kKeyUnknown,      // an earlier request with the key may have run
+  kKeyUnavailable,  // the key's owner did not answer
+  kStopping,        // this instance is leaving
+};
+
+// Returns the stable lower-case name of `condition`, as logs show it.
+std::string_view ConditionName(answer_condition condition);
+
+// Returns "not-run", "run" or "unknown".
+std::string_view RunStateName(run_state state);
+
+// Send the request to a target, with `timeout` as its deadline.
+struct dispatch_action {
+  request_id request;
+  attempt_id attempt;
+  target_id target;
+  endpoint address;
+  duration timeout{};
+};
+
+// Send the request to a peer instance, with `timeout` as its deadline.
+struct forward_action {
+  request_id request;
+  attempt_id attempt;
+  instance_id instance;
+  duration timeout{};
+};
+
+// Reset the attempt's stream with CANCEL. No event of it matters any more.
+struct cancel_action {
+  attempt_id attempt;
+};
+
+// Pass this attempt's headers, body and trailers to the caller.
+struct relay_action {
+  request_id request;
+  attempt_id attempt;
+};
+
+// End the request with an answer of our own. With kAnswerCut, headers have
+// been relayed, so the stream is reset.
+struct answer_action {
+  request_id request;
+  answer_condition condition = answer_condition::kOverloaded;
+  run_state run = run_state::kNotRun;
+  // Whether any target got the request; tells kRefused from kUnsent at peers.
+  bool reached_target = false;
+  // When the caller may come again; zero if not before something changes.
+  duration retry_after{};
+};
+
+// Asks for the slots of a target that the sender now owns.
+struct handover_request {
+  target_id target;
+  std::uint64_t view_version = 0;
+};
+
+// Gives a target away; `running` requests end by `ends_in` at the latest.
+struct handover_grant {
+  target_id target;
+  std::uint32_t running = 0;
+  duration ends_in{};
+  // Whether the target was warm, so that the ramp goes on where it was.
+  std::uint32_t warm_percent = 0;
+};
+
+// One request counted in a handover_grant has ended.
+struct slot_released {
+  target_id target;
+};
+
+// Reserves an idempotency key before the first dispatch.
+struct key_reserve {
+  std::uint64_t key = 0;
+  request_id request;
+  duration ends_in{};  // the request has ended after this time
+  duration window{};   // how long the key is remembered
+};
+
+enum class key_verdict : std::uint8_t {
+  kGranted,
+  kInProgress,
+  kDone,
+  kUnknown,
+  kUnavailable,  // the receiver does not own the key or has not taken over yet
+};
+
+struct key_reply {
+  std::uint64_t key = 0;
+  request_id request;
+  key_verdict verdict = key_verdict::kUnavailable;
+};
+
+// Says how a reserved key's request ended; kNotRun frees the key.
+struct key_finish {
+  std::uint64_t key = 0;
+  request_id request;
+  run_state run = run_state::kUnknown;
+};
+
+enum class key_state : std::uint8_t { kFree, kReserved, kDone, kUnknown };
+
+// A key's state, copied to the owner's successor before a grant.
+struct key_record {
+  std::uint64_t key = 0;
+  instance_id holder;  // the instance that runs the request
+  request_id request;
+  key_state state = key_state::kFree;
+  duration ends_in{};  // left until a reservation becomes unknown
+  duration window{};   // left until the key is forgotten
+};
+
+struct key_copy {
+  key_record record;
+};
+
+// Confirms a key_copy; `accepted` is false if the sender owns the key itself.
+struct key_copied {
+  std::uint64_t key = 0;
+  request_id request;
+  instance_id holder;
+  bool accepted = false;
+};
+
+// Asks for all keys that the sender now owns.
+struct key_pull {
+  std::uint64_t view_version = 0;
+};
+
+// Part of the answer to a key_pull.
+struct key_transfer {
+  std::vector<key_record> records;
+  bool last = false;
+};
+
+// A message between routers. Any may be lost, repeated or late.
+using request_message = std::variant<handover_request,
+                                     handover_grant,
+                                     slot_released,
+                                     key_reserve,
+                                     key_reply,
+                                     key_finish,
+                                     key_copy,
+                                     key_copied,
+                                     key_pull,
+                                     key_transfer>;
+
+struct send_action {
+  instance_id instance;
+  request_message message;
+};
+
+using request_action = std::variant<dispatch_action,
+                                    forward_action,
+                                    cancel_action,
+                                    relay_action,
+                                    answer_action,
+                                    send_action>;
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_REQUEST_TYPES_H_
