Add the packet plane's interfaces

The worker adapter and the daemon can be written against these headers before the decisions behind them are complete.

--- /dev/null
+++ b/include/rosemaryreach/flow_messages.h
@@ -0,0 +1,86 @@
+// Messages between the flow routers of two instances, and their encoding.
+#ifndef ROSEMARYREACH_FLOW_MESSAGES_H_
+#define ROSEMARYREACH_FLOW_MESSAGES_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "rosemaryreach/result.h"
+#include "rosemaryreach/target_health.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+enum class flow_message_kind : std::uint8_t {
+  kSyncRequest,      // asks for the open buckets that the receiver owns
+  kSyncReply,        // all of them, over one or more messages
+  kPins,             // pins of open buckets, for a successor or new owner
+  kBuckets,          // floors that moved and buckets that closed
+  kHandoverRequest,  // asks the old owner for the named buckets
+  kHandover,         // the sender decides no more about the named buckets
+  kTargets,          // conditions of targets that the sender knows
+};
+
+// One bucket of the message's service.
+struct bucket_record {
+  std::uint32_t bucket = 0;
+  std::uint64_t floor = 0;  // target of the flows without a pin
+  std::uint32_t pins = 0;   // number of pins that the sender holds
+  bool open = false;
+
+  bool operator==(const bucket_record&) const = default;
+};
+
+// One flow whose target is not its bucket's floor.
+struct pin_record {
+  std::uint64_t flow_hash = 0;  // low 48 bits
+  std::uint64_t target = 0;
+
+  bool operator==(const pin_record&) const = default;
+};
+
+// The condition of one target, told by its epoch from earlier ones.
+struct target_record {
+  std::uint64_t target = 0;
+  std::uint32_t epoch = 0;
+  target_condition condition = target_condition::kHealthy;
+
+  bool operator==(const target_record&) const = default;
+};
+
+struct flow_message {
+  flow_message_kind kind = flow_message_kind::kSyncRequest;
+  std::uint16_t worker = 0;  // of the sender
+  std::uint64_t number = 0;  // configuration number of the sender
+  std::uint64_t service = 0;
+  bool last = false;  // kSyncReply: no further message follows
+  std::vector<bucket_record> buckets;
+  std::vector<pin_record> pins;
+  std::vector<target_record> targets;
+
+  bool operator==(const flow_message&) const = default;
+};
+
+// A message and the instance it goes to.
+struct flow_outgoing {
+  instance_id to;
+  flow_message message;
+};
+
+// Octets of an encoded message at most, to fit one datagram.
+inline constexpr std::size_t kMaxFlowMessageBytes = 1'200;
+
+// Returns the protobuf form of `message`.
+std::string EncodeFlowMessage(const flow_message& message);
+
+// Reads what EncodeFlowMessage() wrote; errc::kSchemaViolation if malformed.
+result<flow_message> DecodeFlowMessage(std::span<const std::uint8_t> bytes);
+
+// Returns about how many octets EncodeFlowMessage() makes of `message`.
+std::size_t EstimateFlowMessage(const flow_message& message);
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_FLOW_MESSAGES_H_
