Add the public headers of the fleet module and the peer protocol

Membership, configuration sync, the control budget and peer authentication are pure: time, seed and messages come in, actions come out.

--- /dev/null
+++ b/include/rosemaryreach/config_sync.h
@@ -0,0 +1,178 @@
+// Decides when and from whom an instance reads the published sequence: a few
+// instances of a data centre watch the platform, the others pull from peers.
+#ifndef ROSEMARYREACH_CONFIG_SYNC_H_
+#define ROSEMARYREACH_CONFIG_SYNC_H_
+
+#include <array>
+#include <cstdint>
+#include <random>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rosemaryreach/control_messages.h"
+#include "rosemaryreach/fleet_view.h"
+#include "rosemaryreach/patch_log.h"
+#include "rosemaryreach/platform_source.h"
+
+namespace rosemaryreach {
+
+struct config_sync_options {
+  // Instances of a data centre that watch, and that take over from them.
+  std::uint32_t watchers = 2;
+  std::uint32_t standbys = 2;
+  // Peers told of each new configuration.
+  std::uint32_t push_fanout = 4;
+  std::uint32_t watch_wait_ms = 1'000;
+  std::uint32_t watch_deadline_ms = 1'500;
+  std::uint32_t watcher_silence_ms = 2'500;
+  std::uint32_t heartbeat_ms = 1'000;
+  std::uint32_t pull_timeout_ms = 500;
+  std::uint32_t peer_wait_ms = 500;
+  std::uint32_t backoff_min_ms = 100;
+  std::uint32_t backoff_max_ms = 2'000;
+};
+
+// Ask the platform; answer with OnPlatformPage() and the same token.
+struct read_platform {
+  std::uint64_t token = 0;
+  log_position after;
+  duration wait{};
+};
+
+// Ask a peer for entries; answer with OnPulled() and the same token.
+struct pull_from_peer {
+  std::uint64_t token = 0;
+  contact peer;
+  log_position after;
+};
+
+// Send a digest to a peer.
+struct push_digest {
+  contact peer;
+  configuration_digest digest;
+};
+
+// An entry was judged other than accepted or replayed.
+struct entry_judged {
+  entry_outcome outcome;
+};
+
+using config_sync_action =
+    std::variant<read_platform, pull_from_peer, push_digest, entry_judged>;
+
+// What holds back a configuration, for operators.
+struct config_sync_status {
+  log_head head;
+  bool watching = false;
+  std::string platform_error;  // empty if the last read was answered
+  std::string peer_error;      // empty if the last pull was answered
+  std::uint64_t platform_reads = 0;
+  std::uint64_t platform_errors = 0;
+  std::uint64_t pulls = 0;
+  std::uint64_t pull_errors = 0;
+  // Verdicts by kind, in the order of entry_verdict.
+  std::array<std::uint64_t, 10> verdicts{};
+  // Peers seen at the same number with other content.
+  std::uint64_t forks = 0;
+  // The platform's highest sequence at the last answer.
+  std::uint64_t platform_sequence = 0;
+};
+
+class config_sync {
+ public:
+  // `log` must outlive the object; its handler tells what comes into force.
+  config_sync(config_sync_options options,
+              patch_log& log,
+              instance_id self,
+              std::string data_centre,
+              std::uint64_t seed);
+
+  // Call each 50 ms or so.
+  std::vector<config_sync_action> Tick(time_point now);
+
+  // Takes the live instances, and one contact of each other data centre if
+  // this instance speaks for its own.
+  void OnView(time_point now,
+              const fleet_view& view,
+              std::vector<contact> link_peers);
+
+  // Takes in what a peer said of its log. Zero `content` means not told.
+  std::vector<config_sync_action> OnPeerDigest(
+      time_point now,
+      const contact& peer,
+      const configuration_digest& digest);
+
+  std::vector<config_sync_action> OnPlatformPage(
+      time_point now,
+      std::uint64_t token,
+      const result<platform_page>& page);
+
+  std::vector<config_sync_action> OnPulled(
+      time_point now,
+      std::uint64_t token,
+      const result<std::vector<log_entry>>& entries);
+
+  // Returns whether a configuration is in force.
+  bool ready() const { return log_.Head().number != 0; }
+
+  // Returns why it isn't ready yet, for people.
+  std::string WaitingFor() const;
+
+  config_sync_status status() const;
+
+ private:
+  static constexpr std::size_t kNoRank = 1'000'000;
+
+  struct peer_head {
+    contact peer;
+    std::uint64_t sequence = 0;
+  };
+
+  using actions = std::vector<config_sync_action>;
+
+  std::size_t Rank() const;
+  bool ShouldWatch(time_point now) const;
+  void StartRead(time_point now, duration wait, actions& out);
+  void StartPull(time_point now, actions& out);
+  void MaybePull(time_point now, actions& out);
+  void Heartbeat(time_point now, actions& out);
+  bool Offer(std::span<const log_entry> entries, actions& out);
+  void PushDigest(actions& out);
+  void ReadFailed(time_point now, const error& error);
+  void PullFailed(time_point now, const error& error);
+  void ForgetPeer(instance_id id);
+  configuration_digest Digest() const;
+  duration Backoff(std::uint32_t failures);
+
+  config_sync_options options_;
+  patch_log& log_;
+  instance_id self_;
+  std::string data_centre_;
+  std::mt19937_64 random_;
+  std::vector<contact> local_;  // other instances of the data centre
+  std::vector<contact> link_peers_;
+  std::vector<instance_id> ranked_;  // watchers first
+  std::vector<peer_head> ahead_;     // peers known to be ahead
+  std::uint64_t next_token_ = 1;
+  std::uint64_t read_token_ = 0;  // 0: no read is waiting
+  time_point read_deadline_{};
+  time_point next_read_{};
+  std::uint64_t pull_token_ = 0;  // 0: no pull is waiting
+  instance_id pulling_from_;
+  time_point pull_deadline_{};
+  time_point next_pull_{};
+  time_point next_heartbeat_{};
+  time_point started_{};
+  time_point watcher_heard_{};
+  bool started_up_ = false;
+  bool watch_answered_ = false;
+  std::uint32_t read_failures_ = 0;
+  std::uint32_t pull_failures_ = 0;
+  config_sync_status status_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONFIG_SYNC_H_
--- /dev/null
+++ b/include/rosemaryreach/control_budget.h
@@ -0,0 +1,90 @@
+// Limits what an instance spends on control traffic and decides what gives
+// way: probes keep their share longest, then ownership, pins and digests.
+#ifndef ROSEMARYREACH_CONTROL_BUDGET_H_
+#define ROSEMARYREACH_CONTROL_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "rosemaryreach/control_messages.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+// A token bucket in octets. A priority may spend only what leaves its reserve
+// for the priorities before it.
+class control_budget {
+ public:
+  struct options {
+    std::uint32_t bytes_per_s = 4'500;
+    std::uint32_t burst_bytes = 5'000;
+  };
+
+  explicit control_budget(options options);
+
+  // Returns whether `bytes` may be sent now, and spends them if so.
+  bool TrySpend(time_point now, control_priority priority, std::size_t bytes);
+
+  // Returns the octets that `priority` could spend at `now`.
+  std::size_t Available(time_point now, control_priority priority);
+
+ private:
+  void Refill(time_point now);
+
+  options options_;
+  double tokens_;
+  time_point refilled_{};
+};
+
+// A sealed datagram that waits for the budget.
+struct queued_datagram {
+  endpoint to;
+  control_priority priority = control_priority::kProbes;
+  std::string bytes;
+};
+
+// Datagrams that wait for the budget, bounded for each priority. When a queue
+// is full its oldest datagram is dropped.
+class control_queue {
+ public:
+  struct options {
+    control_budget::options budget;
+    std::size_t max_datagrams = 256;
+    // Datagrams that waited longer are dropped: their senders repeat them.
+    std::uint32_t max_wait_ms = 2'000;
+  };
+
+  struct counters {
+    std::array<std::uint64_t, kControlPriorities> sent{};
+    std::array<std::uint64_t, kControlPriorities> sent_bytes{};
+    std::array<std::uint64_t, kControlPriorities> dropped{};
+  };
+
+  explicit control_queue(options options);
+
+  void Push(time_point now, queued_datagram datagram);
+
+  // Returns the datagrams that may be sent at `now`, by priority.
+  std::vector<queued_datagram> Pop(time_point now);
+
+  bool empty() const;
+  const counters& stats() const { return counters_; }
+
+ private:
+  struct waiting {
+    time_point since;
+    queued_datagram datagram;
+  };
+
+  options options_;
+  control_budget budget_;
+  std::array<std::deque<waiting>, kControlPriorities> queues_;
+  counters counters_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONTROL_BUDGET_H_
--- /dev/null
+++ b/include/rosemaryreach/peer_auth.h
@@ -0,0 +1,91 @@
+// Authenticates what instances send each other: a keyed hash with a sequence
+// against replay, and two keys at once so that keys can be rotated.
+#ifndef ROSEMARYREACH_PEER_AUTH_H_
+#define ROSEMARYREACH_PEER_AUTH_H_
+
+#include <array>
+#include <bitset>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "rosemaryreach/result.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+inline constexpr std::size_t kMinPeerKeyBytes = 32;
+
+// Shared secrets of at least kMinPeerKeyBytes octets: the first signs, all are
+// accepted. ReadSecret() in settings.h reads them.
+using peer_keys = std::vector<std::string>;
+
+// Octets that Seal() adds to a payload.
+inline constexpr std::size_t kSealBytes = 34;
+
+// The payload of a datagram whose authenticator held.
+struct opened_datagram {
+  instance_id from;
+  std::string_view payload;
+};
+
+class peer_auth {
+ public:
+  struct counters {
+    std::uint64_t accepted = 0;
+    std::uint64_t truncated = 0;
+    std::uint64_t forged = 0;
+    std::uint64_t replayed = 0;
+  };
+
+  // `first_sequence` must exceed what this instance used before a restart:
+  // microseconds of the wall clock do.
+  peer_auth(instance_id self, peer_keys keys, std::uint64_t first_sequence);
+
+  // Returns `payload` sealed for `to`, or for any receiver if `to` is zero.
+  std::string Seal(instance_id to, std::string_view payload);
+
+  // Returns the payload if its authenticator holds and its sequence is new;
+  // otherwise errc::kTruncated, kUnauthenticated or, for a replay, kStale.
+  // The view points into `datagram`.
+  result<opened_datagram> Open(std::string_view datagram);
+
+  // Returns an authenticator of `text`, printable, for headers and metadata.
+  std::string Sign(std::string_view text) const;
+
+  // Returns whether `signature` is Sign(text) under one of the keys.
+  bool Verify(std::string_view text, std::string_view signature) const;
+
+  // Replaces the keys; sequences are kept.
+  void SetKeys(peer_keys keys);
+
+  // Continues above `highest`, which a peer has seen from this instance.
+  void RaiseSequence(std::uint64_t highest);
+
+  // Returns the highest sequence seen from `from`, or 0.
+  std::uint64_t HighestFrom(instance_id from) const;
+
+  const counters& stats() const { return counters_; }
+
+ private:
+  static constexpr std::size_t kWindow = 1'024;
+
+  struct replay_window {
+    std::uint64_t highest = 0;
+    std::bitset<kWindow> seen;
+  };
+
+  bool Accept(instance_id from, std::uint64_t sequence);
+
+  instance_id self_;
+  peer_keys keys_;
+  std::uint64_t next_sequence_;
+  std::unordered_map<std::uint64_t, replay_window> windows_;
+  counters counters_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_PEER_AUTH_H_
