Add the probe endpoint of a target and the next hop of answers

Cause: health probes need an address of their own, and a reset towards a caller needs a router that decapsulates it, since instances open no raw sockets. Change: target_config::probe and listener_settings::answer_next_hop. Conclusion: the prober and the packet worker can be written against them.

--- a/include/rosemaryreach/config.h
+++ b/include/rosemaryreach/config.h
@@ -42,6 +42,8 @@
   // Time from cold to full load.
   std::uint32_t warmup_ms = 30'000;
   target_state state = target_state::kActive;
+  // Where the target answers HTTP GET /healthz; not probed if empty.
+  std::optional<endpoint> probe;
 
   bool operator==(const target_config&) const = default;
 };
--- a/include/rosemaryreach/settings.h
+++ b/include/rosemaryreach/settings.h
@@ -24,6 +24,8 @@
   std::uint16_t detour_port = 7'010;
   std::uint16_t control_port = 7'100;
   std::uint16_t grpc_port = 7'101;
+  // Where IP-in-UDP packets to callers go; without it no reset is sent.
+  std::optional<endpoint> answer_next_hop;
   // Callers' HTTP/2 requests, each endpoint for one or more services.
   std::vector<endpoint> requests;
   std::uint16_t peer_request_port = 7'102;
