--- a/include/rosemaryreach/patch_log.h
+++ b/include/rosemaryreach/patch_log.h
@@ -52,7 +52,7 @@
   kRewritten,  // judged before, with other content
   kHole,       // entries before it are missing
   kOversized,  // not below kMaxValueBytes
-  kCorrupt,    // no entry at all: bad JSON, schema or checksum
+  kCorrupt,    // no entry at all: bad JSON, checksum or digest
   kStale,      // a snapshot behind the number in force, or that contradicts it
 };
 
@@ -134,31 +134,35 @@
  private:
   struct digest_record {
     std::uint64_t sequence = 0;
+    std::uint32_t part = 0;
     std::uint64_t digest = 0;
   };
 
   // A snapshot of which not all parts have come yet.
   struct partial_snapshot {
-    std::uint64_t sequence = 0;
-    std::uint32_t parts = 0;
-    std::uint64_t number = 0;
-    std::string digest;
-    std::vector<std::string> texts;
-    std::size_t bytes = 0;
+    // Members of the first part that all others must repeat.
+    nlohmann::json frame;
     nlohmann::json document;
+    std::vector<log_entry> entries;
+    std::size_t bytes = 0;
   };
 
   entry_outcome Judge(const log_entry& entry);
+  entry_outcome JudgeKnown(const log_entry& entry) const;
   entry_outcome JudgePatch(const log_entry& entry, const nlohmann::json& body);
   entry_outcome JudgePart(const log_entry& entry, const nlohmann::json& body);
-  entry_outcome JudgeSnapshot();
-  entry_outcome JudgeKnown(const log_entry& entry) const;
-  void Advance(const log_entry& entry);
-  void AdvanceSnapshot();
+  entry_outcome JudgeSnapshot(const partial_snapshot& whole);
+  entry_outcome JudgeNext(const partial_snapshot& whole, configuration next);
+  entry_outcome JudgeJump(std::uint64_t sequence, configuration next);
+  bool FitsPartial(const log_entry& entry, const nlohmann::json& frame) const;
+  void AdvanceBy(const log_entry& entry);
+  void JumpTo(std::uint64_t sequence);
   void Accept(configuration next, std::uint64_t sequence);
   void Remember(const entry_outcome& outcome);
   void TrimRetained();
-  void BuildSnapshot();
+  void ServeState(const log_position& after,
+                  std::size_t max_bytes,
+                  std::vector<log_entry>& entries);
   entry_outcome Outcome(std::uint64_t sequence, entry_verdict verdict) const;
   entry_outcome Outcome(std::uint64_t sequence,
                         entry_verdict verdict,
@@ -169,22 +173,26 @@
   std::shared_ptr<const configuration> current_;
   std::uint64_t digest_ = 0;
   std::uint64_t sequence_ = 0;
-  // Judged patches after retained_from_, in order, without holes.
+  // Judged entries after retained_from_, in order, without holes.
   std::deque<log_entry> retained_;
   std::uint64_t retained_from_ = 0;
   std::size_t retained_bytes_ = 0;
-  // A snapshot for peers, as of snapshot_sequence_.
-  std::vector<log_entry> snapshot_;
-  std::uint64_t snapshot_sequence_ = 0;
+  // The state for peers that are too far behind, as of state_sequence_.
+  std::vector<log_entry> state_;
+  std::uint64_t state_sequence_ = 0;
   partial_snapshot partial_;
   std::deque<digest_record> digests_;
   std::deque<entry_outcome> verdicts_;
 };
 
+// A published snapshot is judged as an entry of the sequence; a state is what
+// one instance gives another, and stands for all entries up to its sequence.
+enum class snapshot_kind : std::uint8_t { kPublished, kState };
+
 // Returns `config` as entries that together are one snapshot at `sequence`,
-// whole services to a part, each part about `part_bytes` and below
-// kMaxValueBytes.
+// whole services to a part, each part about `part_bytes`.
 std::vector<log_entry> MakeSnapshot(const configuration& config,
+                                    snapshot_kind kind,
                                     std::uint64_t sequence,
                                     std::size_t part_bytes);
 
--- /dev/null
+++ b/src/config/config_document.h
@@ -0,0 +1,26 @@
+// Configurations and patches from and to JSON documents.
+#ifndef ROSEMARYREACH_CONFIG_CONFIG_DOCUMENT_H_
+#define ROSEMARYREACH_CONFIG_CONFIG_DOCUMENT_H_
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "rosemaryreach/config.h"
+#include "rosemaryreach/config_json.h"
+#include "rosemaryreach/patch.h"
+
+namespace rosemaryreach {
+
+// Reads `document` by schema and types; CheckRules() is left to the caller.
+configuration_check ReadDocument(const nlohmann::json& document);
+
+// Returns the canonical document of `config` without its services.
+nlohmann::json FrameToJson(const configuration& config);
+
+// Reads a published patch; kInvalidJson if its checksum is wrong,
+// kSchemaViolation if it doesn't fit the schema.
+result<patch> ReadPatch(const nlohmann::json& document);
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONFIG_CONFIG_DOCUMENT_H_
--- /dev/null
+++ b/src/config/config_json.cc
@@ -0,0 +1,234 @@
+#include "rosemaryreach/config_json.h"
+
+#include <nlohmann/json.hpp>
+
+#include "config/config_document.h"
+#include "config/config_names.h"
+#include "config/json_reader.h"
+#include "config/json_text.h"
+#include "config/schema_check.h"
+#include "config/schemas.h"
+#include "config/snapshot.h"
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+
+const json_schema& Schema() {
+  static const json_schema kSchema(kConfigurationSchema);
+  return kSchema;
+}
+
+template <typename Enum>
+void ReadWord(const json_reader& reader, const char* name, Enum& out) {
+  std::string word(WordOf(out));
+  reader.Read(name, word);
+  out = ValueOf<Enum>(word);
+}
+
+data_centre_config ReadDataCentre(const json_reader& reader,
+                                  const std::string& name) {
+  data_centre_config centre;
+  centre.name = name;
+  reader.Read("region", centre.region);
+  ReadWord(reader, "state", centre.state);
+  return centre;
+}
+
+target_config ReadTarget(const json_reader& reader, const std::string& name) {
+  target_config target;
+  target.name = name;
+  reader.ReadEndpoint("address", target.address);
+  reader.Read("data_centre", target.data_centre);
+  reader.Read("weight", target.weight);
+  reader.Read("slots", target.slots);
+  reader.Read("cold_rate_per_s", target.cold_rate_per_s);
+  reader.Read("warmup_ms", target.warmup_ms);
+  ReadWord(reader, "state", target.state);
+  return target;
+}
+
+legacy_config ReadLegacy(const json_reader& reader) {
+  legacy_config legacy;
+  reader.ReadEndpoint("next_hop", legacy.next_hop);
+  reader.Read("share_percent", legacy.share_percent);
+  return legacy;
+}
+
+request_rules ReadRequests(const json_reader& reader) {
+  request_rules rules;
+  reader.Read("idempotent_methods", rules.idempotent_methods);
+  reader.Read("bulk_prefixes", rules.bulk_prefixes);
+  reader.Read("watch_prefixes", rules.watch_prefixes);
+  reader.Read("queue_limit", rules.queue_limit);
+  reader.Read("default_deadline_ms", rules.default_deadline_ms);
+  reader.Read("max_deadline_ms", rules.max_deadline_ms);
+  reader.Read("retry_budget_percent", rules.retry_budget_percent);
+  reader.Read("idempotency_window_ms", rules.idempotency_window_ms);
+  return rules;
+}
+
+service_config ReadService(const json_reader& reader, const std::string& name) {
+  service_config service;
+  service.name = name;
+  reader.ReadEndpoints("addresses", service.addresses);
+  ReadWord(reader, "protocol", service.protocol);
+  ReadWord(reader, "plane", service.plane);
+  reader.Read("buckets", service.buckets);
+  reader.Read("flow_idle_timeout_ms", service.flow_idle_timeout_ms);
+  if (reader.Has("legacy")) {
+    service.legacy = ReadLegacy(reader.Member("legacy"));
+  }
+  if (reader.Has("requests")) {
+    service.requests = ReadRequests(reader.Member("requests"));
+  }
+  if (reader.Has("targets")) {
+    const json_reader targets = reader.Member("targets");
+    for (const auto& item : targets.object().items()) {
+      service.targets.push_back(
+          ReadTarget(targets.Member(item.key()), item.key()));
+    }
+  }
+  return service;
+}
+
+json TargetToJson(const target_config& target) {
+  return {{"address", FormatEndpoint(target.address)},
+          {"data_centre", target.data_centre},
+          {"weight", target.weight},
+          {"slots", target.slots},
+          {"cold_rate_per_s", target.cold_rate_per_s},
+          {"warmup_ms", target.warmup_ms},
+          {"state", WordOf(target.state)}};
+}
+
+json RequestsToJson(const request_rules& rules) {
+  return {{"idempotent_methods", rules.idempotent_methods},
+          {"bulk_prefixes", rules.bulk_prefixes},
+          {"watch_prefixes", rules.watch_prefixes},
+          {"queue_limit", rules.queue_limit},
+          {"default_deadline_ms", rules.default_deadline_ms},
+          {"max_deadline_ms", rules.max_deadline_ms},
+          {"retry_budget_percent", rules.retry_budget_percent},
+          {"idempotency_window_ms", rules.idempotency_window_ms}};
+}
+
+json AddressesToJson(const std::vector<endpoint>& addresses) {
+  json list = json::array();
+  for (const endpoint& address : addresses) {
+    list.push_back(FormatEndpoint(address));
+  }
+  return list;
+}
+
+}  // namespace
+
+json ServiceToJson(const service_config& service) {
+  json document = {{"addresses", AddressesToJson(service.addresses)},
+                   {"protocol", WordOf(service.protocol)},
+                   {"plane", WordOf(service.plane)},
+                   {"buckets", service.buckets},
+                   {"flow_idle_timeout_ms", service.flow_idle_timeout_ms},
+                   {"requests", RequestsToJson(service.requests)},
+                   {"targets", json::object()}};
+  if (service.legacy) {
+    document["legacy"] = {
+        {"next_hop", FormatEndpoint(service.legacy->next_hop)},
+        {"share_percent", service.legacy->share_percent}};
+  }
+  json& targets = document["targets"];
+  for (const target_config& target : service.targets) {
+    targets[target.name] = TargetToJson(target);
+  }
+  return document;
+}
+
+json FrameToJson(const configuration& config) {
+  json document = {{"data_centres", json::object()},
+                   {"services", json::object()}};
+  json& centres = document["data_centres"];
+  for (const data_centre_config& centre : config.data_centres) {
+    centres[centre.name] = {{"region", centre.region},
+                            {"state", WordOf(centre.state)}};
+  }
+  if (config.default_legacy) {
+    document["default_legacy"] = FormatEndpoint(*config.default_legacy);
+  }
+  return document;
+}
+
+json ConfigurationToJson(const configuration& config) {
+  json document = FrameToJson(config);
+  document["number"] = config.number;
+  json& services = document["services"];
+  for (const service_config& service : config.services) {
+    services[service.name] = ServiceToJson(service);
+  }
+  return document;
+}
+
+std::string FormatConfiguration(const configuration& config) {
+  return ConfigurationToJson(config).dump(2, ' ', true,
+                                          json::error_handler_t::replace) +
+         "\n";
+}
+
+configuration_check ReadDocument(const json& document) {
+  configuration_check check;
+  check.errors = Schema().Check(document);
+  if (!check.ok()) {
+    return check;
+  }
+  const json_reader reader(document, "", check.errors);
+  reader.Read("number", check.value.number);
+  if (reader.Has("default_legacy")) {
+    check.value.default_legacy.emplace();
+    reader.ReadEndpoint("default_legacy", *check.value.default_legacy);
+  }
+  const json_reader centres = reader.Member("data_centres");
+  for (const auto& item : centres.object().items()) {
+    check.value.data_centres.push_back(
+        ReadDataCentre(centres.Member(item.key()), item.key()));
+  }
+  const json_reader services = reader.Member("services");
+  for (const auto& item : services.object().items()) {
+    check.value.services.push_back(
+        ReadService(services.Member(item.key()), item.key()));
+  }
+  return check;
+}
+
+configuration_check CheckConfiguration(std::string_view text) {
+  const result<json> document = ParseJson(text);
+  if (!document) {
+    return {{}, {document.error()}};
+  }
+  configuration_check check = ReadDocument(document.value());
+  if (check.ok()) {
+    check.errors = CheckRules(check.value);
+  }
+  return check;
+}
+
+result<configuration> ParseConfiguration(std::string_view text) {
+  configuration_check check = CheckConfiguration(text);
+  if (!check.ok()) {
+    return boost::outcome_v2::failure(check.errors.front());
+  }
+  return std::move(check.value);
+}
+
+std::uint64_t ServiceDigest(const service_config& service) {
+  return HashBytes(DumpJson(ServiceToJson(service)), HashBytes(service.name));
+}
+
+std::uint64_t ConfigurationDigest(const configuration& config) {
+  std::uint64_t digest = FrameDigest(config);
+  for (const service_config& service : config.services) {
+    digest += ServiceDigest(service);
+  }
+  return digest;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/config/json_reader.h
@@ -0,0 +1,101 @@
+// Reads members of documents that already passed their schema, and collects
+// errors of meaning with their JSON pointers.
+#ifndef ROSEMARYREACH_CONFIG_JSON_READER_H_
+#define ROSEMARYREACH_CONFIG_JSON_READER_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "config/json_text.h"
+#include "rosemaryreach/result.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+// One object of a document. Members that are missing leave `out` as it is.
+class json_reader {
+ public:
+  json_reader(const nlohmann::json& object,
+              std::string pointer,
+              std::vector<error>& errors)
+      : object_(object), pointer_(std::move(pointer)), errors_(errors) {}
+
+  // Returns a reader of the member `name`, which must be an object.
+  json_reader Member(const std::string& name) const {
+    return {object_.at(name), pointer_ + "/" + name, errors_};
+  }
+
+  bool Has(const char* name) const { return object_.contains(name); }
+
+  template <typename Value>
+  void Read(const char* name, Value& out) const {
+    const auto found = object_.find(name);
+    if (found != object_.end()) {
+      out = found->template get<Value>();
+    }
+  }
+
+  void ReadAddress(const char* name, ip_address& out) const {
+    const auto found = object_.find(name);
+    if (found != object_.end()) {
+      Take(ParseIp(found->get_ref<const std::string&>()), name, *found, out);
+    }
+  }
+
+  void ReadEndpoint(const char* name, endpoint& out) const {
+    const auto found = object_.find(name);
+    if (found != object_.end()) {
+      TakeEndpoint(*found, name, out);
+    }
+  }
+
+  void ReadEndpoints(const char* name, std::vector<endpoint>& out) const {
+    const auto found = object_.find(name);
+    for (std::size_t i = 0; found != object_.end() && i < found->size(); ++i) {
+      endpoint item;
+      TakeEndpoint(found->at(i), std::string(name) + "/" + std::to_string(i),
+                   item);
+      out.push_back(item);
+    }
+  }
+
+  void Fault(const std::string& name, std::string detail) const {
+    errors_.push_back(
+        {errc::kRuleViolation, pointer_ + "/" + name, std::move(detail)});
+  }
+
+  const nlohmann::json& object() const { return object_; }
+
+ private:
+  void TakeEndpoint(const nlohmann::json& value,
+                    const std::string& name,
+                    endpoint& out) const {
+    Take(ParseEndpoint(value.get_ref<const std::string&>()), name, value, out);
+  }
+
+  template <typename Value>
+  void Take(const result<Value>& parsed,
+            const std::string& name,
+            const nlohmann::json& text,
+            Value& out) const {
+    const bool whole =
+        text.get_ref<const std::string&>().find('\0') == std::string::npos;
+    if (parsed && whole) {
+      out = parsed.value();
+      return;
+    }
+    errors_.push_back(
+        {errc::kInvalidAddress, pointer_ + "/" + name,
+         parsed ? "got an address with a zero octet" : parsed.error().detail});
+  }
+
+  const nlohmann::json& object_;
+  std::string pointer_;
+  std::vector<error>& errors_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONFIG_JSON_READER_H_
--- /dev/null
+++ b/src/config/json_text.cc
@@ -0,0 +1,93 @@
+#include "config/json_text.h"
+
+#include <array>
+#include <cstdio>
+#include <unordered_set>
+#include <vector>
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t kMaxShownBytes = 60;
+
+// Watches a parse for repeated members and for depth.
+class parse_guard {
+ public:
+  bool Accept(int depth, json::parse_event_t event, const json& parsed) {
+    if (depth > kMaxJsonDepth) {
+      fault_ =
+          "nested deeper than " + std::to_string(kMaxJsonDepth) + " levels";
+    }
+    if (event == json::parse_event_t::object_start) {
+      members_.emplace_back();
+    }
+    if (event == json::parse_event_t::object_end) {
+      members_.pop_back();
+    }
+    if (event == json::parse_event_t::key) {
+      CheckMember(parsed.get_ref<const std::string&>());
+    }
+    return fault_.empty();
+  }
+
+  const std::string& fault() const { return fault_; }
+
+ private:
+  void CheckMember(const std::string& name) {
+    const bool first = members_.back().insert(name).second;
+    if (!first) {
+      fault_ = "member " + DumpJson(name) + " occurs twice in an object";
+    }
+  }
+
+  std::vector<std::unordered_set<std::string>> members_;
+  std::string fault_;
+};
+
+}  // namespace
+
+result<json> ParseJson(std::string_view text) {
+  parse_guard guard;
+  const json::parser_callback_t callback =
+      [&guard](int depth, json::parse_event_t event, json& parsed) {
+        return guard.fault().empty() && guard.Accept(depth, event, parsed);
+      };
+  json value = json::parse(text, callback, false);
+  if (!guard.fault().empty()) {
+    return Fail(errc::kInvalidJson, guard.fault());
+  }
+  if (value.is_discarded()) {
+    return Fail(errc::kInvalidJson, "expected one JSON value in UTF-8");
+  }
+  return value;
+}
+
+std::string ShowValue(const json& value) {
+  if (value.is_object()) {
+    return "an object";
+  }
+  if (value.is_array()) {
+    return "an array";
+  }
+  std::string text = DumpJson(value);
+  if (text.size() > kMaxShownBytes) {
+    text.resize(kMaxShownBytes);
+    text += "...";
+  }
+  return text;
+}
+
+std::string DumpJson(const json& value) {
+  return value.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+std::string FormatHex(std::uint64_t value) {
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(value));
+  return text.data();
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/config/patch_log.cc
@@ -0,0 +1,359 @@
+#include "rosemaryreach/patch_log.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "config/config_document.h"
+#include "config/json_text.h"
+#include "config/snapshot.h"
+#include "rosemaryreach/config_json.h"
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t kMaxReasonBytes = 500;
+
+constexpr std::array<const char*, 10> kVerdictNames = {
+    "accepted",  "confirmed", "refused",   "partial", "replay",
+    "rewritten", "hole",      "oversized", "corrupt", "stale"};
+
+// Whether operators want to see the verdict: it is final, or a fault.
+bool IsNotable(entry_verdict verdict) {
+  return verdict != entry_verdict::kPartial &&
+         verdict != entry_verdict::kReplay && verdict != entry_verdict::kHole;
+}
+
+// Returns how the digest changes from `before` to `after`, both sorted.
+std::uint64_t DigestChange(const configuration& before,
+                           const configuration& after) {
+  std::uint64_t change = 0;
+  std::size_t i = 0;
+  for (const service_config& service : after.services) {
+    while (i < before.services.size() &&
+           before.services[i].name < service.name) {
+      change -= ServiceDigest(before.services[i++]);
+    }
+    const bool known =
+        i < before.services.size() && before.services[i].name == service.name;
+    if (known && before.services[i] == service) {
+      ++i;
+      continue;
+    }
+    change -= known ? ServiceDigest(before.services[i++]) : 0;
+    change += ServiceDigest(service);
+  }
+  for (; i < before.services.size(); ++i) {
+    change -= ServiceDigest(before.services[i]);
+  }
+  return change + FrameDigest(after) - FrameDigest(before);
+}
+
+}  // namespace
+
+const char* VerdictName(entry_verdict verdict) {
+  return kVerdictNames.at(static_cast<std::size_t>(verdict));
+}
+
+patch_log::patch_log(accepted_handler on_accepted, patch_log_limits limits)
+    : on_accepted_(std::move(on_accepted)), limits_(limits) {}
+
+entry_outcome patch_log::Offer(const log_entry& entry) {
+  entry_outcome outcome = Judge(entry);
+  if (outcome.reason && outcome.reason->detail.size() > kMaxReasonBytes) {
+    outcome.reason->detail.resize(kMaxReasonBytes);
+  }
+  Remember(outcome);
+  return outcome;
+}
+
+log_head patch_log::Head() const {
+  const std::uint64_t number = current_ == nullptr ? 0 : current_->number;
+  return {number, digest_, sequence_};
+}
+
+log_position patch_log::Position() const {
+  log_position position{sequence_, 0, 0};
+  if (!partial_.entries.empty()) {
+    position.snapshot_sequence = partial_.entries.front().sequence;
+    position.parts = static_cast<std::uint32_t>(partial_.entries.size());
+  }
+  return position;
+}
+
+entry_outcome patch_log::Judge(const log_entry& entry) {
+  if (entry.text.size() >= kMaxValueBytes) {
+    return Outcome(
+        entry.sequence, entry_verdict::kOversized,
+        {errc::kTooLarge, "",
+         "got " + std::to_string(entry.text.size()) +
+             " octets, expected fewer than " + std::to_string(kMaxValueBytes)});
+  }
+  if (entry.sequence <= sequence_) {
+    return JudgeKnown(entry);
+  }
+  if (entry.parts == 0 && entry.sequence != sequence_ + 1) {
+    return Outcome(entry.sequence, entry_verdict::kHole);
+  }
+  const result<json> body = ParseJson(entry.text);
+  if (!body) {
+    return Outcome(entry.sequence, entry_verdict::kCorrupt, body.error());
+  }
+  return entry.parts == 0 ? JudgePatch(entry, body.value())
+                          : JudgePart(entry, body.value());
+}
+
+entry_outcome patch_log::JudgeKnown(const log_entry& entry) const {
+  const auto found = std::find_if(
+      digests_.begin(), digests_.end(), [&entry](const digest_record& record) {
+        return record.sequence == entry.sequence && record.part == entry.part;
+      });
+  const bool same =
+      found == digests_.end() || found->digest == HashBytes(entry.text);
+  if (same || IsStateEntry(entry)) {
+    return Outcome(entry.sequence, entry_verdict::kReplay);
+  }
+  return Outcome(entry.sequence, entry_verdict::kRewritten,
+                 {errc::kStale, "", "differs from what was judged before"});
+}
+
+entry_outcome patch_log::JudgePatch(const log_entry& entry, const json& body) {
+  result<patch> parsed = ReadPatch(body);
+  if (!parsed && parsed.error().code == errc::kInvalidJson) {
+    return Outcome(entry.sequence, entry_verdict::kCorrupt, parsed.error());
+  }
+  AdvanceBy(entry);
+  if (!parsed) {
+    return Outcome(entry.sequence, entry_verdict::kRefused, parsed.error());
+  }
+  const configuration empty;
+  result<configuration> next =
+      ApplyPatch(current_ == nullptr ? empty : *current_, parsed.value());
+  if (next) {
+    Accept(std::move(next.value()), entry.sequence);
+  }
+  entry_outcome outcome =
+      next ? Outcome(entry.sequence, entry_verdict::kAccepted)
+           : Outcome(entry.sequence, entry_verdict::kRefused, next.error());
+  outcome.author = parsed.value().author;
+  return outcome;
+}
+
+entry_outcome patch_log::JudgePart(const log_entry& entry, const json& body) {
+  const result<json> frame = ReadFrame(entry, body);
+  if (!frame) {
+    return Outcome(entry.sequence, entry_verdict::kCorrupt, frame.error());
+  }
+  if (entry.part == 1) {
+    partial_ = {};
+    partial_.frame = frame.value();
+    partial_.document = {{"services", json::object()}};
+  } else if (!FitsPartial(entry, frame.value())) {
+    partial_ = {};
+    return Outcome(entry.sequence, entry_verdict::kHole);
+  }
+  partial_.bytes += entry.text.size();
+  if (partial_.bytes > limits_.snapshot_bytes) {
+    partial_ = {};
+    return Outcome(entry.sequence, entry_verdict::kOversized,
+                   {errc::kTooLarge, "", "the parts exceed the limit"});
+  }
+  MergePart(body, partial_.document);
+  partial_.entries.push_back(entry);
+  if (entry.part < entry.parts) {
+    return Outcome(entry.sequence, entry_verdict::kPartial);
+  }
+  return JudgeSnapshot(std::exchange(partial_, {}));
+}
+
+bool patch_log::FitsPartial(const log_entry& entry, const json& frame) const {
+  return !partial_.entries.empty() && partial_.frame == frame &&
+         partial_.entries.front().sequence == entry.sequence &&
+         partial_.entries.size() + 1 == entry.part;
+}
+
+entry_outcome patch_log::JudgeSnapshot(const partial_snapshot& whole) {
+  const std::uint64_t sequence = whole.entries.front().sequence;
+  configuration_check check = ReadDocument(whole.document);
+  if (!check.ok()) {
+    return Outcome(sequence, entry_verdict::kCorrupt, check.errors.front());
+  }
+  const std::string digest = FormatHex(ConfigurationDigest(check.value));
+  if (whole.frame.at("digest") != digest) {
+    return Outcome(sequence, entry_verdict::kCorrupt,
+                   {errc::kInvalidJson, "/digest",
+                    "got " + ShowValue(whole.frame.at("digest")) +
+                        ", expected " + digest});
+  }
+  check.value.number = whole.frame.at("number").get<std::uint64_t>();
+  const bool published = whole.frame.at("kind") == "snapshot";
+  return published && sequence == sequence_ + 1
+             ? JudgeNext(whole, std::move(check.value))
+             : JudgeJump(sequence, std::move(check.value));
+}
+
+// A published snapshot right after what was judged so far.
+entry_outcome patch_log::JudgeNext(const partial_snapshot& whole,
+                                   configuration next) {
+  for (const log_entry& entry : whole.entries) {
+    AdvanceBy(entry);
+  }
+  const std::uint64_t sequence = sequence_;
+  const std::vector<error> errors = CheckRules(next);
+  if (!errors.empty()) {
+    return Outcome(sequence, entry_verdict::kRefused, errors.front());
+  }
+  if (current_ == nullptr) {
+    Accept(std::move(next), sequence);
+    return Outcome(sequence, entry_verdict::kAccepted);
+  }
+  if (next.number == current_->number && ConfigurationDigest(next) == digest_) {
+    return Outcome(sequence, entry_verdict::kConfirmed);
+  }
+  return Outcome(
+      sequence, entry_verdict::kRefused,
+      {errc::kWrongBase, "/number",
+       "expected the content of number " + std::to_string(current_->number)});
+}
+
+// A snapshot that stands for entries which were not seen.
+entry_outcome patch_log::JudgeJump(std::uint64_t sequence, configuration next) {
+  const std::uint64_t number = Head().number;
+  const bool same =
+      next.number == number && ConfigurationDigest(next) == digest_;
+  if (next.number <= number && !same) {
+    return Outcome(sequence, entry_verdict::kStale,
+                   {errc::kStale, "/number",
+                    "got " + std::to_string(next.number) + " while " +
+                        std::to_string(number) + " is in force"});
+  }
+  const std::vector<error> errors = CheckRules(next);
+  if (!errors.empty()) {
+    return Outcome(sequence, entry_verdict::kCorrupt, errors.front());
+  }
+  JumpTo(sequence);
+  if (!same) {
+    Accept(std::move(next), sequence);
+  }
+  return Outcome(sequence,
+                 same ? entry_verdict::kConfirmed : entry_verdict::kAccepted);
+}
+
+void patch_log::AdvanceBy(const log_entry& entry) {
+  sequence_ = entry.sequence;
+  digests_.push_back({entry.sequence, entry.part, HashBytes(entry.text)});
+  if (digests_.size() > limits_.retained_digests) {
+    digests_.pop_front();
+  }
+  retained_bytes_ += entry.text.size();
+  retained_.push_back(entry);
+  TrimRetained();
+  const bool passed = !partial_.entries.empty() &&
+                      partial_.entries.front().sequence <= sequence_;
+  if (passed) {
+    partial_ = {};
+  }
+}
+
+void patch_log::JumpTo(std::uint64_t sequence) {
+  sequence_ = sequence;
+  retained_from_ = sequence;
+  retained_.clear();
+  retained_bytes_ = 0;
+}
+
+void patch_log::TrimRetained() {
+  while (retained_bytes_ > limits_.retained_bytes) {
+    retained_from_ = retained_.front().sequence;
+    while (!retained_.empty() && retained_.front().sequence == retained_from_) {
+      retained_bytes_ -= retained_.front().text.size();
+      retained_.pop_front();
+    }
+  }
+}
+
+void patch_log::Accept(configuration next, std::uint64_t sequence) {
+  std::shared_ptr<const configuration> previous = std::move(current_);
+  current_ = std::make_shared<const configuration>(std::move(next));
+  digest_ = previous == nullptr ? ConfigurationDigest(*current_)
+                                : digest_ + DigestChange(*previous, *current_);
+  if (on_accepted_) {
+    on_accepted_({previous, current_, sequence});
+  }
+}
+
+void patch_log::Remember(const entry_outcome& outcome) {
+  const bool known = std::any_of(verdicts_.begin(), verdicts_.end(),
+                                 [&outcome](const entry_outcome& old) {
+                                   return old.sequence == outcome.sequence &&
+                                          old.verdict == outcome.verdict;
+                                 });
+  if (known || !IsNotable(outcome.verdict)) {
+    return;
+  }
+  verdicts_.push_back(outcome);
+  if (verdicts_.size() > limits_.retained_verdicts) {
+    verdicts_.pop_front();
+  }
+}
+
+std::vector<log_entry> patch_log::EntriesAfter(const log_position& after,
+                                               std::size_t max_bytes) {
+  std::vector<log_entry> entries;
+  if (after.sequence < retained_from_) {
+    ServeState(after, max_bytes, entries);
+    return entries;
+  }
+  std::size_t bytes = 0;
+  for (const log_entry& entry : retained_) {
+    const bool received =
+        entry.sequence == after.snapshot_sequence && entry.part <= after.parts;
+    if (entry.sequence <= after.sequence || received) {
+      continue;
+    }
+    bytes += entry.text.size();
+    if (!entries.empty() && bytes > max_bytes) {
+      break;
+    }
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+void patch_log::ServeState(const log_position& after,
+                           std::size_t max_bytes,
+                           std::vector<log_entry>& entries) {
+  if (current_ == nullptr) {
+    return;
+  }
+  if (state_.empty() || state_sequence_ < retained_from_) {
+    state_ = MakeSnapshot(*current_, snapshot_kind::kState, sequence_,
+                          limits_.part_bytes);
+    state_sequence_ = sequence_;
+  }
+  const bool going_on =
+      after.snapshot_sequence == state_sequence_ && after.parts < state_.size();
+  std::size_t bytes = 0;
+  for (std::size_t i = going_on ? after.parts : 0; i < state_.size(); ++i) {
+    bytes += state_[i].text.size();
+    if (!entries.empty() && bytes > max_bytes) {
+      return;
+    }
+    entries.push_back(state_[i]);
+  }
+}
+
+entry_outcome patch_log::Outcome(std::uint64_t sequence,
+                                 entry_verdict verdict) const {
+  return {sequence, verdict, Head().number, {}, std::nullopt};
+}
+
+entry_outcome patch_log::Outcome(std::uint64_t sequence,
+                                 entry_verdict verdict,
+                                 error reason) const {
+  return {sequence, verdict, Head().number, {}, std::move(reason)};
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/config/rules.cc
@@ -0,0 +1,209 @@
+// The rules of a configuration that a schema can't hold.
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <bit>
+
+#include "rosemaryreach/config_json.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr std::size_t kMaxNameBytes = 63;
+constexpr std::uint32_t kMinBuckets = 16;
+constexpr std::uint32_t kMaxBuckets = 65'536;
+constexpr std::uint32_t kMaxPercent = 100;
+
+struct endpoint_hash {
+  std::size_t operator()(const endpoint& item) const {
+    const char* bytes =
+        reinterpret_cast<const char*>(item.address.bytes.data());
+    return HashBytes({bytes, item.address.bytes.size()}, item.port);
+  }
+};
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' ||
+         c == '_' || c == '-';
+}
+
+bool IsName(const std::string& name) {
+  return !name.empty() && name.size() <= kMaxNameBytes &&
+         std::all_of(name.begin(), name.end(), IsNameCharacter);
+}
+
+std::string PathOf(const std::string& parent, const std::string& name) {
+  return parent + "/" + name;
+}
+
+// Collects the rules that one configuration breaks.
+class rule_checker {
+ public:
+  explicit rule_checker(const configuration& config) : config_(config) {}
+
+  std::vector<error> Run() {
+    CheckNames(config_.data_centres, "/data_centres");
+    CheckNames(config_.services, "/services");
+    ListServiceAddresses();
+    for (const service_config& service : config_.services) {
+      CheckService(service, "/services/" + service.name);
+    }
+    if (config_.default_legacy) {
+      CheckNextHop(*config_.default_legacy, "/default_legacy");
+    }
+    return std::move(errors_);
+  }
+
+ private:
+  // Where an address is used. Views point into config_.
+  struct use {
+    std::string_view service;
+    std::string_view target;
+  };
+
+  void Fault(std::string path, std::string detail) {
+    errors_.push_back(
+        {errc::kRuleViolation, std::move(path), std::move(detail)});
+  }
+
+  // Items are sorted by name when they come from a document.
+  template <typename Item>
+  void CheckNames(const std::vector<Item>& items, const std::string& path) {
+    for (std::size_t i = 0; i < items.size(); ++i) {
+      const std::string& name = items[i].name;
+      if (!IsName(name)) {
+        Fault(PathOf(path, name),
+              "expected a name of 1 to 63 lower-case letters, digits, dots, "
+              "dashes or underscores");
+      }
+      if (i > 0 && items[i - 1].name >= name) {
+        Fault(PathOf(path, name), "expected names sorted and used once");
+      }
+    }
+  }
+
+  void ListServiceAddresses() {
+    for (const service_config& service : config_.services) {
+      for (std::size_t i = 0; i < service.addresses.size(); ++i) {
+        const endpoint& address = service.addresses[i];
+        const std::string path =
+            "/services/" + service.name + "/addresses/" + std::to_string(i);
+        CheckPort(address, path);
+        const auto [found, added] =
+            service_addresses_.try_emplace(address, use{service.name, {}});
+        if (!added && !SharedByProtocol(service, found->second.service)) {
+          Fault(path, "got " + FormatEndpoint(address) + ", which service \"" +
+                          std::string(found->second.service) +
+                          "\" has; expected an address of one service");
+        }
+      }
+    }
+  }
+
+  // TCP and UDP services may share an address; two of a protocol may not.
+  bool SharedByProtocol(const service_config& service,
+                        std::string_view other_name) const {
+    const service_config* other = FindService(config_, other_name);
+    return other->protocol != service.protocol;
+  }
+
+  void CheckService(const service_config& service, const std::string& path) {
+    if (!std::has_single_bit(service.buckets) ||
+        service.buckets < kMinBuckets || service.buckets > kMaxBuckets) {
+      Fault(path + "/buckets", "got " + std::to_string(service.buckets) +
+                                   ", expected a power of two from 16 to "
+                                   "65536");
+    }
+    if (service.legacy) {
+      CheckNextHop(service.legacy->next_hop, path + "/legacy/next_hop");
+      CheckShare(service.legacy->share_percent, path);
+    }
+    CheckDeadlines(service.requests, path);
+    CheckNames(service.targets, path + "/targets");
+    CheckWeights(service, path);
+    for (const target_config& target : service.targets) {
+      CheckTarget(service, target, path + "/targets/" + target.name);
+    }
+  }
+
+  void CheckShare(std::uint32_t share, const std::string& path) {
+    if (share > kMaxPercent) {
+      Fault(path + "/legacy/share_percent",
+            "got " + std::to_string(share) + ", expected 0 to 100");
+    }
+  }
+
+  void CheckDeadlines(const request_rules& rules, const std::string& path) {
+    if (rules.default_deadline_ms > rules.max_deadline_ms) {
+      Fault(path + "/requests/default_deadline_ms",
+            "got " + std::to_string(rules.default_deadline_ms) +
+                ", expected at most max_deadline_ms, " +
+                std::to_string(rules.max_deadline_ms));
+    }
+  }
+
+  void CheckWeights(const service_config& service, const std::string& path) {
+    std::uint64_t sum = 0;
+    bool active = false;
+    for (const target_config& target : service.targets) {
+      const bool counts = target.state == target_state::kActive;
+      active = active || counts;
+      sum += counts ? target.weight : 0;
+    }
+    if (active && sum == 0) {
+      Fault(path + "/targets",
+            "got a sum of 0 over the weights of active targets, expected "
+            "more");
+    }
+  }
+
+  void CheckTarget(const service_config& service,
+                   const target_config& target,
+                   const std::string& path) {
+    CheckPort(target.address, path + "/address");
+    if (FindDataCentre(config_, target.data_centre) == nullptr) {
+      Fault(path + "/data_centre",
+            "got \"" + target.data_centre + "\", expected one of data_centres");
+    }
+    if (service_addresses_.contains(target.address)) {
+      Fault(path + "/address", "got " + FormatEndpoint(target.address) +
+                                   ", which is a service's own address");
+    }
+    const auto [found, added] =
+        targets_.try_emplace(target.address, use{service.name, target.name});
+    if (!added) {
+      Fault(path + "/address",
+            "got " + FormatEndpoint(target.address) + ", which target \"" +
+                std::string(found->second.target) + "\" of service \"" +
+                std::string(found->second.service) +
+                "\" has; expected an address of one target");
+    }
+  }
+
+  void CheckNextHop(const endpoint& next_hop, const std::string& path) {
+    CheckPort(next_hop, path);
+    if (service_addresses_.contains(next_hop)) {
+      Fault(path, "got " + FormatEndpoint(next_hop) +
+                      ", which is a service's own address");
+    }
+  }
+
+  void CheckPort(const endpoint& item, const std::string& path) {
+    if (item.port == 0) {
+      Fault(path, "got " + FormatEndpoint(item) + ", expected a port above 0");
+    }
+  }
+
+  const configuration& config_;
+  absl::flat_hash_map<endpoint, use, endpoint_hash> service_addresses_;
+  absl::flat_hash_map<endpoint, use, endpoint_hash> targets_;
+  std::vector<error> errors_;
+};
+
+}  // namespace
+
+std::vector<error> CheckRules(const configuration& config) {
+  return rule_checker(config).Run();
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/config/schema_check.h
@@ -0,0 +1,37 @@
+// Checks JSON documents against a JSON Schema, with messages for operators.
+#ifndef ROSEMARYREACH_CONFIG_SCHEMA_CHECK_H_
+#define ROSEMARYREACH_CONFIG_SCHEMA_CHECK_H_
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <vector>
+
+#include "rosemaryreach/result.h"
+
+namespace valijson {
+class Schema;
+}
+
+namespace rosemaryreach {
+
+// One compiled schema. Stops the process if the schema itself is broken.
+class json_schema {
+ public:
+  explicit json_schema(std::string_view text);
+  ~json_schema();
+  json_schema(const json_schema&) = delete;
+  json_schema& operator=(const json_schema&) = delete;
+
+  // Returns every kSchemaViolation in `document`: JSON pointer, value found
+  // and what is expected.
+  std::vector<error> Check(const nlohmann::json& document) const;
+
+ private:
+  nlohmann::json text_;
+  std::unique_ptr<valijson::Schema> schema_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONFIG_SCHEMA_CHECK_H_
--- /dev/null
+++ b/src/config/schemas.h
@@ -0,0 +1,15 @@
+// The text of the JSON Schemas in docs/schema/, built into the programs.
+#ifndef ROSEMARYREACH_CONFIG_SCHEMAS_H_
+#define ROSEMARYREACH_CONFIG_SCHEMAS_H_
+
+namespace rosemaryreach {
+
+extern const char* const kConfigurationSchema;
+extern const char* const kPatchSchema;
+extern const char* const kSnapshotSchema;
+extern const char* const kSettingsSchema;
+extern const char* const kLiveListSchema;
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONFIG_SCHEMAS_H_
--- /dev/null
+++ b/tests/patch_log_test.cc
@@ -0,0 +1,268 @@
+#include "rosemaryreach/patch_log.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+#include "config_sample.h"
+#include "rosemaryreach/patch.h"
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t kPartBytes = 500;
+
+log_entry PatchEntry(std::uint64_t sequence,
+                     std::uint64_t base,
+                     std::uint32_t weight) {
+  const json operations = {{{"op", "replace"},
+                            {"path", "/services/ledger/targets/l1/weight"},
+                            {"value", weight}}};
+  return {sequence, 0, 0, FormatPatch({base, "a test", operations})};
+}
+
+std::vector<log_entry> FirstSnapshot() {
+  return MakeSnapshot(SampleConfiguration(), snapshot_kind::kPublished, 1,
+                      kPartBytes);
+}
+
+// A log that holds number 1 and every number it accepted.
+struct log_fixture {
+  explicit log_fixture(patch_log_limits limits = {})
+      : log([this](const accepted_change& change) { Take(change); }, limits) {
+    for (const log_entry& entry : FirstSnapshot()) {
+      log.Offer(entry);
+    }
+  }
+
+  void Take(const accepted_change& change) {
+    in_order = in_order && change.previous == last;
+    last = change.current;
+    ++accepted;
+  }
+
+  std::shared_ptr<const configuration> last;
+  bool in_order = true;
+  int accepted = 0;
+  patch_log log;
+};
+
+TEST_CASE("A snapshot in parts is in force with its last part") {
+  const std::vector<log_entry> parts = FirstSnapshot();
+  REQUIRE(parts.size() == 2);
+  patch_log log(nullptr);
+  CHECK(log.Offer(parts[0]).verdict == entry_verdict::kPartial);
+  CHECK(log.Head().number == 0);
+  CHECK(log.Offer(parts[1]).verdict == entry_verdict::kAccepted);
+  CHECK(*log.current() == SampleConfiguration());
+  CHECK(log.Head().digest == ConfigurationDigest(SampleConfiguration()));
+}
+
+TEST_CASE("Patches are accepted against the number in force alone") {
+  log_fixture fixture;
+  CHECK(fixture.log.Offer(PatchEntry(2, 1, 5)).verdict ==
+        entry_verdict::kAccepted);
+  const entry_outcome refused = fixture.log.Offer(PatchEntry(3, 1, 6));
+  CHECK(refused.verdict == entry_verdict::kRefused);
+  CHECK(refused.reason->code == errc::kWrongBase);
+  CHECK(fixture.log.Offer(PatchEntry(4, 2, 7)).verdict ==
+        entry_verdict::kAccepted);
+  CHECK(fixture.log.Head().number == 3);
+  CHECK(fixture.log.Head().digest ==
+        ConfigurationDigest(*fixture.log.current()));
+  CHECK(fixture.accepted == 3);
+  CHECK(fixture.in_order);
+}
+
+TEST_CASE("Entries that are no next entry change nothing") {
+  log_fixture fixture;
+  fixture.log.Offer(PatchEntry(2, 1, 5));
+  const log_head head = fixture.log.Head();
+  log_entry flipped = PatchEntry(3, 2, 6);
+  flipped.text.replace(flipped.text.find("a test"), 6, "a tesu");
+  const log_entry big{3, 0, 0, std::string(kMaxValueBytes, 'x')};
+  const std::vector<std::pair<log_entry, entry_verdict>> cases = {
+      {PatchEntry(2, 1, 5), entry_verdict::kReplay},
+      {PatchEntry(2, 1, 6), entry_verdict::kRewritten},
+      {PatchEntry(4, 2, 6), entry_verdict::kHole},
+      {PatchEntry(0, 2, 6), entry_verdict::kReplay},
+      {big, entry_verdict::kOversized},
+      {{3, 0, 0, "{"}, entry_verdict::kCorrupt},
+      {{3, 1, 1, "{}"}, entry_verdict::kCorrupt},
+      {flipped, entry_verdict::kCorrupt},
+  };
+  for (const auto& [entry, verdict] : cases) {
+    CHECK(VerdictName(fixture.log.Offer(entry).verdict) ==
+          VerdictName(verdict));
+    CHECK(fixture.log.Head() == head);
+  }
+  CHECK(fixture.log.Offer(PatchEntry(3, 2, 6)).verdict ==
+        entry_verdict::kAccepted);
+}
+
+TEST_CASE("A published snapshot must equal what is in force") {
+  log_fixture fixture;
+  const configuration same = SampleConfiguration();
+  configuration other = same;
+  other.services.pop_back();
+  const auto offer = [&fixture](const configuration& config,
+                                std::uint64_t sequence) {
+    return fixture.log
+        .Offer(MakeSnapshot(config, snapshot_kind::kPublished, sequence, 9'999)
+                   .front())
+        .verdict;
+  };
+  CHECK(offer(same, 2) == entry_verdict::kConfirmed);
+  CHECK(offer(other, 3) == entry_verdict::kRefused);
+  other.number = 2;
+  CHECK(offer(other, 4) == entry_verdict::kRefused);
+  CHECK(*fixture.log.current() == same);
+  CHECK(fixture.log.Head().sequence == 4);
+}
+
+TEST_CASE("An old state never takes the number back") {
+  log_fixture fixture;
+  fixture.log.Offer(PatchEntry(2, 1, 5));
+  const std::vector<log_entry> old =
+      MakeSnapshot(SampleConfiguration(), snapshot_kind::kState, 9, kPartBytes);
+  fixture.log.Offer(old[0]);
+  CHECK(fixture.log.Offer(old[1]).verdict == entry_verdict::kStale);
+  CHECK(fixture.log.Head().number == 2);
+  CHECK(fixture.log.Head().sequence == 2);
+}
+
+// Pulls from `donor` until nothing new comes.
+void Pull(patch_log& donor, patch_log& reader, std::size_t max_bytes) {
+  for (int i = 0; i < 100; ++i) {
+    const std::vector<log_entry> entries =
+        donor.EntriesAfter(reader.Position(), max_bytes);
+    for (const log_entry& entry : entries) {
+      reader.Offer(entry);
+    }
+    if (entries.empty()) {
+      return;
+    }
+  }
+}
+
+TEST_CASE("A newcomer gets all from a peer, in small replies") {
+  for (const std::size_t retained : {100'000U, 600U, 1U}) {
+    patch_log_limits limits;
+    limits.retained_bytes = retained;
+    limits.part_bytes = kPartBytes;
+    log_fixture donor(limits);
+    for (std::uint32_t i = 1; i <= 20; ++i) {
+      donor.log.Offer(PatchEntry(i + 1, i, i));
+    }
+    patch_log reader(nullptr);
+    Pull(donor.log, reader, 10);
+    CHECK(reader.Head() == donor.log.Head());
+    CHECK(*reader.current() == *donor.log.current());
+    donor.log.Offer(PatchEntry(22, 21, 77));
+    Pull(donor.log, reader, 10);
+    CHECK(reader.Head() == donor.log.Head());
+  }
+}
+
+TEST_CASE("A snapshot whose parts don't belong together is dropped") {
+  patch_log log(nullptr);
+  configuration other = SampleConfiguration();
+  other.services[1].targets[0].slots = 3;
+  const std::vector<log_entry> parts = FirstSnapshot();
+  const std::vector<log_entry> mixed =
+      MakeSnapshot(other, snapshot_kind::kPublished, 1, kPartBytes);
+  log.Offer(parts[0]);
+  CHECK(log.Offer(mixed[1]).verdict == entry_verdict::kHole);
+  log_entry forged = parts[1];
+  forged.text.replace(forged.text.find("\"slots\":2"), 9, "\"slots\":4");
+  log.Offer(parts[0]);
+  CHECK(log.Offer(forged).verdict == entry_verdict::kCorrupt);
+  CHECK(log.Head() == log_head{});
+  CHECK(log.Position() == log_position{});
+}
+
+// A published sequence of good and bad patches after the first snapshot.
+std::vector<log_entry> AnySequence() {
+  std::vector<log_entry> entries = FirstSnapshot();
+  const std::uint64_t count = *rc::gen::inRange<std::uint64_t>(1, 12);
+  std::uint64_t number = 1;
+  for (std::uint64_t sequence = 2; sequence < count + 2; ++sequence) {
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        entries.push_back(PatchEntry(sequence, number + 7, 1));
+        break;
+      case 1:
+        entries.push_back(PatchEntry(sequence, number, 10'001));
+        break;
+      case 2:
+        entries.push_back({sequence, 0, 0, "{\"kind\": 3}"});
+        break;
+      default:
+        entries.push_back(PatchEntry(
+            sequence, number++, *rc::gen::inRange<std::uint32_t>(1, 9'999)));
+    }
+  }
+  return entries;
+}
+
+using verdict_map = std::map<std::uint64_t, entry_verdict>;
+
+// Offers `entries` in any order with repeats, damage and holes, then once in
+// order; returns the final verdicts.
+verdict_map OfferBadly(const std::vector<log_entry>& entries, patch_log& log) {
+  verdict_map verdicts;
+  std::uint64_t highest = 0;
+  const auto offer = [&](const log_entry& entry) {
+    const entry_outcome outcome = log.Offer(entry);
+    RC_ASSERT(log.Head().number >= highest);
+    highest = log.Head().number;
+    const bool final = outcome.verdict == entry_verdict::kAccepted ||
+                       outcome.verdict == entry_verdict::kRefused;
+    if (final) {
+      RC_ASSERT(verdicts.emplace(entry.sequence, outcome.verdict).second);
+    }
+  };
+  const int noise = *rc::gen::inRange(0, 40);
+  for (int i = 0; i < noise; ++i) {
+    log_entry entry = *rc::gen::elementOf(entries);
+    if (*rc::gen::inRange(0, 4) == 0) {
+      entry.text.resize(*rc::gen::inRange<std::size_t>(0, entry.text.size()));
+    }
+    offer(entry);
+  }
+  std::for_each(entries.begin(), entries.end(), offer);
+  return verdicts;
+}
+
+TEST_CASE("Logs agree whatever the order, repeats, holes and damage") {
+  const bool holds = rc::check([] {
+    const std::vector<log_entry> entries = AnySequence();
+    patch_log one(nullptr);
+    patch_log two(nullptr);
+    RC_ASSERT(OfferBadly(entries, one) == OfferBadly(entries, two));
+    RC_ASSERT(one.Head() == two.Head());
+    RC_ASSERT(*one.current() == *two.current());
+    RC_ASSERT(one.Head().sequence == entries.back().sequence);
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("Garbage entries never move the log") {
+  const bool holds = rc::check([](const std::string& text) {
+    log_fixture fixture;
+    const log_head head = fixture.log.Head();
+    const std::uint32_t part = *rc::gen::inRange<std::uint32_t>(0, 3);
+    fixture.log.Offer({*rc::gen::inRange<std::uint64_t>(0, 4), part,
+                       *rc::gen::inRange<std::uint32_t>(0, 3), text});
+    RC_ASSERT(fixture.log.Head().number == head.number);
+    RC_ASSERT(fixture.log.Head().digest == head.digest);
+  });
+  CHECK(holds);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,98 @@
+#include "rosemaryreach/settings.h"
+
+#include <rapidcheck.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
+namespace rosemaryreach {
+namespace {
+
+const std::string kText = R"json({
+  "instance": "a1", "data_centre": "almaty-a", "region": "almaty",
+  "address": "127.0.0.1",
+  "listeners": {"packet_port": 7000, "packet_workers": 2, "detour_port": 7010},
+  "platform": {"directory": "platform"},
+  "seeds": ["127.0.0.2:7100"],
+  "log": {"level": "warning", "decision_sample": 1}
+})json";
+
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kText;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+struct bad_text {
+  const char* from;
+  const char* to;
+  const char* path;
+  const char* detail;
+};
+
+const std::vector<bad_text> kBadTexts = {
+    {"\"a1\"", "\"A 1\"", "s.json#/instance", "got \"A 1\", expected 1 to 63"},
+    {"127.0.0.1", "localhost", "s.json#/address", "localhost"},
+    {"7000", "70000", "s.json#/listeners/packet_port", "from 1 to 65535"},
+    {"7000", "7011", "s.json#/listeners/detour_port", "covers port 7011"},
+    {"7010", "65535", "s.json#/listeners/detour_port", "below 65536"},
+    {"\"platform\"}", "\"p\", \"http\": \"127.0.0.1:80\"}", "s.json#/platform",
+     "got both"},
+    {"\"directory\": \"platform\"", "", "s.json#/platform", "got neither"},
+    {"warning", "loud", "s.json#/log/level", "expected one of"},
+    {"7000", "7000, \"admin\": \"10.0.0.1:80\"",
+     "s.json#/listeners/admin_token_file", "beyond loopback"},
+    {"\"log\"", "\"logs\"", "s.json#/logs", "unknown member"},
+    {"127.0.0.2:7100", "127.0.0.2", "s.json#/seeds/0", "127.0.0.2"},
+};
+
+TEST_CASE("CheckSettings names file, place, value and expectation") {
+  for (const bad_text& bad : kBadTexts) {
+    CAPTURE(bad.from, bad.to);
+    const settings_check check =
+        CheckSettings(With(bad.from, bad.to), "s.json");
+    REQUIRE(check.errors.size() == 1);
+    CAPTURE(FormatError(check.errors.front()));
+    CHECK(check.errors.front().path == bad.path);
+    CHECK(check.errors.front().detail.find(bad.detail) != std::string::npos);
+  }
+}
+
+TEST_CASE("CheckSettings reads values and keeps defaults") {
+  const settings_check check = CheckSettings(kText, "s.json");
+  REQUIRE(check.ok());
+  CHECK(check.value.listeners.packet_workers == 2);
+  CHECK(check.value.listeners.control_port == 7'100);
+  CHECK(check.value.log.level == log_level::kWarning);
+  CHECK(FormatEndpoint(check.value.listeners.admin) == "127.0.0.1:7200");
+}
+
+TEST_CASE("ReadSecret wants a file for its owner alone") {
+  std::string file = "/tmp/rosemaryreach-secret-XXXXXX";
+  close(mkstemp(file.data()));
+  std::ofstream(file) << "0123456789abcdef\nrest\n";
+  chmod(file.c_str(), 0644);
+  CHECK(ReadSecret(file).error().code == errc::kRuleViolation);
+  chmod(file.c_str(), 0600);
+  CHECK(ReadSecret(file).value() == "0123456789abcdef");
+  std::ofstream(file) << "short";
+  CHECK(ReadSecret(file).error().code == errc::kRuleViolation);
+  std::remove(file.c_str());
+  CHECK(ReadSecret(file).error().code == errc::kIo);
+}
+
+TEST_CASE("Damaged settings never crash") {
+  CHECK(rc::check([] {
+    std::string text = kText;
+    const std::size_t place = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[place] = *rc::gen::arbitrary<char>();
+    CheckSettings(text, "s.json");
+    CheckSettings(*rc::gen::arbitrary<std::string>(), "s.json");
+  }));
+}
+
+}  // namespace
+}  // namespace rosemaryreach
