Read the probe endpoint and the next hop of answers

Both were in the types but not in the schemas, so documents that named them were refused. The sample of the round-trip tests carries a probe now. The default budget of platform reads is 240 a minute, as a watch of one second alone spends 60.

--- a/include/rosemaryreach/settings.h
+++ b/include/rosemaryreach/settings.h
@@ -43,7 +43,7 @@
   std::string directory;
   std::uint32_t poll_ms = 500;
   std::uint32_t watch_ms = 30'000;
-  std::uint32_t reads_per_minute = 60;
+  std::uint32_t reads_per_minute = 240;
 
   bool operator==(const platform_settings&) const = default;
 };
--- a/src/config/config_json.cc
+++ b/src/config/config_json.cc
@@ -46,6 +46,10 @@
   reader.Read("cold_rate_per_s", target.cold_rate_per_s);
   reader.Read("warmup_ms", target.warmup_ms);
   ReadWord(reader, "state", target.state);
+  if (reader.Has("probe")) {
+    target.probe.emplace();
+    reader.ReadEndpoint("probe", *target.probe);
+  }
   return target;
 }
 
@@ -94,13 +98,17 @@
 }
 
 json TargetToJson(const target_config& target) {
-  return {{"address", FormatEndpoint(target.address)},
-          {"data_centre", target.data_centre},
-          {"weight", target.weight},
-          {"slots", target.slots},
-          {"cold_rate_per_s", target.cold_rate_per_s},
-          {"warmup_ms", target.warmup_ms},
-          {"state", WordOf(target.state)}};
+  json document = {{"address", FormatEndpoint(target.address)},
+                   {"data_centre", target.data_centre},
+                   {"weight", target.weight},
+                   {"slots", target.slots},
+                   {"cold_rate_per_s", target.cold_rate_per_s},
+                   {"warmup_ms", target.warmup_ms},
+                   {"state", WordOf(target.state)}};
+  if (target.probe) {
+    document["probe"] = FormatEndpoint(*target.probe);
+  }
+  return document;
 }
 
 json RequestsToJson(const request_rules& rules) {
--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -161,6 +161,9 @@
                    const target_config& target,
                    const std::string& path) {
     CheckPort(target.address, path + "/address");
+    if (target.probe) {
+      CheckPort(*target.probe, path + "/probe");
+    }
     if (FindDataCentre(config_, target.data_centre) == nullptr) {
       Fault(path + "/data_centre",
             "got \"" + target.data_centre + "\", expected one of data_centres");
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -80,6 +80,10 @@
   reader.Read("detour_port", out.detour_port);
   reader.Read("control_port", out.control_port);
   reader.Read("grpc_port", out.grpc_port);
+  if (reader.Has("answer_next_hop")) {
+    out.answer_next_hop.emplace();
+    reader.ReadEndpoint("answer_next_hop", *out.answer_next_hop);
+  }
   reader.ReadEndpoints("requests", out.requests);
   reader.Read("peer_request_port", out.peer_request_port);
   reader.ReadEndpoint("admin", out.admin);
--- a/tests/config_sample.h
+++ b/tests/config_sample.h
@@ -30,7 +30,8 @@
       "buckets": 64,
       "requests": {"idempotent_methods": ["GET"]},
       "targets": {
-        "s1": {"address": "10.3.0.1:80", "data_centre": "almaty-a", "slots": 2}
+        "s1": {"address": "10.3.0.1:80", "data_centre": "almaty-a", "slots": 2,
+               "probe": "10.3.0.1:8080"}
       }
     }
   }
