Add the request router: slots, admission, keys and endings

Each target has one owner instance, which counts its slots and ramps it up from cold; the others forward by two weighted choices. Ownership moves by a handover that carries what still runs; an owner that was lost counts as using all slots until its work must have ended. Keys are granted by one owner after its successor has a copy. A refusal says not-run only while nothing was sent.

--- a/include/rosemaryreach/request_types.h
+++ b/include/rosemaryreach/request_types.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -66,11 +67,12 @@
 
 // How an attempt ended.
 enum class attempt_end : std::uint8_t {
-  kDone,     // the whole answer was received
-  kUnsent,   // reached no target: connection never opened, peer had no room
-  kRefused,  // a target refused it without running it
-  kReset,    // the target ended the stream after it may have run
-  kLost,     // the connection was lost or silent; it may still run
+  kDone,       // the whole answer was received
+  kUnsent,     // reached no target: connection never opened, peer had no room
+  kRefused,    // a target refused it without running it
+  kReset,      // the target ended the stream after it may have run
+  kLost,       // the connection was lost or silent; it may still run
+  kCancelled,  // cancelled by us, and a later PING proves that it was read
 };
 
 // Why the router answers a request itself.
@@ -137,21 +139,27 @@
 // Asks for the slots of a target that the sender now owns.
 struct handover_request {
   target_id target;
-  std::uint64_t view_version = 0;
+  std::uint64_t nonce = 0;  // echoed by the grant
 };
 
-// Gives a target away; `running` requests end by `ends_in` at the latest.
+// Answers a handover_request. `running` requests still count and end by
+// `ends_in` at the latest.
 struct handover_grant {
   target_id target;
+  std::uint64_t nonce = 0;
+  // Not zero if the sender cannot give the target: whom to ask instead.
+  instance_id holder;
   std::uint32_t running = 0;
   duration ends_in{};
-  // Whether the target was warm, so that the ramp goes on where it was.
-  std::uint32_t warm_percent = 0;
+  // How far the target's ramp had come, if the sender held the target.
+  std::optional<std::uint32_t> warm_percent;
 };
 
-// One request counted in a handover_grant has ended.
+// Requests counted in a handover_grant have ended; `running` still do.
 struct slot_released {
   target_id target;
+  std::uint64_t nonce = 0;  // of the grant
+  std::uint32_t running = 0;
 };
 
 // Reserves an idempotency key before the first dispatch.
@@ -188,7 +196,8 @@
 // A key's state, copied to the owner's successor before a grant.
 struct key_record {
   std::uint64_t key = 0;
-  instance_id holder;  // the instance that runs the request
+  std::uint64_t version = 0;  // raised by each change of the key's state
+  instance_id holder;         // the instance that runs the request
   request_id request;
   key_state state = key_state::kFree;
   duration ends_in{};  // left until a reservation becomes unknown
@@ -199,23 +208,27 @@
   key_record record;
 };
 
-// Confirms a key_copy; `accepted` is false if the sender owns the key itself.
+// Confirms a key_copy; `accepted` is false if the sender knows a newer state or
+// sees another owner.
 struct key_copied {
   std::uint64_t key = 0;
-  request_id request;
-  instance_id holder;
+  std::uint64_t version = 0;
   bool accepted = false;
 };
 
-// Asks for all keys that the sender now owns.
+// Asks for all keys that the sender owns or succeeds to. Answered once both
+// see the same candidates.
 struct key_pull {
-  std::uint64_t view_version = 0;
+  std::uint64_t nonce = 0;  // echoed by the transfer
+  std::uint64_t candidates_digest = 0;
 };
 
-// Part of the answer to a key_pull.
+// Part of the answer to a key_pull; complete once `parts` of them arrived.
 struct key_transfer {
+  std::uint64_t nonce = 0;
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
   std::vector<key_record> records;
-  bool last = false;
 };
 
 // A message between routers. Any may be lost, repeated or late.
--- /dev/null
+++ b/include/rosemaryreach/retry_budget.h
@@ -0,0 +1,41 @@
+// Bounds retries and hedges to a share of the live traffic.
+#ifndef ROSEMARYREACH_RETRY_BUDGET_H_
+#define ROSEMARYREACH_RETRY_BUDGET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+namespace rosemaryreach {
+
+// Each request earns a share of one retry. Starts empty, so retries never
+// exceed the share of the requests seen so far.
+class retry_budget {
+ public:
+  explicit retry_budget(std::uint32_t percent) : percent_(percent) {}
+
+  void Configure(std::uint32_t percent) { percent_ = percent; }
+
+  void OnRequest() {
+    hundredths_ = std::min(hundredths_ + percent_, kMaxRetries * kRetry);
+  }
+
+  // Takes one retry; returns false if there is none.
+  bool Take() {
+    if (hundredths_ < kRetry) {
+      return false;
+    }
+    hundredths_ -= kRetry;
+    return true;
+  }
+
+ private:
+  static constexpr std::uint32_t kRetry = 100;
+  static constexpr std::uint32_t kMaxRetries = 100;
+
+  std::uint32_t percent_;
+  std::uint32_t hundredths_ = 0;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/requests/handover.h
@@ -0,0 +1,140 @@
+// Moves the right to dispatch to a target from owner to owner, so that its
+// slots are never given out twice.
+#ifndef ROSEMARYREACH_REQUESTS_HANDOVER_H_
+#define ROSEMARYREACH_REQUESTS_HANDOVER_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "rosemaryreach/fleet_view.h"
+#include "rosemaryreach/ownership.h"
+#include "rosemaryreach/request_types.h"
+#include "rosemaryreach/slot_table.h"
+
+namespace rosemaryreach {
+
+// A declared target whose ownership is followed.
+struct owned_target {
+  target_id id;
+  std::string data_centre;
+  std::string region;
+  std::uint32_t slots = 1;
+  // All work on the target ends within this time of its start.
+  duration max_deadline{};
+};
+
+struct handover_hooks {
+  // Returns the table that counts the target, or nullptr.
+  std::function<slot_table*(target_id)> slots;
+  std::function<void(instance_id, const request_message&)> send;
+};
+
+class handover {
+ public:
+  handover(instance_id self,
+           duration view_lease,
+           duration cancel_grace,
+           handover_hooks hooks)
+      : self_(self),
+        view_lease_(view_lease),
+        cancel_grace_(cancel_grace),
+        hooks_(std::move(hooks)) {}
+
+  // Follows the owners of `targets` in `view`.
+  void Apply(time_point now,
+             const fleet_view& view,
+             const std::vector<owned_target>& targets);
+
+  // The process stood still for long: nothing it holds is sure any more.
+  void OnPause();
+  // The view was confirmed after a pause: asks for what this instance owns.
+  void OnResumed(time_point now);
+
+  void OnRequest(time_point now,
+                 instance_id from,
+                 const handover_request& request);
+  void OnGrant(time_point now, instance_id from, const handover_grant& grant);
+  void OnReleased(instance_id from, const slot_released& released);
+
+  // Tells the new owner that requests on a target given away have ended.
+  void OnSlotFreed(target_id target);
+
+  // Asks again where no grant came.
+  void Tick(time_point now);
+
+  // Returns whether another instance is yet to ask for a target held here.
+  bool HasToGive() const;
+
+  // Returns the owner of `target` in the view last applied; zero if none.
+  instance_id OwnerOf(target_id target) const;
+
+ private:
+  enum class phase : std::uint8_t { kNone, kAsking, kHeld };
+
+  struct record {
+    owned_target target;
+    instance_id owner;
+    // The owner before `owner`, and when it was lost if it did not hand over.
+    instance_id before;
+    std::optional<time_point> before_lost_at;
+    time_point declared_at;
+    phase state = phase::kNone;
+    // While asking:
+    instance_id asked;
+    std::uint64_t nonce = 0;
+    time_point ask_again_at;
+    // After giving away:
+    instance_id given_to;
+    std::uint64_t given_nonce = 0;
+    // Nonce of the grant that gave the target to this instance.
+    std::uint64_t held_nonce = 0;
+  };
+
+  struct owners {
+    instance_id owner;
+    instance_id without_self;
+  };
+
+  const owner_ranking& Ranking(const std::string& region,
+                               const std::string& data_centre) const;
+  owners OwnersOf(const owned_target& target) const;
+  void ApplyTarget(time_point now, const owned_target& target);
+  void OnOwnerChange(time_point now, record& record, instance_id owner);
+  void AcquireFirst(time_point now, record& record);
+  void AcquireFrom(time_point now, record& record, instance_id holder);
+  void Ask(time_point now, record& record, instance_id holder);
+  void TakeOver(time_point now, record& record, duration bound);
+  void Hold(record& record);
+  void Give(time_point now,
+            record& record,
+            instance_id to,
+            std::uint64_t nonce);
+  handover_grant AnswerWithoutHolding(time_point now,
+                                      const record& record,
+                                      instance_id from) const;
+  void CheckAsked(time_point now, record& record);
+  bool InView(instance_id id) const { return FindInstance(view_, id); }
+  duration TakeoverBound(const record& record) const;
+
+  instance_id self_;
+  duration view_lease_;
+  duration cancel_grace_;
+  handover_hooks hooks_;
+  fleet_view view_;
+  bool paused_ = false;
+  std::uint64_t next_nonce_ = 1;
+  absl::flat_hash_map<std::uint64_t, record> records_;
+  // By region, and by region and data centre; rebuilt with each view.
+  mutable std::map<std::pair<std::string, std::string>, owner_ranking> ranks_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_REQUESTS_HANDOVER_H_
--- /dev/null
+++ b/src/requests/key_service.h
@@ -0,0 +1,139 @@
+// Makes a request with an idempotency key run at most once in a region: each
+// key has an owner that grants it, after its successor has a copy.
+#ifndef ROSEMARYREACH_REQUESTS_KEY_SERVICE_H_
+#define ROSEMARYREACH_REQUESTS_KEY_SERVICE_H_
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rosemaryreach/fleet_view.h"
+#include "rosemaryreach/idempotency_table.h"
+#include "rosemaryreach/ownership.h"
+#include "rosemaryreach/request_types.h"
+
+namespace rosemaryreach {
+
+struct key_hooks {
+  std::function<void(instance_id, const request_message&)> send;
+  // A reservation was decided; never called with kUnavailable.
+  std::function<void(time_point now, request_id, key_verdict)> decided;
+  // Returns whether the view is confirmed, so that a grant is safe.
+  std::function<bool(time_point now)> confirmed;
+};
+
+class key_service {
+ public:
+  key_service(instance_id self, key_hooks hooks);
+
+  // Asks the key's owner until it decides; the verdict comes by the hook.
+  void Reserve(time_point now,
+               request_id request,
+               std::uint64_t key,
+               time_point ends_by,
+               duration window);
+
+  // Ends a request that has or asks for a key.
+  void Finish(time_point now,
+              request_id request,
+              std::uint64_t key,
+              run_state run);
+
+  void ApplyView(time_point now, const fleet_view& view);
+  void OnPause();
+  void OnResumed(time_point now);
+
+  void OnReserve(time_point now, instance_id from, const key_reserve& message);
+  void OnReply(time_point now, const key_reply& message);
+  void OnFinish(time_point now, instance_id from, const key_finish& message);
+  void OnCopy(time_point now, instance_id from, const key_copy& message);
+  void OnCopied(time_point now, instance_id from, const key_copied& message);
+  void OnPull(time_point now, instance_id from, const key_pull& message);
+  void OnTransfer(time_point now,
+                  instance_id from,
+                  const key_transfer& message);
+  void Tick(time_point now);
+
+ private:
+  // A reservation that this instance asks for.
+  struct asked_key {
+    request_id local;
+    std::uint64_t key = 0;
+    time_point ends_by;
+    duration window{};
+    time_point ask_again_at;
+  };
+
+  // A grant that waits for the successor's copy.
+  struct open_grant {
+    instance_id holder;
+    request_id request;
+    std::uint64_t version = 0;
+    instance_id successor;
+  };
+
+  // A pull from one instance.
+  struct open_pull {
+    absl::flat_hash_set<std::uint32_t> parts;
+    bool complete = false;
+  };
+
+  struct past_ranking {
+    time_point until;  // when a newer one replaced it
+    owner_ranking ranking;
+  };
+
+  // Several instances lost at once: keys whose owner and successor are both
+  // among them can't be accounted for.
+  struct loss {
+    time_point forget_at;
+    owner_ranking ranking;
+    std::map<instance_id, std::uint64_t> incarnations;
+  };
+
+  // Returns the name of `request` that no earlier start of this instance used.
+  request_id Wire(request_id request) const;
+  void Ask(time_point now, request_id wire, asked_key& asked);
+  void Decide(time_point now,
+              instance_id holder,
+              const key_reserve& message,
+              key_verdict verdict);
+  void Grant(time_point now, instance_id holder, const key_reserve& message);
+  void CopyToSuccessor(time_point now, std::uint64_t key);
+  bool Serves(std::uint64_t key) const;
+  bool Unaccounted(time_point now, std::uint64_t key) const;
+  void StartPull(time_point now);
+  void SendPulls(time_point now);
+  void CheckPulled();
+  void NoteLosses(time_point now, const fleet_view& before);
+  std::uint64_t CandidatesDigest() const;
+
+  instance_id self_;
+  key_hooks hooks_;
+  fleet_view view_;
+  std::string region_;
+  owner_ranking ranking_;
+  // The ranking for which all keys have been pulled.
+  owner_ranking settled_ranking_;
+  bool settled_ = false;
+  bool paused_ = false;
+  std::uint64_t pull_nonce_ = 0;
+  time_point pull_again_at_;
+  time_point expire_at_;
+  std::map<instance_id, open_pull> pulls_;
+  idempotency_table table_;
+  std::uint64_t salt_ = 0;
+  std::map<request_id, asked_key> asked_;  // by wire name
+  absl::flat_hash_map<std::uint64_t, open_grant> grants_;
+  std::vector<past_ranking> past_;
+  std::vector<loss> losses_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_REQUESTS_KEY_SERVICE_H_
--- /dev/null
+++ b/src/requests/router_endings.cc
@@ -0,0 +1,254 @@
+#include <algorithm>
+#include <string>
+
+#include "requests/router_impl.h"
+
+namespace rosemaryreach {
+
+namespace {
+
+constexpr duration kMinRetryAfter = std::chrono::milliseconds(100);
+constexpr duration kMaxRetryAfter = std::chrono::seconds(10);
+constexpr duration kRetryAfterFailure = std::chrono::seconds(1);
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+}  // namespace
+
+void request_router::impl::TakeEnd(time_point now,
+                                   attempt_id id,
+                                   attempt_end end,
+                                   const std::optional<peer_load>& load) {
+  const auto found = attempts_.find(id.value);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const live_attempt attempt = found->second;
+  // Until the cancel is proved read, a closed stream may go on at its target.
+  const bool closed = end == attempt_end::kLost || end == attempt_end::kReset;
+  if (attempt.cancelled && attempt.target && closed) {
+    return;
+  }
+  attempts_.erase(found);
+  if (attempt.target) {
+    EndAtTarget(now, id, attempt, end);
+  } else if (!attempt.cancelled) {
+    EndAtPeer(now, attempt, load);
+  }
+  live_request* request = Get(attempt.request);
+  if (!attempt.cancelled && request != nullptr) {
+    std::erase(request->attempts, id);
+    switch (end) {
+      case attempt_end::kDone:
+        CancelOthers(now, *request, id);
+        Finish(now, *request, run_state::kRun);
+        break;
+      case attempt_end::kUnsent:
+        OnNotRun(now, *request, attempt, false);
+        break;
+      case attempt_end::kRefused:
+        OnNotRun(now, *request, attempt, true);
+        break;
+      case attempt_end::kReset:
+      case attempt_end::kLost:
+      case attempt_end::kCancelled:
+        OnUnknown(now, *request, request->relayed == id);
+        break;
+    }
+  }
+  Drain(now, *attempt.service);
+}
+
+void request_router::impl::OnNotRun(time_point now,
+                                    live_request& request,
+                                    const live_attempt& attempt,
+                                    bool reached_target) {
+  request.reached_target = request.reached_target || reached_target;
+  if (!request.attempts.empty()) {
+    return;
+  }
+  if (request.forwarded_by) {
+    AnswerTruly(now, request, answer_condition::kTargetRefused);
+    return;
+  }
+  if (!reached_target) {
+    if (attempt.target) {
+      request.tried.push_back(self_);
+    }
+    Place(now, request);
+  } else if (MayRetry(now, request)) {
+    Retry(now, request);
+  } else {
+    AnswerTruly(now, request, answer_condition::kTargetRefused);
+  }
+}
+
+void request_router::impl::OnUnknown(time_point now,
+                                     live_request& request,
+                                     bool relayed) {
+  request.reached_target = true;
+  request.may_have_run = true;
+  if (relayed) {
+    Answer(now, request, answer_condition::kAnswerCut, run_state::kUnknown);
+    return;
+  }
+  if (!request.attempts.empty()) {
+    return;
+  }
+  const bool may_repeat = request.idempotent && !request.forwarded_by;
+  if (may_repeat && MayRetry(now, request)) {
+    Retry(now, request);
+    return;
+  }
+  AnswerTruly(now, request, answer_condition::kTargetFailed);
+}
+
+bool request_router::impl::MayRetry(time_point now, live_request& request) {
+  const bool in_time = request.deadline - now > ExpectedWork(request);
+  return in_time && request.service->budget.Take();
+}
+
+void request_router::impl::Retry(time_point now, live_request& request) {
+  if (ChoosePlace(now, request, false) == nullptr) {
+    request.tried.clear();
+  }
+  Place(now, request);
+}
+
+void request_router::impl::AnswerTruly(time_point now,
+                                       live_request& request,
+                                       answer_condition condition) {
+  const bool unsettled = request.may_have_run || !request.attempts.empty();
+  if (request.relayed) {
+    Answer(now, request, answer_condition::kAnswerCut, run_state::kUnknown);
+    return;
+  }
+  Answer(now, request, condition,
+         unsettled ? run_state::kUnknown : run_state::kNotRun);
+}
+
+void request_router::impl::Answer(time_point now,
+                                  live_request& request,
+                                  answer_condition condition,
+                                  run_state run) {
+  const std::vector<attempt_id> attempts = request.attempts;
+  for (const attempt_id attempt : attempts) {
+    CancelAttempt(now, attempt);
+  }
+  const duration retry_after =
+      run == run_state::kNotRun ? RetryAfter(now, request) : duration::zero();
+  actions_.emplace_back(answer_action{request.id, condition, run,
+                                      request.reached_target, retry_after});
+  Log(request, RunStateName(run), ConditionName(condition));
+  Finish(now, request, run);
+}
+
+duration request_router::impl::RetryAfter(time_point now,
+                                          const live_request& request) const {
+  const request_service& service = *request.service;
+  const duration work =
+      service.service_time[static_cast<std::size_t>(request.kind)].mean();
+  const double rate = service.slots.Throughput(now, work);
+  if (work == duration::zero() || rate <= 0) {
+    return kRetryAfterFailure;
+  }
+  const double seconds = static_cast<double>(service.queue.size() + 1) / rate;
+  const duration drained(static_cast<long>(seconds * kMicrosecondsPerSecond));
+  return std::clamp(drained, kMinRetryAfter, kMaxRetryAfter);
+}
+
+void request_router::impl::Finish(time_point now,
+                                  live_request& request,
+                                  run_state run) {
+  const request_id id = request.id;
+  const std::uint64_t key = request.key;
+  if (request.stage == request_stage::kQueued) {
+    request.service->queue.Remove(id, request.kind, request.caller);
+  }
+  if (request.stage == request_stage::kWaiting) {
+    std::erase(request.service->waiting, id);
+  }
+  requests_.erase(id.value);
+  if (key != 0) {
+    keys_.Finish(now, id, key, run);
+  }
+}
+
+void request_router::impl::CancelAttempt(time_point now, attempt_id id) {
+  const auto found = attempts_.find(id.value);
+  if (found == attempts_.end() || found->second.cancelled) {
+    return;
+  }
+  live_attempt& attempt = found->second;
+  attempt.cancelled = true;
+  if (attempt.target) {
+    attempt.service->slots.Cancel(now, id);
+  } else {
+    EndAtPeer(now, attempt, std::nullopt);
+  }
+  actions_.emplace_back(cancel_action{id});
+  if (live_request* request = Get(attempt.request)) {
+    std::erase(request->attempts, id);
+  }
+}
+
+void request_router::impl::CancelOthers(time_point now,
+                                        live_request& request,
+                                        attempt_id kept) {
+  const std::vector<attempt_id> attempts = request.attempts;
+  for (const attempt_id attempt : attempts) {
+    if (attempt != kept) {
+      CancelAttempt(now, attempt);
+    }
+  }
+}
+
+void request_router::impl::EndAtTarget(time_point now,
+                                       attempt_id id,
+                                       const live_attempt& attempt,
+                                       attempt_end end) {
+  request_service& service = *attempt.service;
+  const live_request* request = Get(attempt.request);
+  if (end == attempt_end::kDone && request != nullptr && !attempt.cancelled) {
+    service.service_time[static_cast<std::size_t>(request->kind)].Add(
+        now - attempt.started);
+  }
+  if (service.slots.End(now, id, end)) {
+    handover_.OnSlotFreed(attempt.target);
+  }
+}
+
+void request_router::impl::EndAtPeer(time_point now,
+                                     const live_attempt& attempt,
+                                     const std::optional<peer_load>& load) {
+  for (request_place& place : attempt.service->places) {
+    if (place.instance != attempt.instance) {
+      continue;
+    }
+    place.outstanding -= std::min(place.outstanding, 1U);
+    if (load) {
+      place.load = *load;
+      place.load_at = now;
+      place.has_load = true;
+      place.sent_since_load = 0;
+    }
+  }
+}
+
+void request_router::impl::Log(const live_request& request,
+                               std::string_view chosen,
+                               std::string_view rule) {
+  if (!log_.WantsDecision()) {
+    return;
+  }
+  const std::string subject = std::to_string(request.id.value);
+  decision line;
+  line.plane = "requests";
+  line.service = request.service->config.name;
+  line.subject = subject;
+  line.target = chosen;
+  line.rule = rule;
+  line.number = config_.number;
+  log_.Decide(line);
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/requests/router_events.cc
@@ -0,0 +1,545 @@
+#include <algorithm>
+#include <variant>
+
+#include "requests/router_impl.h"
+
+namespace rosemaryreach {
+
+namespace {
+
+// A gap between events from which the process must have stood still.
+constexpr duration kPauseGap = std::chrono::milliseconds(500);
+constexpr duration kSlowTickPeriod = std::chrono::milliseconds(100);
+// How long work may go on in a data centre that was taken out.
+constexpr duration kOutGrace = std::chrono::seconds(2);
+// How long a stopping instance stays to answer handover requests.
+constexpr duration kStopLinger = std::chrono::seconds(2);
+constexpr duration kMaxWatchTime = std::chrono::hours(24);
+// Reports of ill health are ignored when they name more than one in this many
+// targets of a service.
+constexpr std::size_t kMaxEjectedShare = 3;
+
+bool HasPrefix(const std::vector<std::string>& prefixes,
+               std::string_view path) {
+  return std::any_of(
+      prefixes.begin(), prefixes.end(),
+      [path](const std::string& prefix) { return path.starts_with(prefix); });
+}
+
+request_class Classify(const request_rules& rules, std::string_view path) {
+  if (HasPrefix(rules.watch_prefixes, path)) {
+    return request_class::kWatch;
+  }
+  return HasPrefix(rules.bulk_prefixes, path) ? request_class::kBulk
+                                              : request_class::kInteractive;
+}
+
+bool IsIdempotent(const request_rules& rules, const request_info& info) {
+  return std::any_of(rules.idempotent_methods.begin(),
+                     rules.idempotent_methods.end(),
+                     [&info](const std::string& method) {
+                       return method == info.method || method == info.path;
+                     });
+}
+
+duration TimeLeft(const request_rules& rules,
+                  const request_info& info,
+                  request_class kind) {
+  const bool declared = info.timeout > duration::zero();
+  if (kind == request_class::kWatch) {
+    return declared ? std::min(info.timeout, kMaxWatchTime) : kMaxWatchTime;
+  }
+  const duration longest = std::chrono::milliseconds(rules.max_deadline_ms);
+  if (declared) {
+    return std::min(info.timeout, longest);
+  }
+  return kind == request_class::kBulk
+             ? longest
+             : std::min<duration>(longest, std::chrono::milliseconds(
+                                               rules.default_deadline_ms));
+}
+
+slot_target ToSlotTarget(const configuration& config,
+                         const service_config& service,
+                         const target_config& target) {
+  slot_target declared;
+  declared.id = {TargetKey(service.name, target.name)};
+  declared.address = target.address;
+  declared.bearing = {target.slots, target.cold_rate_per_s,
+                      std::chrono::milliseconds(target.warmup_ms)};
+  declared.accepts_work = AcceptsNewWork(config, target);
+  return declared;
+}
+
+owned_target ToOwnedTarget(const configuration& config,
+                           const service_config& service,
+                           const target_config& target) {
+  const data_centre_config* home = FindDataCentre(config, target.data_centre);
+  owned_target owned;
+  owned.id = {TargetKey(service.name, target.name)};
+  owned.data_centre = target.data_centre;
+  owned.region = home == nullptr ? std::string() : home->region;
+  owned.slots = target.slots;
+  owned.max_deadline =
+      std::chrono::milliseconds(service.requests.max_deadline_ms);
+  return owned;
+}
+
+}  // namespace
+
+request_router::impl::impl(instance_id self,
+                           router_options options,
+                           log_sink& log)
+    : self_(self),
+      options_(options),
+      log_(log),
+      random_(HashPair(self.value, options.seed)),
+      handover_(self,
+                options.view_lease,
+                options.cancel_grace,
+                {[this](target_id target) { return SlotsOf(target); },
+                 [this](instance_id to, const request_message& message) {
+                   actions_.emplace_back(send_action{to, message});
+                 }}),
+      keys_(self,
+            {[this](instance_id to, const request_message& message) {
+               actions_.emplace_back(send_action{to, message});
+             },
+             [this](time_point now, request_id id, key_verdict verdict) {
+               OnKeyDecided(now, id, verdict);
+             },
+             [this](time_point now) {
+               return keys_confirmed_at_ &&
+                      now - *keys_confirmed_at_ <= options_.view_lease;
+             }}) {}
+
+void request_router::impl::Begin(time_point now) {
+  actions_.clear();
+  if (last_event_ && now - *last_event_ > kPauseGap) {
+    confirmed_at_.reset();
+    keys_confirmed_at_.reset();
+    handover_.OnPause();
+    keys_.OnPause();
+  }
+  last_event_ = now;
+}
+
+void request_router::impl::Arrive(time_point now, const request_info& info) {
+  request_service* service = FindService(info.service);
+  if (service == nullptr || !service->declared) {
+    actions_.emplace_back(answer_action{info.id, answer_condition::kNoTarget});
+    return;
+  }
+  const request_rules& rules = service->config.requests;
+  std::unique_ptr<live_request>& slot = requests_[info.id.value];
+  slot = std::make_unique<live_request>();
+  live_request& request = *slot;
+  request.id = info.id;
+  request.service = service;
+  request.kind = Classify(rules, info.path);
+  request.idempotent = IsIdempotent(rules, info);
+  request.caller = info.caller;
+  request.key =
+      request.idempotent || info.forwarded_by ? 0 : info.idempotency_key;
+  request.forwarded_by = info.forwarded_by;
+  request.arrived = now;
+  request.deadline = now + TimeLeft(rules, info, request.kind);
+  timers_.push({request.deadline, request.id});
+  if (request.kind == request_class::kInteractive) {
+    service->interactive_at = now;
+    service->has_interactive = true;
+  }
+  if (info.forwarded_by) {
+    EnqueueHere(now, request);
+    return;
+  }
+  service->budget.OnRequest();
+  if (request.key == 0) {
+    Place(now, request);
+    return;
+  }
+  request.stage = request_stage::kReserving;
+  keys_.Reserve(now, request.id, request.key,
+                request.deadline + options_.cancel_grace,
+                std::chrono::milliseconds(rules.idempotency_window_ms));
+}
+
+void request_router::impl::CancelByCaller(time_point now, request_id id) {
+  live_request* request = Get(id);
+  if (request == nullptr) {
+    return;
+  }
+  request_service& service = *request->service;
+  const bool sent = request->reached_target || !request->attempts.empty();
+  const std::vector<attempt_id> attempts = request->attempts;
+  for (const attempt_id attempt : attempts) {
+    CancelAttempt(now, attempt);
+  }
+  Finish(now, *request, sent ? run_state::kUnknown : run_state::kNotRun);
+  Drain(now, service);
+}
+
+void request_router::impl::TakeHeaders(time_point now,
+                                       attempt_id id,
+                                       bool overloaded) {
+  const auto found = attempts_.find(id.value);
+  if (found == attempts_.end() || found->second.cancelled) {
+    return;
+  }
+  const live_attempt attempt = found->second;
+  if (attempt.target) {
+    attempt.service->slots.OnHeaders(now, id, overloaded);
+  }
+  live_request* request = Get(attempt.request);
+  if (request == nullptr || request->relayed) {
+    return;
+  }
+  request->relayed = id;
+  request->service->first_answer.Add(now - request->arrived);
+  actions_.emplace_back(relay_action{request->id, id});
+  CancelOthers(now, *request, id);
+}
+
+void request_router::impl::Tick(time_point now) {
+  ExpireRequests(now);
+  handover_.Tick(now);
+  keys_.Tick(now);
+  for (const auto& [name, service] : services_) {
+    TickService(now, *service);
+  }
+  if (slow_tick_at_ <= now) {
+    slow_tick_at_ = now + kSlowTickPeriod;
+    CutDataCentresOut(now);
+    ForgetCancelled(now);
+  }
+}
+
+void request_router::impl::ApplyConfiguration(time_point now,
+                                              const configuration& config) {
+  config_ = config;
+  has_config_ = true;
+  for (const auto& [name, service] : services_) {
+    service->declared = false;
+  }
+  for (const service_config& declared : config.services) {
+    if (declared.plane != service_plane::kRequests) {
+      continue;
+    }
+    std::unique_ptr<request_service>& service = services_[declared.name];
+    if (!service) {
+      service =
+          std::make_unique<request_service>(declared, options_.cancel_grace);
+    }
+    service->config = declared;
+    service->declared = true;
+    service->queue.Configure(declared.requests.queue_limit);
+    service->budget.Configure(declared.requests.retry_budget_percent);
+    std::vector<slot_target> targets;
+    for (const target_config& target : declared.targets) {
+      targets.push_back(ToSlotTarget(config, declared, target));
+      service_of_target_[targets.back().id.value] = service.get();
+    }
+    service->slots.Configure(now, targets);
+  }
+  for (const auto& [name, service] : services_) {
+    if (!service->declared) {
+      service->slots.Configure(now, {});
+    }
+  }
+  ApplyOwners(now);
+  CutDataCentresOut(now);
+}
+
+void request_router::impl::ApplyView(time_point now, const fleet_view& view) {
+  const fleet_view before = std::move(view_);
+  view_ = view;
+  has_view_ = true;
+  if (VanishedFrom(before)) {
+    keys_confirmed_at_.reset();
+  }
+  keys_.ApplyView(now, view_);
+  ApplyOwners(now);
+}
+
+void request_router::impl::ConfirmView(time_point now) {
+  confirmed_at_ = now;
+  keys_confirmed_at_ = now;
+  handover_.OnResumed(now);
+  keys_.OnResumed(now);
+}
+
+void request_router::impl::TakeReport(const target_report& report) {
+  const auto found = service_of_target_.find(report.target.value);
+  if (found == service_of_target_.end()) {
+    return;
+  }
+  request_service& service = *found->second;
+  if (report.healthy) {
+    service.reported_unhealthy.erase(report.target);
+  } else {
+    service.reported_unhealthy.insert(report.target);
+  }
+  const std::set<target_id>& unhealthy = service.reported_unhealthy;
+  const std::size_t targets = service.config.targets.size();
+  const bool believed = unhealthy.size() * kMaxEjectedShare <= targets;
+  for (const target_config& target : service.config.targets) {
+    const target_id id{TargetKey(service.config.name, target.name)};
+    service.slots.OnReport(id, !believed || !unhealthy.contains(id));
+  }
+}
+
+void request_router::impl::TakeMessage(time_point now,
+                                       instance_id from,
+                                       const request_message& message) {
+  struct visitor {
+    impl& router;
+    time_point now;
+    instance_id from;
+
+    void operator()(const handover_request& body) {
+      router.handover_.OnRequest(now, from, body);
+    }
+    void operator()(const handover_grant& body) {
+      router.handover_.OnGrant(now, from, body);
+    }
+    void operator()(const slot_released& body) {
+      router.handover_.OnReleased(from, body);
+    }
+    void operator()(const key_reserve& body) {
+      router.keys_.OnReserve(now, from, body);
+    }
+    void operator()(const key_reply& body) { router.keys_.OnReply(now, body); }
+    void operator()(const key_finish& body) {
+      router.keys_.OnFinish(now, from, body);
+    }
+    void operator()(const key_copy& body) {
+      router.keys_.OnCopy(now, from, body);
+    }
+    void operator()(const key_copied& body) {
+      router.keys_.OnCopied(now, from, body);
+    }
+    void operator()(const key_pull& body) {
+      router.keys_.OnPull(now, from, body);
+    }
+    void operator()(const key_transfer& body) {
+      router.keys_.OnTransfer(now, from, body);
+    }
+  };
+  std::visit(visitor{*this, now, from}, message);
+}
+
+void request_router::impl::BeginStop(time_point now) {
+  if (stop_at_) {
+    return;
+  }
+  stop_at_ = now;
+  for (const auto& [name, service] : services_) {
+    EmptyQueue(now, *service);
+  }
+}
+
+bool request_router::impl::IsDrained() const {
+  if (!stop_at_ || !last_event_ || !requests_.empty()) {
+    return false;
+  }
+  const duration passed = *last_event_ - *stop_at_;
+  return passed >= options_.stop_limit ||
+         (passed >= kStopLinger && !handover_.HasToGive());
+}
+
+peer_load request_router::impl::LoadOf(std::string_view name) const {
+  const request_service* service = FindService(name);
+  if (service == nullptr || !last_event_) {
+    return {};
+  }
+  peer_load load = service->slots.Load(*last_event_);
+  if (!MayDispatch(*last_event_) || stop_at_) {
+    load.limit = 0;
+  }
+  load.queued = static_cast<std::uint32_t>(service->queue.size());
+  return load;
+}
+
+request_service* request_router::impl::FindService(
+    std::string_view name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : found->second.get();
+}
+
+void request_router::impl::ApplyOwners(time_point now) {
+  if (!has_config_ || !has_view_) {
+    return;
+  }
+  std::vector<owned_target> targets;
+  for (const service_config& service : config_.services) {
+    if (service.plane != service_plane::kRequests) {
+      continue;
+    }
+    for (const target_config& target : service.targets) {
+      targets.push_back(ToOwnedTarget(config_, service, target));
+    }
+  }
+  handover_.Apply(now, view_, targets);
+  RebuildPlaces();
+}
+
+void request_router::impl::RebuildPlaces() {
+  for (const auto& [name, service] : services_) {
+    std::vector<request_place> old = std::move(service->places);
+    service->places.clear();
+    if (!service->declared) {
+      continue;
+    }
+    for (const target_config& target : service->config.targets) {
+      const target_id id{TargetKey(name, target.name)};
+      const instance_id owner = handover_.OwnerOf(id);
+      if (!owner || !AcceptsNewWork(config_, target)) {
+        continue;
+      }
+      const auto is_owner = [owner](const request_place& place) {
+        return place.instance == owner;
+      };
+      std::vector<request_place>& places = service->places;
+      auto place = std::find_if(places.begin(), places.end(), is_owner);
+      if (place == places.end()) {
+        const auto known = std::find_if(old.begin(), old.end(), is_owner);
+        places.push_back(known == old.end() ? request_place() : *known);
+        place = std::prev(places.end());
+        place->instance = owner;
+        place->slots = 0;
+      }
+      place->slots += target.slots;
+    }
+  }
+}
+
+bool request_router::impl::MayDispatch(time_point now) const {
+  return confirmed_at_ && now - *confirmed_at_ <= options_.view_lease;
+}
+
+void request_router::impl::OnKeyDecided(time_point now,
+                                        request_id id,
+                                        key_verdict verdict) {
+  live_request* request = Get(id);
+  if (request == nullptr || request->stage != request_stage::kReserving) {
+    return;
+  }
+  if (verdict == key_verdict::kGranted) {
+    Place(now, *request);
+    return;
+  }
+  // The key belongs to another request, whose end is not ours to report.
+  request->key = 0;
+  switch (verdict) {
+    case key_verdict::kInProgress:
+      Answer(now, *request, answer_condition::kKeyInProgress,
+             run_state::kUnknown);
+      return;
+    case key_verdict::kDone:
+      Answer(now, *request, answer_condition::kKeyDone, run_state::kRun);
+      return;
+    default:
+      Answer(now, *request, answer_condition::kKeyUnknown, run_state::kUnknown);
+  }
+}
+
+bool request_router::impl::VanishedFrom(const fleet_view& before) const {
+  return std::any_of(before.instances.begin(), before.instances.end(),
+                     [this](const instance_info& instance) {
+                       return instance.state == instance_state::kActive &&
+                              FindInstance(view_, instance.id) == nullptr;
+                     });
+}
+
+slot_table* request_router::impl::SlotsOf(target_id target) {
+  const auto found = service_of_target_.find(target.value);
+  return found == service_of_target_.end() ? nullptr : &found->second->slots;
+}
+
+void request_router::impl::ExpireRequests(time_point now) {
+  const bool stop_ends = stop_at_ && now - *stop_at_ >= options_.stop_limit;
+  if (stop_ends) {
+    std::vector<request_id> left;
+    for (const auto& [id, request] : requests_) {
+      left.push_back(request->id);
+    }
+    std::sort(left.begin(), left.end());
+    for (const request_id id : left) {
+      AnswerTruly(now, *Get(id), answer_condition::kStopping);
+    }
+  }
+  while (!timers_.empty() && timers_.top().when <= now) {
+    const timer due = timers_.top();
+    timers_.pop();
+    live_request* request = Get(due.request);
+    if (request == nullptr) {
+      continue;
+    }
+    if (request->deadline <= now) {
+      AnswerTruly(now, *request, answer_condition::kDeadline);
+    } else if (request->may_hedge && request->hedge_at <= now) {
+      Hedge(now, *request);
+    }
+  }
+}
+
+void request_router::impl::TickService(time_point now,
+                                       request_service& service) {
+  service.slots.Expire(now);
+  for (const request_id id : service.queue.Expire(now)) {
+    if (live_request* request = Get(id)) {
+      AnswerTruly(now, *request, answer_condition::kOverloaded);
+    }
+  }
+  const bool usable = MayDispatch(now) && service.slots.Load(now).limit > 0;
+  if (!usable && service.queue.size() > 0) {
+    EmptyQueue(now, service);
+  }
+  Drain(now, service);
+  RetryWaiting(now, service);
+}
+
+void request_router::impl::CutDataCentresOut(time_point now) {
+  for (const auto& [name, service] : services_) {
+    for (const target_config& target : service->config.targets) {
+      const target_id id{TargetKey(name, target.name)};
+      const data_centre_config* home =
+          FindDataCentre(config_, target.data_centre);
+      if (home == nullptr || home->state == data_centre_state::kIn) {
+        out_since_.erase(id.value);
+      } else {
+        out_since_.try_emplace(id.value, now);
+      }
+    }
+  }
+  std::vector<attempt_id> cut;
+  for (const auto& [id, attempt] : attempts_) {
+    const auto found = out_since_.find(attempt.target.value);
+    if (!attempt.cancelled && found != out_since_.end() &&
+        found->second + kOutGrace <= now) {
+      cut.push_back({id});
+    }
+  }
+  std::sort(cut.begin(), cut.end());
+  for (const attempt_id id : cut) {
+    const live_attempt attempt = attempts_[id.value];
+    CancelAttempt(now, id);
+    if (live_request* request = Get(attempt.request)) {
+      OnUnknown(now, *request, request->relayed == id);
+    }
+  }
+}
+
+void request_router::impl::ForgetCancelled(time_point now) {
+  absl::erase_if(attempts_, [now, this](const auto& item) {
+    const live_attempt& attempt = item.second;
+    return attempt.cancelled && attempt.ends_by + options_.cancel_grace < now;
+  });
+}
+
+live_request* request_router::impl::Get(request_id id) {
+  const auto found = requests_.find(id.value);
+  return found == requests_.end() ? nullptr : found->second.get();
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/requests/router_impl.h
@@ -0,0 +1,161 @@
+// The router behind request_router: router_events.cc takes events in,
+// router_placement.cc decides where requests go, router_endings.cc ends them.
+#ifndef ROSEMARYREACH_REQUESTS_ROUTER_IMPL_H_
+#define ROSEMARYREACH_REQUESTS_ROUTER_IMPL_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "requests/handover.h"
+#include "requests/key_service.h"
+#include "requests/router_state.h"
+#include "rosemaryreach/request_router.h"
+
+namespace rosemaryreach {
+
+class request_router::impl {
+ public:
+  impl(instance_id self, router_options options, log_sink& log);
+
+  // Starts an event: notices a pause and forgets the last event's actions.
+  void Begin(time_point now);
+  actions Taken() const { return actions_; }
+
+  void Arrive(time_point now, const request_info& info);
+  void CancelByCaller(time_point now, request_id id);
+  void TakeHeaders(time_point now, attempt_id attempt, bool overloaded);
+  void TakeEnd(time_point now,
+               attempt_id attempt,
+               attempt_end end,
+               const std::optional<peer_load>& load);
+  void Tick(time_point now);
+  void ApplyConfiguration(time_point now, const configuration& config);
+  void ApplyView(time_point now, const fleet_view& view);
+  void ConfirmView(time_point now);
+  void TakeReport(const target_report& report);
+  void TakeMessage(time_point now,
+                   instance_id from,
+                   const request_message& message);
+  void BeginStop(time_point now);
+  bool IsDrained() const;
+  peer_load LoadOf(std::string_view service) const;
+
+ private:
+  struct timer {
+    time_point when;
+    request_id request;
+
+    bool operator<(const timer& other) const { return when > other.when; }
+  };
+
+  // Events (router_events.cc).
+  request_service* FindService(std::string_view name) const;
+  void ApplyOwners(time_point now);
+  void RebuildPlaces();
+  bool MayDispatch(time_point now) const;
+  void OnKeyDecided(time_point now, request_id id, key_verdict verdict);
+  bool VanishedFrom(const fleet_view& before) const;
+  slot_table* SlotsOf(target_id target);
+  void ExpireRequests(time_point now);
+  void TickService(time_point now, request_service& service);
+  void CutDataCentresOut(time_point now);
+  void ForgetCancelled(time_point now);
+
+  // Placement (router_placement.cc).
+  void Place(time_point now, live_request& request);
+  void Wait(time_point now, live_request& request);
+  void RetryWaiting(time_point now, request_service& service);
+  request_place* ChoosePlace(time_point now,
+                             const live_request& request,
+                             bool only_peers);
+  double LoadAt(time_point now,
+                const request_service& service,
+                const request_place& place) const;
+  bool HasRoomHint(time_point now,
+                   const request_service& service,
+                   const request_place& place) const;
+  void Forward(time_point now, live_request& request, request_place& place);
+  void EnqueueHere(time_point now, live_request& request);
+  bool CanFinishHere(time_point now, const live_request& request) const;
+  duration ExpectedWait(time_point now, const live_request& request) const;
+  duration ExpectedWork(const live_request& request) const;
+  void RefuseHere(time_point now,
+                  live_request& request,
+                  answer_condition condition);
+  void Drain(time_point now, request_service& service);
+  bool BulkAllowed(time_point now, const request_service& service) const;
+  void Dispatch(time_point now, live_request& request, target_id target);
+  void ScheduleHedge(time_point now, live_request& request);
+  void Hedge(time_point now, live_request& request);
+  void EmptyQueue(time_point now, request_service& service);
+
+  // Endings (router_endings.cc).
+  void OnNotRun(time_point now,
+                live_request& request,
+                const live_attempt& attempt,
+                bool reached_target);
+  void OnUnknown(time_point now, live_request& request, bool relayed);
+  bool MayRetry(time_point now, live_request& request);
+  void Retry(time_point now, live_request& request);
+  void Answer(time_point now,
+              live_request& request,
+              answer_condition condition,
+              run_state run);
+  void AnswerTruly(time_point now,
+                   live_request& request,
+                   answer_condition condition);
+  duration RetryAfter(time_point now, const live_request& request) const;
+  void Finish(time_point now, live_request& request, run_state run);
+  void CancelAttempt(time_point now, attempt_id attempt);
+  void CancelOthers(time_point now, live_request& request, attempt_id kept);
+  void EndAtTarget(time_point now,
+                   attempt_id id,
+                   const live_attempt& attempt,
+                   attempt_end end);
+  void EndAtPeer(time_point now,
+                 const live_attempt& attempt,
+                 const std::optional<peer_load>& load);
+  void Log(const live_request& request,
+           std::string_view chosen,
+           std::string_view rule);
+
+  live_request* Get(request_id id);
+
+  instance_id self_;
+  router_options options_;
+  log_sink& log_;
+  std::mt19937_64 random_;
+  std::vector<request_action> actions_;
+  configuration config_;
+  bool has_config_ = false;
+  fleet_view view_;
+  bool has_view_ = false;
+  std::map<std::string, std::unique_ptr<request_service>, std::less<>>
+      services_;
+  absl::flat_hash_map<std::uint64_t, request_service*> service_of_target_;
+  absl::flat_hash_map<std::uint64_t, std::unique_ptr<live_request>> requests_;
+  absl::flat_hash_map<std::uint64_t, live_attempt> attempts_;
+  // When targets' data centres went out.
+  absl::flat_hash_map<std::uint64_t, time_point> out_since_;
+  std::priority_queue<timer> timers_;
+  std::uint64_t next_attempt_ = 1;
+  std::optional<time_point> last_event_;
+  std::optional<time_point> confirmed_at_;
+  // As confirmed_at_, but void since any instance was lost.
+  std::optional<time_point> keys_confirmed_at_;
+  std::optional<time_point> stop_at_;
+  time_point slow_tick_at_;
+  handover handover_;
+  key_service keys_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_REQUESTS_ROUTER_IMPL_H_
--- /dev/null
+++ b/src/requests/router_state.h
@@ -0,0 +1,102 @@
+// What request_router keeps of services, requests and attempts.
+#ifndef ROSEMARYREACH_REQUESTS_ROUTER_STATE_H_
+#define ROSEMARYREACH_REQUESTS_ROUTER_STATE_H_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rosemaryreach/admission_queue.h"
+#include "rosemaryreach/concurrency_limit.h"
+#include "rosemaryreach/config.h"
+#include "rosemaryreach/request_types.h"
+#include "rosemaryreach/retry_budget.h"
+#include "rosemaryreach/slot_table.h"
+
+namespace rosemaryreach {
+
+// An instance that owns usable targets of a service; this one included.
+struct request_place {
+  instance_id instance;
+  std::uint32_t slots = 0;  // declared, of the usable targets it owns
+  peer_load load;           // as last piggybacked
+  time_point load_at;
+  bool has_load = false;
+  std::uint32_t outstanding = 0;  // forwarded from here and not ended
+  std::uint32_t sent_since_load = 0;
+};
+
+struct request_service {
+  request_service(const service_config& declared, duration cancel_grace)
+      : config(declared),
+        slots(cancel_grace),
+        queue(declared.requests.queue_limit),
+        budget(declared.requests.retry_budget_percent) {}
+
+  service_config config;
+  bool declared = true;
+  slot_table slots;
+  admission_queue queue;
+  retry_budget budget;
+  std::vector<request_place> places;
+  std::set<target_id> reported_unhealthy;
+  // Requests that wait until some owner has room, with when to try again.
+  std::vector<request_id> waiting;
+  // Time from dispatch to the whole answer, by request_class.
+  std::array<latency_estimate, 3> service_time;
+  // Time from arrival to the answer's headers.
+  latency_estimate first_answer;
+  time_point interactive_at;
+  bool has_interactive = false;
+};
+
+enum class request_stage : std::uint8_t {
+  kReserving,
+  kWaiting,
+  kQueued,
+  kRunning,
+};
+
+struct live_request {
+  request_id id;
+  request_service* service = nullptr;
+  request_class kind = request_class::kInteractive;
+  request_stage stage = request_stage::kWaiting;
+  bool idempotent = false;
+  std::uint64_t caller = 0;
+  std::uint64_t key = 0;
+  instance_id forwarded_by;
+  time_point arrived;
+  time_point deadline;
+  time_point hedge_at;
+  bool may_hedge = false;
+  bool reached_target = false;
+  bool may_have_run = false;
+  std::vector<attempt_id> attempts;
+  attempt_id relayed;
+  target_id last_target;
+  std::vector<instance_id> tried;
+  time_point try_again_at;
+
+  bool Tried(instance_id instance) const {
+    return std::find(tried.begin(), tried.end(), instance) != tried.end();
+  }
+};
+
+// An attempt to a target or, if `instance` is not zero, to a peer.
+struct live_attempt {
+  request_id request;
+  request_service* service = nullptr;
+  target_id target;
+  instance_id instance;
+  time_point started;
+  time_point ends_by;
+  bool cancelled = false;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_REQUESTS_ROUTER_STATE_H_
