Share buckets by weighted permutations

Each entry walks the buckets in an order of its own and takes the next free one when its weight is due; the legacy next hop then gets its share evenly from all others.

--- /dev/null
+++ b/src/packets/bucket_table.cc
@@ -0,0 +1,115 @@
+#include "rosemaryreach/bucket_table.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+namespace {
+
+// An entry's walk over all buckets, in an order of its own.
+struct bucket_walk {
+  std::uint32_t next = 0;
+  std::uint32_t step = 1;
+  std::uint64_t credit = 0;
+  std::uint32_t weight = 0;
+  std::uint16_t entry = 0;
+};
+
+std::vector<bucket_walk> StartWalks(std::span<const bucket_entry> entries,
+                                    std::uint32_t mask) {
+  std::vector<std::uint16_t> order;
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    if (entries[i].weight > 0) {
+      order.push_back(static_cast<std::uint16_t>(i));
+    }
+  }
+  // By id, so that the order of the entries does not matter.
+  std::sort(order.begin(), order.end(), [&](std::uint16_t a, std::uint16_t b) {
+    return entries[a].id < entries[b].id;
+  });
+  std::vector<bucket_walk> walks;
+  walks.reserve(order.size());
+  for (const std::uint16_t index : order) {
+    const std::uint64_t id = entries[index].id;
+    bucket_walk walk;
+    walk.next = static_cast<std::uint32_t>(HashPair(id, 1)) & mask;
+    walk.step = (static_cast<std::uint32_t>(HashPair(id, 2)) & mask) | 1U;
+    walk.weight = entries[index].weight;
+    walk.entry = index;
+    walks.push_back(walk);
+  }
+  return walks;
+}
+
+}  // namespace
+
+std::vector<std::uint16_t> BuildBucketTable(
+    std::span<const bucket_entry> entries,
+    std::uint32_t buckets) {
+  std::vector<std::uint16_t> table(buckets, kNoEntry);
+  const std::uint32_t mask = buckets - 1;
+  std::vector<bucket_walk> walks = StartWalks(entries, mask);
+  if (walks.empty()) {
+    return table;
+  }
+  std::uint64_t heaviest = 0;
+  for (const bucket_walk& walk : walks) {
+    heaviest = std::max<std::uint64_t>(heaviest, walk.weight);
+  }
+  std::uint32_t taken = 0;
+  while (taken < buckets) {
+    for (bucket_walk& walk : walks) {
+      walk.credit += walk.weight;
+      if (walk.credit < heaviest) {
+        continue;
+      }
+      walk.credit -= heaviest;
+      while (table[walk.next] != kNoEntry) {
+        walk.next = (walk.next + walk.step) & mask;
+      }
+      table[walk.next] = walk.entry;
+      if (++taken == buckets) {
+        break;
+      }
+    }
+  }
+  return table;
+}
+
+void OverlayShare(std::span<std::uint16_t> table,
+                  std::uint16_t overlay,
+                  std::uint32_t percent) {
+  std::vector<std::uint32_t> order(table.size());
+  std::iota(order.begin(), order.end(), 0U);
+  // Groups the buckets by entry, in a fixed order within each, and takes the
+  // first `percent` of every group; rounding carries over between groups.
+  std::sort(order.begin(), order.end(), [&](std::uint32_t a, std::uint32_t b) {
+    if (table[a] != table[b]) {
+      return table[a] < table[b];
+    }
+    return HashPair(a, 0) < HashPair(b, 0);
+  });
+  std::uint64_t seen = 0;
+  std::uint64_t given = 0;
+  std::size_t at = 0;
+  while (at < order.size()) {
+    const std::uint16_t entry = table[order[at]];
+    std::size_t end = at;
+    while (end < order.size() && table[order[end]] == entry) {
+      ++end;
+    }
+    seen += end - at;
+    const std::uint64_t wanted = seen * percent / 100 - given;
+    for (std::size_t i = at; i < end; ++i) {
+      if (i - at < wanted) {
+        table[order[i]] = overlay;
+      }
+    }
+    given += std::min<std::uint64_t>(wanted, end - at);
+    at = end;
+  }
+}
+
+}  // namespace rosemaryreach
