Route flows through bucket owners during transitions

Steady buckets are routed by the table alone. A change opens the buckets it touches: all instances hand their packets to one owner, which keeps flows without a pin on the old target and sends new ones elsewhere once every instance knows that the bucket is open.

--- a/include/rosemaryreach/flow_messages.h
+++ b/include/rosemaryreach/flow_messages.h
@@ -15,7 +15,7 @@
 
 enum class flow_message_kind : std::uint8_t {
   kSyncRequest,      // asks for the open buckets that the receiver owns
-  kSyncReply,        // all of them, over one or more messages
+  kSyncReply,        // all of them, in one or more parts
   kPins,             // pins of open buckets, for a successor or new owner
   kBuckets,          // floors that moved and buckets that closed
   kHandoverRequest,  // asks the old owner for the named buckets
@@ -55,7 +55,9 @@
   std::uint16_t worker = 0;  // of the sender
   std::uint64_t number = 0;  // configuration number of the sender
   std::uint64_t service = 0;
-  bool last = false;  // kSyncReply: no further message follows
+  // kSyncReply: which of how many messages this is.
+  std::uint16_t part = 0;
+  std::uint16_t parts = 1;
   std::vector<bucket_record> buckets;
   std::vector<pin_record> pins;
   std::vector<target_record> targets;
--- /dev/null
+++ b/src/packets/flow_changes.cc
@@ -0,0 +1,212 @@
+// What a flow router does when the configuration, the fleet or the condition
+// of a target changes, and after a pause of its process.
+#include <algorithm>
+
+#include "packets/flow_router_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+// A longer time between two ticks means that the process was paused.
+constexpr std::chrono::seconds kPauseGap(1);
+// Cold reports this close together tell of one event.
+constexpr std::chrono::seconds kColdRepeatTime(2);
+
+}  // namespace
+
+void flow_router::impl::ApplyConfiguration(
+    std::shared_ptr<const configuration> config,
+    time_point now) {
+  if (config->number <= number_) {
+    return;
+  }
+  // Changes in between may have opened buckets that this router never saw.
+  const bool skipped = config->number != number_ + 1;
+  number_ = config->number;
+  number_since_ = now;
+  addresses_.clear();
+  for (const service_config& declared : config->services) {
+    if (declared.plane != service_plane::kPackets) {
+      continue;
+    }
+    const std::uint64_t name_hash = HashBytes(declared.name);
+    std::optional<std::uint32_t> index = FindService(name_hash);
+    if (!index) {
+      index = static_cast<std::uint32_t>(services_.size());
+      services_.push_back(std::make_unique<service_state>());
+    }
+    for (const endpoint& address : declared.addresses) {
+      addresses_[{address, declared.protocol}] = *index;
+    }
+    service_state& service = *services_[*index];
+    for (const std::uint32_t bucket : service.Apply(*config, declared, now)) {
+      OpenBucket(*index, bucket, now);
+      service.FindOpen(bucket)->number = number_;
+    }
+    OpenCareBuckets(*index, now);
+  }
+  config_ = std::move(config);
+  if (skipped && !peers_.peers().empty()) {
+    BeginRefresh(now);
+  }
+}
+
+void flow_router::impl::ApplyView(const fleet_view& view, time_point now) {
+  const bool appeared = peers_.Apply(view, now);
+  for (const peer& known : peers_.peers()) {
+    if (peers_.IsSameProcess(known.id)) {
+      continue;
+    }
+    for (const std::unique_ptr<service_state>& service : services_) {
+      for (flow_target& target : service->targets) {
+        target.known_by.erase(known.id.value);
+      }
+    }
+  }
+  UpdateAllOwners(now);
+  if (!peers_.peers().empty() && (appeared || !refreshed_once_) &&
+      !refreshing_) {
+    BeginRefresh(now);
+  }
+}
+
+void flow_router::impl::ReportTarget(std::string_view service,
+                                     std::string_view target,
+                                     target_condition condition,
+                                     time_point now) {
+  const std::optional<std::uint32_t> index = FindService(HashBytes(service));
+  if (!index) {
+    return;
+  }
+  std::vector<flow_target>& targets = services_[*index]->targets;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const flow_target& known = targets[i];
+    if (known.name != target || known.legacy || known.given_up) {
+      continue;
+    }
+    const bool cold = known.condition == target_condition::kCold;
+    if (condition == target_condition::kHealthy &&
+        known.condition != condition) {
+      // A ramp ends with time; one that comes back begins with a ramp.
+      condition = target_condition::kCold;
+      if (cold) {
+        return;
+      }
+    }
+    const bool repeated =
+        cold && now - known.condition_since >= kColdRepeatTime;
+    if (condition != known.condition || repeated) {
+      SetCondition(*index, static_cast<std::uint16_t>(i), known.epoch + 1,
+                   condition, now);
+    }
+    return;
+  }
+}
+
+void flow_router::impl::SetCondition(std::uint32_t service,
+                                     std::uint16_t target,
+                                     std::uint32_t epoch,
+                                     target_condition condition,
+                                     time_point now) {
+  flow_target& changed = services_[service]->targets[target];
+  changed.epoch = epoch;
+  changed.condition = condition;
+  changed.condition_since = now;
+  changed.announced_at = time_point::min();
+  changed.tokens = 0;
+  changed.tokens_at = now;
+  services_[service]->BoundEjection();
+  OpenCareBuckets(service, now);
+  log_.Write(log_level::kInfo, "target_condition",
+             services_[service]->name + "/" + changed.name + " " +
+                 TargetConditionName(condition));
+}
+
+void flow_router::impl::OpenCareBuckets(std::uint32_t service, time_point now) {
+  const service_state& state = *services_[service];
+  std::vector<bool> care;
+  bool any = false;
+  for (std::size_t i = 0; i < state.targets.size(); ++i) {
+    care.push_back(state.NeedsCare(static_cast<std::uint16_t>(i)));
+    any |= care.back();
+  }
+  if (!any) {
+    return;
+  }
+  for (std::uint32_t bucket = 0; bucket < state.steady.size(); ++bucket) {
+    const std::uint16_t target = state.steady[bucket];
+    if (target < care.size() && care[target]) {
+      OpenBucket(service, bucket, now);
+    }
+  }
+}
+
+void flow_router::impl::OpenBucket(std::uint32_t service,
+                                   std::uint32_t bucket,
+                                   time_point now) {
+  service_state& state = *services_[service];
+  if (state.steady[bucket] == kOpenBucket) {
+    return;
+  }
+  state.steady[bucket] = kOpenBucket;
+  std::unique_ptr<open_bucket>& slot = state.open[bucket];
+  slot = std::make_unique<open_bucket>();
+  slot->number = number_;
+  slot->opened_at = now;
+  slot->unpinned_seen = now;
+  slot->refreshed_at = now;
+  unannounced_.push_back({service, bucket});
+  const std::uint64_t key = OwnerKey(state, bucket);
+  // As if the bucket had been open before the view changed, so that the owner
+  // by that view hands it over.
+  const std::optional<owner_pair> before = peers_.PreviousOwners(key, now);
+  if (before) {
+    UpdateOwner(service, bucket, *slot, *before, now);
+  }
+  UpdateOwner(service, bucket, *slot, peers_.Owners(key), now);
+}
+
+void flow_router::impl::EndRamps(time_point now) {
+  for (const std::unique_ptr<service_state>& service : services_) {
+    for (flow_target& target : service->targets) {
+      if (target.condition == target_condition::kCold &&
+          now - target.condition_since >=
+              std::chrono::milliseconds(target.warmup_ms)) {
+        target.condition = target_condition::kHealthy;
+      }
+    }
+  }
+}
+
+void flow_router::impl::CheckGap(time_point now) {
+  if (last_tick_ && now - *last_tick_ > kPauseGap) {
+    last_tick_ = now;
+    log_.Write(log_level::kWarning, "pause_detected", "");
+    BeginRefresh(now);
+  }
+}
+
+void flow_router::impl::BeginRefresh(time_point now) {
+  refreshing_ = true;
+  refresh_number_ = number_;
+  refresh_began_ = now;
+  sync_sent_ = time_point::min();
+  awaited_.clear();
+  for (const peer& known : peers_.peers()) {
+    for (std::uint16_t worker = 0; worker < known.packet_workers; ++worker) {
+      awaited_.push_back({known.id, worker, {}, false});
+    }
+  }
+  if (awaited_.empty()) {
+    EndRefresh(now);
+  }
+}
+
+void flow_router::impl::EndRefresh(time_point now) {
+  refreshing_ = false;
+  refreshed_once_ = true;
+  awaited_.clear();
+  UpdateAllOwners(now);
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/packets/flow_ownership.cc
@@ -0,0 +1,279 @@
+// Who decides about an open bucket, and when it closes.
+#include <algorithm>
+
+#include "packets/flow_router_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+// Time for a copy of a SYN that went straight to the floor to come by.
+constexpr std::chrono::milliseconds kMinAnnounceTime(200);
+// Time within which a configuration is in force everywhere.
+constexpr std::chrono::seconds kPropagationBound(3);
+// Pins of SYNs to the floor, kept for their copies.
+constexpr std::chrono::seconds kFloorPinTime(12);
+constexpr std::size_t kMaxSweptBuckets = 64;
+
+}  // namespace
+
+bool flow_router::impl::IsMine(std::uint32_t bucket) const {
+  return bucket % options_.workers == options_.worker;
+}
+
+std::uint64_t flow_router::impl::OwnerKey(const service_state& service,
+                                          std::uint32_t bucket) const {
+  return HashPair(service.name_hash, bucket);
+}
+
+void flow_router::impl::UpdateOwner(std::uint32_t service,
+                                    std::uint32_t bucket,
+                                    open_bucket& open,
+                                    owner_pair owners,
+                                    time_point now) {
+  const instance_id before = open.owner;
+  const instance_id successor_before = open.successor;
+  open.owner = owners.owner;
+  open.successor = owners.successor;
+  if (!IsMine(bucket)) {
+    return;
+  }
+  if (owners.owner != peers_.self()) {
+    if (open.role == bucket_role::kAwaiting) {
+      open.role = bucket_role::kRemote;
+    }
+    if (open.role == bucket_role::kOwner && owners.owner) {
+      open.role = bucket_role::kHandingOver;
+      open.replicated = open.replicated && owners.owner == successor_before;
+      handovers_.push_back({service, bucket});
+    }
+    return;
+  }
+  if (open.role == bucket_role::kOwner ||
+      open.role == bucket_role::kHandingOver) {
+    open.role = bucket_role::kOwner;
+    open.replicated = open.replicated && open.successor == successor_before;
+    return;
+  }
+  const instance_id holder =
+      open.role == bucket_role::kAwaiting ? open.previous : before;
+  if (holder && holder != peers_.self() && peers_.IsSameProcess(holder)) {
+    if (open.role != bucket_role::kAwaiting) {
+      open.owner_since = now;
+    }
+    open.role = bucket_role::kAwaiting;
+    open.previous = holder;
+    return;
+  }
+  BecomeOwner(open, now);
+}
+
+void flow_router::impl::BecomeOwner(open_bucket& open, time_point now) {
+  open.role = bucket_role::kOwner;
+  open.previous = {};
+  open.owner_since = now;
+  open.unpinned_seen = now;
+  open.replicated = false;
+  const std::uint16_t coarse = CoarseTime(now);
+  for (const pin& held : open.pins) {
+    pin_table::Touch(held, coarse);
+  }
+}
+
+void flow_router::impl::UpdateAllOwners(time_point now) {
+  for (std::uint32_t i = 0; i < services_.size(); ++i) {
+    for (auto& [bucket, open] : services_[i]->open) {
+      const std::uint64_t key = OwnerKey(*services_[i], bucket);
+      UpdateOwner(i, bucket, *open, peers_.Owners(key), now);
+    }
+  }
+}
+
+bool flow_router::impl::PeersKnowTarget(const flow_target& target,
+                                        time_point now) const {
+  if (now - target.condition_since >= kPropagationBound) {
+    return true;
+  }
+  return std::all_of(peers_.peers().begin(), peers_.peers().end(),
+                     [&](const peer& known) {
+                       const auto found = target.known_by.find(known.id.value);
+                       const std::uint32_t epoch =
+                           found == target.known_by.end() ? 0 : found->second;
+                       return epoch >= target.epoch;
+                     });
+}
+
+// Returns whether every peer sends the packets of the bucket to its owner.
+bool flow_router::impl::PeersKnowBucket(const service_state& service,
+                                        std::uint32_t bucket,
+                                        const open_bucket& open,
+                                        time_point now) const {
+  const duration age = now - open.opened_at;
+  if (age < kMinAnnounceTime) {
+    return false;
+  }
+  if (age >= kPropagationBound) {
+    return true;
+  }
+  if (!peers_.AllWithin(open.number, number_)) {
+    return false;
+  }
+  const std::uint16_t current = service.current[bucket];
+  return service.floor[bucket] != current || !service.NeedsCare(current) ||
+         PeersKnowTarget(service.targets[current], now);
+}
+
+void flow_router::impl::AnnounceBuckets(time_point now) {
+  if (refreshing_) {
+    return;
+  }
+  std::vector<bucket_ref> remaining;
+  for (const bucket_ref& ref : unannounced_) {
+    service_state& service = *services_[ref.service];
+    open_bucket* open = service.FindOpen(ref.bucket);
+    if (open == nullptr || open->announced) {
+      continue;
+    }
+    if (!PeersKnowBucket(service, ref.bucket, *open, now)) {
+      remaining.push_back(ref);
+      continue;
+    }
+    open->announced = true;
+    if (open->role == bucket_role::kOwner) {
+      SweepBucket(ref.service, ref.bucket, now);
+    }
+  }
+  unannounced_ = std::move(remaining);
+}
+
+void flow_router::impl::SweepBuckets(time_point now) {
+  for (std::uint32_t i = 0; i < services_.size(); ++i) {
+    service_state& service = *services_[i];
+    if (service.open.empty()) {
+      continue;
+    }
+    std::size_t swept = 0;
+    for (std::size_t step = 0;
+         step < service.steady.size() && swept < kMaxSweptBuckets; ++step) {
+      const std::uint32_t bucket = service.sweep_at;
+      service.sweep_at = (bucket + 1) & service.mask();
+      if (service.steady[bucket] == kOpenBucket && IsMine(bucket)) {
+        SweepBucket(i, bucket, now);
+        ++swept;
+      }
+    }
+  }
+}
+
+void flow_router::impl::ErasePins(open_bucket& open,
+                                  const std::function<bool(const pin&)>& gone) {
+  stats_.pins -= open.pins.EraseIf(gone);
+}
+
+void flow_router::impl::SweepBucket(std::uint32_t service,
+                                    std::uint32_t bucket,
+                                    time_point now) {
+  service_state& state = *services_[service];
+  open_bucket& open = *state.FindOpen(bucket);
+  const std::uint16_t coarse = CoarseTime(now);
+  const bool owner = open.role == bucket_role::kOwner;
+  const std::uint16_t floor = state.floor[bucket];
+  const bool tcp = state.protocol == transport_protocol::kTcp;
+  const std::chrono::milliseconds idle =
+      owner ? state.idle_timeout : 2 * state.idle_timeout;
+  ErasePins(open, [&](const pin& held) {
+    const std::chrono::seconds age = CoarseAge(held.seen, coarse);
+    return age > idle || (held.target == floor && tcp && age >= kFloorPinTime);
+  });
+  if (!owner) {
+    return;
+  }
+  const time_point quiet_since =
+      std::max({open.unpinned_seen, open.opened_at, open.owner_since});
+  const bool floor_empty =
+      state.IsFloorGone(bucket) || now - quiet_since > state.idle_timeout;
+  if (open.announced && floor != state.current[bucket] && floor_empty) {
+    MoveFloor(service, bucket, open, now);
+  }
+  const bool due =
+      !open.replicated || now - open.refreshed_at > state.idle_timeout / 2;
+  if (due && open.pins.size() > 0 && !open.replica_queued) {
+    open.replica_queued = true;
+    replicas_.push_back({service, bucket});
+  }
+  CloseIfSettled(service, bucket);
+}
+
+// Makes the current target the one of all flows without a pin.
+void flow_router::impl::MoveFloor(std::uint32_t service,
+                                  std::uint32_t bucket,
+                                  open_bucket& open,
+                                  time_point now) {
+  service_state& state = *services_[service];
+  const std::uint16_t current = state.current[bucket];
+  state.floor[bucket] = current;
+  open.unpinned_seen = now;
+  ErasePins(open, [&](const pin& held) { return held.target == current; });
+  moved_floors_.push_back({service, bucket});
+}
+
+void flow_router::impl::CloseIfSettled(std::uint32_t service,
+                                       std::uint32_t bucket) {
+  service_state& state = *services_[service];
+  const open_bucket& open = *state.FindOpen(bucket);
+  const std::uint16_t current = state.current[bucket];
+  if (refreshing_ || state.floor[bucket] != current ||
+      state.NeedsCare(current) || open.pins.size() > 0) {
+    return;
+  }
+  CloseBucket(service, bucket);
+  moved_floors_.push_back({service, bucket});
+}
+
+void flow_router::impl::CloseBucket(std::uint32_t service,
+                                    std::uint32_t bucket) {
+  service_state& state = *services_[service];
+  stats_.pins -= state.FindOpen(bucket)->pins.size();
+  state.open.erase(bucket);
+  state.steady[bucket] = state.floor[bucket];
+}
+
+void flow_router::impl::CountOwnedBuckets() {
+  for (const std::unique_ptr<service_state>& service : services_) {
+    for (flow_target& target : service->targets) {
+      target.owned_buckets = 0;
+    }
+    for (const auto& [bucket, open] : service->open) {
+      const std::uint16_t current = service->current[bucket];
+      const bool decides = open->role == bucket_role::kOwner ||
+                           open->role == bucket_role::kHandingOver;
+      if (decides && current != kNoEntry) {
+        ++service->targets[current].owned_buckets;
+      }
+    }
+  }
+}
+
+bool flow_router::impl::handed_over() const {
+  for (const std::unique_ptr<service_state>& service : services_) {
+    for (const auto& [bucket, open] : service->open) {
+      if (open->role == bucket_role::kOwner ||
+          open->role == bucket_role::kHandingOver) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+flow_router_stats flow_router::impl::stats() const {
+  flow_router_stats stats = stats_;
+  for (const std::unique_ptr<service_state>& service : services_) {
+    stats.open_buckets += service->open.size();
+    for (const auto& [bucket, open] : service->open) {
+      stats.owned_buckets += open->role == bucket_role::kOwner ? 1 : 0;
+    }
+  }
+  return stats;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/packets/flow_sync.cc
@@ -0,0 +1,593 @@
+// The messages of a flow router: refreshes, pins, floors, handovers and
+// conditions of targets.
+#include <algorithm>
+
+#include "packets/flow_router_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+// UDP, IP, authentication and the fixed part of one message.
+constexpr std::size_t kDatagramBytes = 100;
+// One record of a message, at most.
+constexpr std::size_t kRecordBytes = 8;
+constexpr std::size_t kMaxBatchBytes = 1'000;
+constexpr std::size_t kMaxHints = 64;
+constexpr std::chrono::milliseconds kRepeatTime(200);
+constexpr std::chrono::seconds kMaxRefreshTime(3);
+constexpr std::chrono::seconds kMaxAwaitTime(30);
+// Buckets handed over this lately may not be claimed by their new owner yet.
+constexpr std::chrono::seconds kReleaseTime(3);
+constexpr std::chrono::seconds kMessageBurst(5);
+
+bool IsElapsed(time_point since, duration span, time_point now) {
+  return since == time_point::min() || now - since >= span;
+}
+
+std::size_t MessageBytes(const flow_message& message) {
+  const std::size_t records =
+      message.buckets.size() + message.pins.size() + message.targets.size();
+  return kDatagramBytes + records * kRecordBytes;
+}
+
+}  // namespace
+
+std::optional<std::uint32_t> flow_router::impl::FindService(
+    std::uint64_t name_hash) const {
+  for (std::uint32_t i = 0; i < services_.size(); ++i) {
+    if (services_[i]->name_hash == name_hash) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+void flow_router::impl::OnMessage(instance_id from,
+                                  const flow_message& message,
+                                  time_point now) {
+  CheckGap(now);
+  peers_.HearNumber(from, message.number);
+  if (message.kind == flow_message_kind::kSyncRequest) {
+    AnswerSync(from);
+    return;
+  }
+  const std::optional<std::uint32_t> service = FindService(message.service);
+  if (message.kind == flow_message_kind::kSyncReply) {
+    if (service) {
+      TakeSyncReply(from, message, *service, now);
+    }
+    NoteReplyPart(from, message);
+    return;
+  }
+  if (!service) {
+    return;
+  }
+  const std::uint32_t mask = services_[*service]->mask();
+  const bool in_range = std::all_of(
+      message.buckets.begin(), message.buckets.end(),
+      [mask](const bucket_record& record) { return record.bucket <= mask; });
+  if (!in_range) {
+    return;
+  }
+  switch (message.kind) {
+    case flow_message_kind::kPins:
+      TakePins(message, *service, now);
+      return;
+    case flow_message_kind::kBuckets:
+      TakeBuckets(from, message, *service, now);
+      return;
+    case flow_message_kind::kHandover:
+      TakeHandover(from, message, *service, now);
+      return;
+    case flow_message_kind::kHandoverRequest:
+      TakeHandoverRequest(from, message, *service);
+      return;
+    case flow_message_kind::kTargets:
+      TakeTargets(from, message, *service, now);
+      return;
+    case flow_message_kind::kSyncRequest:
+    case flow_message_kind::kSyncReply:
+      return;
+  }
+}
+
+void flow_router::impl::TakeSyncReply(instance_id from,
+                                      const flow_message& message,
+                                      std::uint32_t service,
+                                      time_point now) {
+  service_state& state = *services_[service];
+  for (const bucket_record& record : message.buckets) {
+    const std::uint16_t floor = state.FindTarget(record.floor);
+    if (record.bucket > state.mask()) {
+      continue;
+    }
+    OpenBucket(service, record.bucket, now);
+    open_bucket& open = *state.FindOpen(record.bucket);
+    if (floor != kNoEntry) {
+      state.floor[record.bucket] = floor;
+    }
+    // The sender decides about the bucket; it knows what was pinned while
+    // this router was not there.
+    if (IsMine(record.bucket) && open.owner == peers_.self() && refreshing_) {
+      open.role = bucket_role::kAwaiting;
+      open.previous = from;
+      open.owner_since = now;
+    }
+  }
+  TakeTargets(from, message, service, now);
+}
+
+void flow_router::impl::NoteReplyPart(instance_id from,
+                                      const flow_message& message) {
+  if (!refreshing_ || message.number < refresh_number_) {
+    return;
+  }
+  for (awaited_reply& reply : awaited_) {
+    if (reply.from != from || reply.worker != message.worker) {
+      continue;
+    }
+    if (reply.parts.size() != message.parts) {
+      reply.parts.assign(message.parts, false);
+    }
+    reply.parts[message.part] = true;
+    reply.complete = std::find(reply.parts.begin(), reply.parts.end(), false) ==
+                     reply.parts.end();
+  }
+}
+
+void flow_router::impl::TakePins(const flow_message& message,
+                                 std::uint32_t service,
+                                 time_point now) {
+  service_state& state = *services_[service];
+  for (const bucket_record& record : message.buckets) {
+    if (!IsMine(record.bucket)) {
+      continue;
+    }
+    OpenBucket(service, record.bucket, now);
+    const std::uint16_t floor = state.FindTarget(record.floor);
+    const open_bucket& open = *state.FindOpen(record.bucket);
+    if (floor != kNoEntry && open.role != bucket_role::kOwner) {
+      state.floor[record.bucket] = floor;
+    }
+  }
+  for (const pin_record& record : message.pins) {
+    const std::uint32_t bucket =
+        static_cast<std::uint32_t>(record.flow_hash) & state.mask();
+    const std::uint16_t target = state.FindTarget(record.target);
+    open_bucket* open = state.FindOpen(bucket);
+    if (IsMine(bucket) && open != nullptr && target != kNoEntry) {
+      SetPin(*open, record.flow_hash, target, now);
+    }
+  }
+}
+
+void flow_router::impl::TakeBuckets(instance_id from,
+                                    const flow_message& message,
+                                    std::uint32_t service,
+                                    time_point now) {
+  service_state& state = *services_[service];
+  for (const bucket_record& record : message.buckets) {
+    const std::uint16_t floor = state.FindTarget(record.floor);
+    const std::uint16_t current = state.current[record.bucket];
+    if (floor == kNoEntry) {
+      continue;
+    }
+    if (state.steady[record.bucket] != kOpenBucket) {
+      if (floor == state.floor[record.bucket]) {
+        continue;
+      }
+      OpenBucket(service, record.bucket, now);
+    }
+    open_bucket& open = *state.FindOpen(record.bucket);
+    const bool decides = open.role == bucket_role::kOwner ||
+                         open.role == bucket_role::kHandingOver;
+    if (decides || open.owner != from) {
+      continue;
+    }
+    state.floor[record.bucket] = floor;
+    if (!record.open && floor == current && !state.NeedsCare(current) &&
+        message.number >= open.number) {
+      CloseBucket(service, record.bucket);
+    }
+  }
+}
+
+void flow_router::impl::TakeHandover(instance_id from,
+                                     const flow_message& message,
+                                     std::uint32_t service,
+                                     time_point now) {
+  service_state& state = *services_[service];
+  for (const bucket_record& record : message.buckets) {
+    open_bucket* open = state.FindOpen(record.bucket);
+    if (!IsMine(record.bucket) || open == nullptr ||
+        open->role != bucket_role::kAwaiting || open->previous != from) {
+      continue;
+    }
+    if (open->pins.size() < record.pins) {
+      // Some pins were lost; the next request brings them again.
+      continue;
+    }
+    const std::uint16_t floor = state.FindTarget(record.floor);
+    if (floor != kNoEntry) {
+      state.floor[record.bucket] = floor;
+    }
+    BecomeOwner(*open, now);
+  }
+}
+
+void flow_router::impl::TakeHandoverRequest(instance_id from,
+                                            const flow_message& message,
+                                            std::uint32_t service) {
+  service_state& state = *services_[service];
+  for (const bucket_record& record : message.buckets) {
+    const bucket_ref ref{service, record.bucket};
+    if (!IsMine(record.bucket)) {
+      continue;
+    }
+    const open_bucket* open = state.FindOpen(record.bucket);
+    const bool released = open != nullptr && open->owner == from &&
+                          open->role == bucket_role::kRemote;
+    if ((open == nullptr || released) &&
+        std::find(handovers_.begin(), handovers_.end(), ref) ==
+            handovers_.end()) {
+      handovers_.push_back(ref);
+    }
+  }
+}
+
+void flow_router::impl::TakeTargets(instance_id from,
+                                    const flow_message& message,
+                                    std::uint32_t service,
+                                    time_point now) {
+  service_state& state = *services_[service];
+  for (const target_record& record : message.targets) {
+    const std::uint16_t index = state.FindTarget(record.target);
+    if (index == kNoEntry) {
+      continue;
+    }
+    flow_target& target = state.targets[index];
+    std::uint32_t& known = target.known_by[from.value];
+    if (known >= record.epoch && record.epoch == target.epoch) {
+      // It asks again, so it has not heard that this instance knows.
+      target_replies_.push_back({from, service, index});
+    }
+    known = std::max(known, record.epoch);
+    const bool newer =
+        record.epoch > target.epoch ||
+        (record.epoch == target.epoch && record.condition > target.condition &&
+         record.condition != target_condition::kCold);
+    if (newer) {
+      SetCondition(service, index, record.epoch, record.condition, now);
+    }
+  }
+}
+
+std::vector<flow_outgoing> flow_router::impl::Tick(time_point now) {
+  CheckGap(now);
+  last_tick_ = now;
+  const double rate = options_.message_bytes_per_s;
+  const double elapsed =
+      budget_at_ ? std::chrono::duration<double>(now - *budget_at_).count() : 0;
+  const double burst = rate * kMessageBurst.count();
+  budget_bytes_ =
+      budget_at_ ? std::min(burst, budget_bytes_ + elapsed * rate) : burst;
+  budget_at_ = now;
+  EndRamps(now);
+  CountOwnedBuckets();
+  SendSyncRequests(now);
+  AnnounceBuckets(now);
+  SweepBuckets(now);
+  SendTargets(now);
+  SendHandovers(now);
+  SendHandoverRequests(now);
+  SendFloors();
+  SendHints();
+  SendReplicas(now);
+  FlushBatches();
+  return std::exchange(outgoing_, {});
+}
+
+void flow_router::impl::SendSyncRequests(time_point now) {
+  if (!refreshing_) {
+    return;
+  }
+  std::erase_if(awaited_, [this](const awaited_reply& reply) {
+    return peers_.Find(reply.from) == nullptr;
+  });
+  const bool complete =
+      std::all_of(awaited_.begin(), awaited_.end(),
+                  [](const awaited_reply& reply) { return reply.complete; });
+  if (complete || now - refresh_began_ >= kMaxRefreshTime) {
+    EndRefresh(now);
+    return;
+  }
+  if (!IsElapsed(sync_sent_, kRepeatTime, now)) {
+    return;
+  }
+  sync_sent_ = now;
+  instance_id last;
+  for (const awaited_reply& reply : awaited_) {
+    if (!reply.complete && reply.from != last) {
+      last = reply.from;
+      flow_message request;
+      request.number = number_;
+      request.worker = options_.worker;
+      Send(reply.from, std::move(request));
+    }
+  }
+}
+
+void flow_router::impl::AnswerSync(instance_id to) {
+  std::vector<flow_message> parts;
+  for (std::uint32_t i = 0; i < services_.size(); ++i) {
+    const service_state& service = *services_[i];
+    flow_message part = MakeMessage(flow_message_kind::kSyncReply, i);
+    for (const auto& [bucket, open] : service.open) {
+      const bool decides = open->role == bucket_role::kOwner ||
+                           open->role == bucket_role::kHandingOver;
+      const bool released = open->released_at != time_point() && last_tick_ &&
+                            *last_tick_ - open->released_at < kReleaseTime;
+      if (!decides && !released) {
+        continue;
+      }
+      part.buckets.push_back(MakeRecord(service, bucket, open.get()));
+      if (EstimateFlowMessage(part) >= kMaxBatchBytes) {
+        parts.push_back(
+            std::exchange(part, MakeMessage(flow_message_kind::kSyncReply, i)));
+      }
+    }
+    for (const flow_target& target : service.targets) {
+      if (target.epoch > 0 && target.condition != target_condition::kHealthy) {
+        part.targets.push_back({target.id, target.epoch, target.condition});
+      }
+    }
+    if (!part.buckets.empty() || !part.targets.empty()) {
+      parts.push_back(std::move(part));
+    }
+  }
+  if (parts.empty()) {
+    flow_message none;
+    none.kind = flow_message_kind::kSyncReply;
+    none.worker = options_.worker;
+    none.number = number_;
+    parts.push_back(std::move(none));
+  }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].part = static_cast<std::uint16_t>(i);
+    parts[i].parts = static_cast<std::uint16_t>(parts.size());
+    Send(to, std::move(parts[i]));
+  }
+}
+
+void flow_router::impl::SendTargets(time_point now) {
+  if (options_.worker != 0) {
+    target_replies_.clear();
+    return;
+  }
+  for (const target_reply& reply : target_replies_) {
+    const flow_target& target = services_[reply.service]->targets[reply.target];
+    Batch(reply.to, flow_message_kind::kTargets, reply.service)
+        .targets.push_back({target.id, target.epoch, target.condition});
+  }
+  target_replies_.clear();
+  for (std::uint32_t i = 0; i < services_.size(); ++i) {
+    for (flow_target& target : services_[i]->targets) {
+      if (target.epoch == 0 || target.condition == target_condition::kHealthy ||
+          !IsElapsed(target.announced_at, kRepeatTime, now)) {
+        continue;
+      }
+      const bool first = target.announced_at == time_point::min();
+      target.announced_at = now;
+      for (const peer& known : peers_.peers()) {
+        const auto found = target.known_by.find(known.id.value);
+        const bool knows =
+            found != target.known_by.end() && found->second >= target.epoch;
+        if (first || !knows) {
+          Batch(known.id, flow_message_kind::kTargets, i)
+              .targets.push_back({target.id, target.epoch, target.condition});
+        }
+      }
+    }
+  }
+}
+
+void flow_router::impl::SendFloors() {
+  while (HasBudget() && !moved_floors_.empty()) {
+    const bucket_ref ref = moved_floors_.front();
+    moved_floors_.pop_front();
+    service_state& service = *services_[ref.service];
+    const open_bucket* open = service.FindOpen(ref.bucket);
+    for (const peer& known : peers_.peers()) {
+      flow_message& message =
+          Batch(known.id, flow_message_kind::kBuckets, ref.service);
+      message.buckets.push_back(MakeRecord(service, ref.bucket, open));
+    }
+  }
+}
+
+void flow_router::impl::AddHint(instance_id to, const bucket_ref& bucket) {
+  const bool known =
+      std::any_of(hints_.begin(), hints_.end(), [&](const floor_hint& hint) {
+        return hint.to == to && hint.bucket == bucket;
+      });
+  if (!known && hints_.size() < kMaxHints) {
+    hints_.push_back({to, bucket});
+  }
+}
+
+void flow_router::impl::SendHints() {
+  for (const floor_hint& hint : hints_) {
+    service_state& service = *services_[hint.bucket.service];
+    if (HasBudget() && service.steady[hint.bucket.bucket] != kOpenBucket) {
+      Batch(hint.to, flow_message_kind::kBuckets, hint.bucket.service)
+          .buckets.push_back(MakeRecord(service, hint.bucket.bucket, nullptr));
+    }
+  }
+  hints_.clear();
+}
+
+void flow_router::impl::SendHandovers(time_point now) {
+  std::vector<flow_outgoing> done;
+  while (HasBudget() && !handovers_.empty()) {
+    const bucket_ref ref = handovers_.front();
+    handovers_.pop_front();
+    service_state& service = *services_[ref.service];
+    open_bucket* open = service.FindOpen(ref.bucket);
+    const instance_id to =
+        open != nullptr ? open->owner
+                        : peers_.Owners(OwnerKey(service, ref.bucket)).owner;
+    if (to == peers_.self() || !to ||
+        (open != nullptr && open->role != bucket_role::kHandingOver &&
+         open->role != bucket_role::kRemote)) {
+      continue;
+    }
+    if (open != nullptr) {
+      const bool complete =
+          open->role == bucket_role::kHandingOver && open->replicated;
+      if (!complete) {
+        StreamPins(ref, *open, to);
+      }
+      open->role = bucket_role::kRemote;
+      open->replicated = false;
+      open->released_at = now;
+    }
+    flow_message message =
+        MakeMessage(flow_message_kind::kHandover, ref.service);
+    message.buckets.push_back(MakeRecord(service, ref.bucket, open));
+    done.push_back({to, std::move(message)});
+  }
+  // The pins go first, so that few handovers find them missing.
+  FlushBatches();
+  for (const flow_outgoing& one : done) {
+    Batch(one.to, flow_message_kind::kHandover,
+          *FindService(one.message.service))
+        .buckets.push_back(one.message.buckets.front());
+  }
+}
+
+void flow_router::impl::SendHandoverRequests(time_point now) {
+  if (!IsElapsed(requests_sent_, kRepeatTime, now)) {
+    return;
+  }
+  requests_sent_ = now;
+  for (std::uint32_t i = 0; i < services_.size(); ++i) {
+    for (auto& [bucket, open] : services_[i]->open) {
+      if (open->role != bucket_role::kAwaiting) {
+        continue;
+      }
+      if (now - open->owner_since >= kMaxAwaitTime) {
+        BecomeOwner(*open, now);
+        continue;
+      }
+      if (HasBudget()) {
+        Batch(open->previous, flow_message_kind::kHandoverRequest, i)
+            .buckets.push_back({bucket, 0, 0, true});
+      }
+    }
+  }
+}
+
+void flow_router::impl::SendReplicas(time_point now) {
+  while (HasBudget() && !replicas_.empty()) {
+    const bucket_ref ref = replicas_.front();
+    replicas_.pop_front();
+    open_bucket* open = services_[ref.service]->FindOpen(ref.bucket);
+    if (open == nullptr) {
+      continue;
+    }
+    open->replica_queued = false;
+    if (open->role != bucket_role::kOwner || !open->successor) {
+      continue;
+    }
+    StreamPins(ref, *open, open->successor);
+    open->replicated = true;
+    open->refreshed_at = now;
+  }
+}
+
+void flow_router::impl::StreamPins(const bucket_ref& ref,
+                                   const open_bucket& open,
+                                   instance_id to) {
+  const service_state& service = *services_[ref.service];
+  const bucket_record record = MakeRecord(service, ref.bucket, &open);
+  flow_message* message = &Batch(to, flow_message_kind::kPins, ref.service);
+  message->buckets.push_back(record);
+  for (const pin& held : open.pins) {
+    if (held.target == service.floor[ref.bucket]) {
+      continue;
+    }
+    message = &Batch(to, flow_message_kind::kPins, ref.service);
+    if (message->buckets.empty()) {
+      message->buckets.push_back(record);
+    }
+    message->pins.push_back({held.hash(), service.targets[held.target].id});
+  }
+}
+
+bucket_record flow_router::impl::MakeRecord(const service_state& service,
+                                            std::uint32_t bucket,
+                                            const open_bucket* open) const {
+  bucket_record record;
+  record.bucket = bucket;
+  const std::uint16_t floor = service.floor[bucket];
+  record.floor = floor == kNoEntry ? 0 : service.targets[floor].id;
+  record.open = open != nullptr;
+  if (open != nullptr) {
+    record.pins = static_cast<std::uint32_t>(std::count_if(
+        open->pins.begin(), open->pins.end(),
+        [floor](const pin& held) { return held.target != floor; }));
+  }
+  return record;
+}
+
+flow_message flow_router::impl::MakeMessage(flow_message_kind kind,
+                                            std::uint32_t service) const {
+  flow_message message;
+  message.kind = kind;
+  message.worker = options_.worker;
+  message.number = number_;
+  message.service = services_[service]->name_hash;
+  return message;
+}
+
+// Returns the message to add the next record to; sends a full one first.
+flow_message& flow_router::impl::Batch(instance_id to,
+                                       flow_message_kind kind,
+                                       std::uint32_t service) {
+  const std::uint64_t name_hash = services_[service]->name_hash;
+  const auto found = std::find_if(
+      batches_.begin(), batches_.end(), [&](const flow_outgoing& batch) {
+        return batch.to == to && batch.message.kind == kind &&
+               batch.message.service == name_hash;
+      });
+  if (found == batches_.end()) {
+    return batches_.emplace_back(flow_outgoing{to, MakeMessage(kind, service)})
+        .message;
+  }
+  if (EstimateFlowMessage(found->message) >= kMaxBatchBytes) {
+    Send(to, std::exchange(found->message, MakeMessage(kind, service)));
+  }
+  return found->message;
+}
+
+// Returns whether this tick may add more records to what it sends.
+bool flow_router::impl::HasBudget() const {
+  double pending = 0;
+  for (const flow_outgoing& batch : batches_) {
+    pending += static_cast<double>(MessageBytes(batch.message));
+  }
+  return budget_bytes_ > pending;
+}
+
+void flow_router::impl::FlushBatches() {
+  for (flow_outgoing& batch : std::exchange(batches_, {})) {
+    Send(batch.to, std::move(batch.message));
+  }
+}
+
+void flow_router::impl::Send(instance_id to, flow_message message) {
+  budget_bytes_ -= static_cast<double>(MessageBytes(message));
+  outgoing_.push_back({to, std::move(message)});
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/packets/service_state.cc
@@ -0,0 +1,160 @@
+#include "packets/service_state.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr std::uint32_t kMaxEjectedPercent = 50;
+constexpr std::string_view kLegacyName = "legacy";
+
+bool IsGivenUp(const configuration& config, const target_config& target) {
+  const data_centre_config* centre = FindDataCentre(config, target.data_centre);
+  return centre != nullptr && centre->state == data_centre_state::kOut;
+}
+
+bool IsBad(const flow_target& target) {
+  return target.condition == target_condition::kUnhealthy ||
+         target.condition == target_condition::kDead;
+}
+
+}  // namespace
+
+std::uint16_t service_state::TakeTarget(std::string_view target_name,
+                                        endpoint address) {
+  const std::uint64_t id = HashPair(
+      HashBytes(target_name),
+      HashBytes({reinterpret_cast<const char*>(address.address.bytes.data()),
+                 address.address.bytes.size()},
+                address.port));
+  const auto found = target_index.find(id);
+  if (found != target_index.end()) {
+    return found->second;
+  }
+  const std::uint16_t index = static_cast<std::uint16_t>(targets.size());
+  flow_target& added = targets.emplace_back();
+  added.id = id;
+  added.name = target_name;
+  added.address = address;
+  target_index[id] = index;
+  return index;
+}
+
+void service_state::TakeTargets(const configuration& config,
+                                const service_config& service) {
+  for (flow_target& known : targets) {
+    // What the configuration no longer names is given up.
+    known.accepts = false;
+    known.given_up = true;
+    known.weight = 0;
+  }
+  for (const target_config& declared : service.targets) {
+    flow_target& target = targets[TakeTarget(declared.name, declared.address)];
+    target.accepts = AcceptsNewWork(config, declared);
+    target.given_up = IsGivenUp(config, declared);
+    target.weight = target.accepts ? declared.weight : 0;
+    target.cold_rate_per_s = declared.cold_rate_per_s;
+    target.warmup_ms = declared.warmup_ms;
+  }
+}
+
+std::vector<std::uint32_t> service_state::Apply(const configuration& config,
+                                                const service_config& service,
+                                                time_point now) {
+  name = service.name;
+  name_hash = HashBytes(service.name);
+  protocol = service.protocol;
+  idle_timeout = std::chrono::milliseconds(service.flow_idle_timeout_ms);
+  const bool first = floor.size() != service.buckets;
+  std::vector<bool> accepted_before;
+  for (const flow_target& target : targets) {
+    accepted_before.push_back(target.accepts);
+  }
+  TakeTargets(config, service);
+  std::vector<bucket_entry> entries;
+  for (const flow_target& target : targets) {
+    entries.push_back({target.id, target.weight});
+  }
+  current = BuildBucketTable(entries, service.buckets);
+  if (service.legacy) {
+    const std::uint16_t index =
+        TakeTarget(kLegacyName, service.legacy->next_hop);
+    flow_target& legacy = targets[index];
+    legacy.legacy = true;
+    legacy.accepts = true;
+    legacy.given_up = false;
+    OverlayShare(current, index, 100 - service.legacy->share_percent);
+  }
+  for (flow_target& target : targets) {
+    target.buckets = 0;
+  }
+  accepted_before.resize(targets.size(), false);
+  for (std::size_t i = 0; i < targets.size() && !first; ++i) {
+    // A target that starts to take new flows has yet to warm up.
+    if (!accepted_before[i] && targets[i].accepts && !targets[i].legacy) {
+      targets[i].condition = target_condition::kCold;
+      targets[i].condition_since = now;
+      targets[i].tokens = 0;
+      targets[i].tokens_at = now;
+    }
+  }
+  if (first) {
+    floor = current;
+    steady = current;
+    open.clear();
+  }
+  std::vector<std::uint32_t> changed;
+  for (std::uint32_t bucket = 0; bucket < current.size(); ++bucket) {
+    if (current[bucket] != kNoEntry) {
+      ++targets[current[bucket]].buckets;
+    }
+    const bool stale =
+        floor[bucket] != kNoEntry && targets[floor[bucket]].given_up;
+    if (floor[bucket] != current[bucket] || stale) {
+      changed.push_back(bucket);
+    }
+  }
+  BoundEjection();
+  return changed;
+}
+
+std::uint16_t service_state::FindTarget(std::uint64_t id) const {
+  const auto found = target_index.find(id);
+  return found == target_index.end() ? kNoEntry : found->second;
+}
+
+void service_state::BoundEjection() {
+  std::uint64_t total = 0;
+  std::uint64_t bad = 0;
+  for (const flow_target& target : targets) {
+    total += target.weight;
+    bad += IsBad(target) ? target.weight : 0;
+  }
+  // Beyond the bound the reports are likelier wrong than the targets.
+  const bool panic = bad * 100 > total * kMaxEjectedPercent;
+  for (flow_target& target : targets) {
+    target.ejected = IsBad(target) && !panic;
+  }
+}
+
+bool service_state::IsRamping(std::uint16_t target) const {
+  return target != kNoEntry &&
+         targets[target].condition == target_condition::kCold;
+}
+
+bool service_state::NeedsCare(std::uint16_t target) const {
+  return target != kNoEntry && (IsRamping(target) || targets[target].ejected);
+}
+
+bool service_state::IsFree(std::uint16_t target) const {
+  return target != kNoEntry && targets[target].accepts && !NeedsCare(target);
+}
+
+bool service_state::IsFloorGone(std::uint32_t bucket) const {
+  return floor[bucket] == kNoEntry || targets[floor[bucket]].given_up;
+}
+
+open_bucket* service_state::FindOpen(std::uint32_t bucket) {
+  const auto found = open.find(bucket);
+  return found == open.end() ? nullptr : found->second.get();
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/packets/service_state.h
@@ -0,0 +1,126 @@
+// One service as a flow router sees it: its targets under all configurations
+// that still matter, its bucket table, floors and open buckets.
+#ifndef ROSEMARYREACH_PACKETS_SERVICE_STATE_H_
+#define ROSEMARYREACH_PACKETS_SERVICE_STATE_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "packets/pin_table.h"
+#include "rosemaryreach/bucket_table.h"
+#include "rosemaryreach/config.h"
+#include "rosemaryreach/target_health.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+// A target, or the legacy next hop.
+struct flow_target {
+  std::uint64_t id = 0;
+  std::string name;
+  endpoint address;
+  bool legacy = false;
+  bool accepts = false;   // may get new flows by configuration
+  bool given_up = false;  // its flows are given up by configuration
+  std::uint32_t weight = 0;
+  std::uint32_t cold_rate_per_s = 0;
+  std::uint32_t warmup_ms = 0;
+
+  target_condition condition = target_condition::kHealthy;
+  std::uint32_t epoch = 0;
+  bool ejected = false;  // its condition counts, within the ejection bound
+  time_point condition_since;
+  // Epoch that each peer is known to know of.
+  absl::flat_hash_map<std::uint64_t, std::uint32_t> known_by;
+  time_point announced_at;
+
+  double tokens = 0;
+  time_point tokens_at;
+  std::uint32_t buckets = 0;  // of the table, in this worker's care or not
+  std::uint32_t owned_buckets = 0;  // open ones that this router decides about
+};
+
+// Who decides about an open bucket, as this router sees it.
+enum class bucket_role : std::uint8_t {
+  kRemote,       // another instance
+  kOwner,        // this one
+  kHandingOver,  // this one, until its pins have gone to the new owner
+  kAwaiting,     // the previous owner, until it hands over to this one
+};
+
+// A bucket whose packets all pass through its owner.
+struct open_bucket {
+  bucket_role role = bucket_role::kRemote;
+  bool announced = false;   // all peers know that the bucket is open
+  bool replicated = false;  // the successor has been sent all pins
+  bool replica_queued = false;
+  instance_id owner;
+  instance_id successor;
+  instance_id previous;
+  std::uint64_t number = 0;  // configuration that changed it last
+  time_point opened_at;
+  time_point owner_since;
+  time_point unpinned_seen;  // last packet of a flow that the floor serves
+  time_point released_at;    // handed over to the owner
+  time_point refreshed_at;   // pins streamed to the successor
+  pin_table pins;
+};
+
+// Steady table value of a bucket that is open.
+inline constexpr std::uint16_t kOpenBucket = 0xfffe;
+
+struct service_state {
+  // Puts `service` of `config` in force. Returns the buckets whose current
+  // target is no longer their floor, or whose floor is given up.
+  std::vector<std::uint32_t> Apply(const configuration& config,
+                                   const service_config& service,
+                                   time_point now);
+
+  // Returns the index of the target `id`, or kNoEntry.
+  std::uint16_t FindTarget(std::uint64_t id) const;
+
+  // Counts conditions again, so that at most kMaxEjectedPercent of the weight
+  // is ejected.
+  void BoundEjection();
+
+  // Returns whether new flows to the target need its owner's care.
+  bool NeedsCare(std::uint16_t target) const;
+  bool IsRamping(std::uint16_t target) const;
+
+  // Returns whether the target takes new flows without limit.
+  bool IsFree(std::uint16_t target) const;
+
+  // Returns whether flows without a pin have no target any more.
+  bool IsFloorGone(std::uint32_t bucket) const;
+
+  // Returns the open bucket, or nullptr if the bucket is steady.
+  open_bucket* FindOpen(std::uint32_t bucket);
+
+  std::uint32_t mask() const {
+    return static_cast<std::uint32_t>(floor.size()) - 1;
+  }
+
+  std::string name;
+  std::uint64_t name_hash = 0;
+  transport_protocol protocol = transport_protocol::kTcp;
+  std::chrono::milliseconds idle_timeout{0};
+  std::vector<flow_target> targets;
+  absl::flat_hash_map<std::uint64_t, std::uint16_t> target_index;
+  std::vector<std::uint16_t> current;  // by the configuration in force
+  std::vector<std::uint16_t> floor;    // of flows without a pin
+  std::vector<std::uint16_t> steady;   // floor, or kOpenBucket
+  absl::flat_hash_map<std::uint32_t, std::unique_ptr<open_bucket>> open;
+  std::uint32_t sweep_at = 0;  // next bucket to look for expired pins
+
+ private:
+  void TakeTargets(const configuration& config, const service_config& service);
+  std::uint16_t TakeTarget(std::string_view target_name, endpoint address);
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_PACKETS_SERVICE_STATE_H_
--- /dev/null
+++ b/tests/flow_messages_test.cc
@@ -0,0 +1,60 @@
+#include "rosemaryreach/flow_messages.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+namespace rosemaryreach {
+namespace {
+
+std::span<const std::uint8_t> Bytes(const std::string& text) {
+  return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
+}
+
+flow_message MakeFull() {
+  flow_message message;
+  message.kind = flow_message_kind::kPins;
+  message.worker = 3;
+  message.number = 41;
+  message.service = 0xfedcba9876543210;
+  message.part = 1;
+  message.parts = 2;
+  message.buckets = {{7, 100, 2, true}, {65'535, 200, 0, false}};
+  message.pins = {{0x123456789abc, 100}, {1, 200}, {2, 100}};
+  message.targets = {{100, 9, target_condition::kCold}};
+  return message;
+}
+
+TEST_CASE("a flow message is read as it was written") {
+  const std::string encoded = EncodeFlowMessage(MakeFull());
+  const result<flow_message> decoded = DecodeFlowMessage(Bytes(encoded));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value() == MakeFull());
+}
+
+TEST_CASE("a pin takes seven octets of a message") {
+  flow_message message = MakeFull();
+  const std::size_t before = EncodeFlowMessage(message).size();
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    message.pins.push_back({HashPair(i, 1) & 0xffff'ffff'ffff, 100});
+  }
+  CHECK(EncodeFlowMessage(message).size() - before <= 100 * 7 + 4);
+  CHECK(EstimateFlowMessage(message) >= EncodeFlowMessage(message).size());
+}
+
+TEST_CASE("damaged messages are refused or read, never trusted") {
+  const std::string encoded = EncodeFlowMessage(MakeFull());
+  rc::check([&encoded] {
+    std::string damaged = encoded;
+    const std::size_t at = *rc::gen::inRange<std::size_t>(0, damaged.size());
+    damaged[at] = *rc::gen::arbitrary<char>();
+    damaged.resize(*rc::gen::inRange<std::size_t>(0, damaged.size() + 1));
+    const result<flow_message> decoded = DecodeFlowMessage(Bytes(damaged));
+    if (decoded.has_value()) {
+      RC_ASSERT(decoded.value().part < decoded.value().parts);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace rosemaryreach
