Add metrics, the JSON log and the platform's documents

Metrics are counters, gauges and Boost.Histogram histograms with thread-safe storage, written as Prometheus text. Log lines are built here and handed to a background writer with a bounded queue, so that a blocked standard output makes no task wait; lost lines are counted in a line of their own. The library easylogging++ only prints finished lines and is seen by one source file. The platform's documents are read from a directory; a page of entries refuses text that is no UTF-8, as repairing it would make readers disagree.

--- /dev/null
+++ b/src/adapters/json_log.h
@@ -0,0 +1,80 @@
+// Logs as JSON lines: level, sample of decisions, and a writer that never
+// makes a task wait.
+#ifndef ROSEMARYREACH_ADAPTERS_JSON_LOG_H_
+#define ROSEMARYREACH_ADAPTERS_JSON_LOG_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include "rosemaryreach/log.h"
+#include "rosemaryreach/settings.h"
+
+namespace rosemaryreach {
+
+// Takes one finished line without its newline.
+using line_writer = std::function<void(std::string line)>;
+
+// Formats log lines. Thread-safe if `write` is.
+class json_log : public log_sink {
+ public:
+  // `instance` is a member of every line.
+  json_log(const log_settings& settings,
+           std::string instance,
+           line_writer write);
+
+  bool WantsDecision() override;
+  void Decide(const decision& decision) override;
+  void Write(log_level level,
+             std::string_view event,
+             std::string_view detail) override;
+
+ private:
+  log_settings settings_;
+  std::string instance_;
+  line_writer write_;
+  std::atomic<std::uint32_t> decisions_ = 0;
+};
+
+// Writes lines on a thread of its own. Lines beyond the capacity are dropped
+// and counted in a line of their own. The destructor writes what is queued.
+class background_writer {
+ public:
+  static constexpr std::size_t kDefaultCapacityLines = 16'384;
+
+  explicit background_writer(line_writer write,
+                             std::size_t capacity = kDefaultCapacityLines);
+  ~background_writer();
+  background_writer(const background_writer&) = delete;
+  background_writer& operator=(const background_writer&) = delete;
+
+  void Write(std::string line);
+
+  // Returns the lines dropped so far.
+  std::uint64_t dropped() const { return dropped_.load(); }
+
+ private:
+  void Run();
+
+  line_writer write_;
+  std::size_t capacity_;
+  std::atomic<std::uint64_t> dropped_ = 0;
+  std::mutex mutex_;
+  std::condition_variable filled_;
+  std::deque<std::string> lines_;  // Guarded by mutex_.
+  bool stopping_ = false;          // Guarded by mutex_.
+  std::thread thread_;
+};
+
+// Returns a writer to standard output through easylogging++; thread-safe.
+line_writer MakeStdoutWriter();
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_JSON_LOG_H_
--- /dev/null
+++ b/src/adapters/metrics.cc
@@ -0,0 +1,189 @@
+#include "rosemaryreach/metrics.h"
+
+#include <boost/histogram/accumulators/thread_safe.hpp>
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace rosemaryreach {
+namespace {
+
+namespace bh = boost::histogram;
+
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using shared_counts =
+    bh::dense_storage<bh::accumulators::thread_safe<std::uint64_t>>;
+
+std::string FormatDouble(double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.6g", value);
+  return text.data();
+}
+
+std::string EscapeLabel(const std::string& value) {
+  std::string escaped;
+  for (const char c : value) {
+    if (c == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (c == '"' || c == '\\') {
+      escaped += '\\';
+    }
+    escaped += c;
+  }
+  return escaped;
+}
+
+// Returns `name="value",...` without braces.
+std::string FormatLabels(std::span<const metric_label> labels) {
+  std::string text;
+  for (const metric_label& label : labels) {
+    text += text.empty() ? "" : ",";
+    text += label.name + "=\"" + EscapeLabel(label.value) + "\"";
+  }
+  return text;
+}
+
+std::string Sample(const std::string& name,
+                   const std::string& labels,
+                   const std::string& value) {
+  const std::string braces = labels.empty() ? "" : "{" + labels + "}";
+  return name + braces + " " + value + "\n";
+}
+
+class boost_histogram : public histogram {
+ public:
+  explicit boost_histogram(const histogram_range& range)
+      : counts_(bh::make_histogram_with(
+            shared_counts(),
+            log_axis(range.buckets, range.lowest, range.highest))) {}
+
+  void Observe(double value) override {
+    counts_(value);
+    sum_.fetch_add(value, std::memory_order_relaxed);
+  }
+
+  std::string Format(const std::string& name, const std::string& labels) const {
+    const std::string comma = labels.empty() ? "" : ",";
+    const log_axis& axis = counts_.axis();
+    std::string text;
+    std::uint64_t total = 0;
+    for (int i = -1; i < axis.size(); ++i) {
+      total += counts_.at(i);
+      text += Sample(
+          name + "_bucket",
+          labels + comma + "le=\"" + FormatDouble(axis.value(i + 1)) + "\"",
+          std::to_string(total));
+    }
+    total += counts_.at(axis.size());
+    text += Sample(name + "_bucket", labels + comma + "le=\"+Inf\"",
+                   std::to_string(total));
+    text += Sample(name + "_sum", labels, FormatDouble(sum_.load()));
+    return text + Sample(name + "_count", labels, std::to_string(total));
+  }
+
+ private:
+  decltype(bh::make_histogram_with(shared_counts(),
+                                   log_axis(1, 1.0, 2.0))) counts_;
+  std::atomic<double> sum_ = 0;
+};
+
+// All metrics of one name, by their labels.
+template <typename Metric>
+struct family {
+  std::string help;
+  std::map<std::string, std::unique_ptr<Metric>> members;
+};
+
+template <typename Metric>
+using families = std::map<std::string, family<Metric>>;
+
+// Returns the metric `name`, made by `make` if it is new.
+template <typename Metric, typename Make>
+Metric& FindOrMake(families<Metric>& all, const metric_name& name, Make make) {
+  family<Metric>& found = all[name.name];
+  found.help = name.help;
+  std::unique_ptr<Metric>& member = found.members[FormatLabels(name.labels)];
+  if (member == nullptr) {
+    member = make();
+  }
+  return *member;
+}
+
+// Adds the text of each family to `texts` by name.
+template <typename Metric, typename Format>
+void FormatFamilies(const families<Metric>& all,
+                    const char* type,
+                    Format format,
+                    std::map<std::string, std::string>& texts) {
+  for (const auto& [name, one] : all) {
+    std::string& text = texts[name];
+    text.append("# HELP ").append(name).append(" ").append(one.help);
+    text.append("\n# TYPE ").append(name).append(" ").append(type);
+    text.append("\n");
+    for (const auto& [labels, member] : one.members) {
+      text += format(name, labels, *member);
+    }
+  }
+}
+
+class boost_metrics_registry : public metrics_registry {
+ public:
+  counter& Counter(const metric_name& name) override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return FindOrMake(counters_, name, std::make_unique<counter>);
+  }
+
+  gauge& Gauge(const metric_name& name) override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return FindOrMake(gauges_, name, std::make_unique<gauge>);
+  }
+
+  histogram& Histogram(const metric_name& name,
+                       const histogram_range& range) override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return FindOrMake(histograms_, name, [&range] {
+      return std::make_unique<boost_histogram>(range);
+    });
+  }
+
+  std::string PrometheusText() const override {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::map<std::string, std::string> texts;
+    const auto format_value = [](const std::string& name,
+                                 const std::string& labels, const auto& one) {
+      return Sample(name, labels, std::to_string(one.value()));
+    };
+    FormatFamilies(counters_, "counter", format_value, texts);
+    FormatFamilies(gauges_, "gauge", format_value, texts);
+    FormatFamilies(
+        histograms_, "histogram",
+        [](const std::string& name, const std::string& labels,
+           const boost_histogram& one) { return one.Format(name, labels); },
+        texts);
+    std::string whole;
+    for (const auto& [name, text] : texts) {
+      whole += text;
+    }
+    return whole;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  families<counter> counters_;
+  families<gauge> gauges_;
+  families<boost_histogram> histograms_;
+};
+
+}  // namespace
+
+std::unique_ptr<metrics_registry> MakeMetricsRegistry() {
+  return std::make_unique<boost_metrics_registry>();
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/adapters/platform_documents.h
@@ -0,0 +1,43 @@
+// The platform's documents: entries in a directory, pages of entries and the
+// list of instances as JSON.
+#ifndef ROSEMARYREACH_ADAPTERS_PLATFORM_DOCUMENTS_H_
+#define ROSEMARYREACH_ADAPTERS_PLATFORM_DOCUMENTS_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosemaryreach/platform_source.h"
+
+namespace rosemaryreach {
+
+// Octets of text after which a page ends; it holds one entry at least.
+inline constexpr std::size_t kMaxPageBytes = 4'000'000;
+
+// Reads the entries after `after` from the files of DIRECTORY/entries, named
+// SEQUENCE.json or SEQUENCE.PART-of-PARTS.json; other names are ignored.
+// Returns kUnavailable if the directory can't be read.
+result<platform_page> ReadDirectory(const std::string& directory,
+                                    const log_position& after);
+
+// Returns the octets of a file, at most one more than a value may have.
+result<std::string> ReadFileText(const std::string& path);
+
+// Reads DIRECTORY/instances.json. A file that isn't there is an empty list.
+result<std::vector<live_instance>> ReadInstanceFile(
+    const std::string& directory);
+
+// Returns the body that answers a read of entries; kInvalidJson if an entry's
+// text is no UTF-8, as it must reach all readers unchanged.
+result<std::string> FormatPage(const platform_page& page);
+
+// Undoes FormatPage(); kInvalidJson or kSchemaViolation for other text.
+result<platform_page> ParsePage(std::string_view text);
+
+// Reads the document of the list of instances.
+result<std::vector<live_instance>> ParseLiveList(std::string_view text);
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_PLATFORM_DOCUMENTS_H_
--- a/src/config/schemas.h
+++ b/src/config/schemas.h
@@ -9,6 +9,7 @@
 extern const char* const kSnapshotSchema;
 extern const char* const kSettingsSchema;
 extern const char* const kLiveListSchema;
+extern const char* const kPageSchema;
 
 }  // namespace rosemaryreach
 
--- /dev/null
+++ b/tests/json_log_test.cc
@@ -0,0 +1,76 @@
+#include "adapters/json_log.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <semaphore>
+#include <vector>
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+
+TEST_CASE("A decision is one JSON line with all its members") {
+  std::vector<std::string> lines;
+  json_log log({log_level::kInfo, 1}, "a1",
+               [&lines](const std::string& line) { lines.push_back(line); });
+  REQUIRE(log.WantsDecision());
+  log.Decide({"packets", "ledger", "10.0.0.1:5\n\"\xff", "l1", "pinned", 7});
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find('\n') == std::string::npos);
+  const json line = json::parse(lines[0]);
+  CHECK(line.at("event") == "decision");
+  CHECK(line.at("instance") == "a1");
+  CHECK(line.at("service") == "ledger");
+  CHECK(line.at("target") == "l1");
+  CHECK(line.at("rule") == "pinned");
+  CHECK(line.at("number") == 7);
+}
+
+TEST_CASE("Decisions are sampled, and off above level info") {
+  const auto count_wanted = [](log_settings settings) {
+    json_log log(settings, "a1", nullptr);
+    int wanted = 0;
+    for (int i = 0; i < 100; ++i) {
+      wanted += log.WantsDecision() ? 1 : 0;
+    }
+    return wanted;
+  };
+  CHECK(count_wanted({log_level::kInfo, 10}) == 10);
+  CHECK(count_wanted({log_level::kInfo, 0}) == 0);
+  CHECK(count_wanted({log_level::kWarning, 1}) == 0);
+}
+
+TEST_CASE("A stuck output makes nobody wait and loses counted lines") {
+  std::vector<std::string> lines;
+  std::binary_semaphore stuck(0);
+  std::binary_semaphore taken(0);
+  bool first = true;
+  {
+    background_writer writer(
+        [&](std::string line) {
+          if (std::exchange(first, false)) {
+            taken.release();
+            stuck.acquire();
+          }
+          lines.push_back(std::move(line));
+        },
+        3);
+    writer.Write("0");
+    taken.acquire();
+    for (int i = 1; i <= 10; ++i) {
+      writer.Write(std::to_string(i));
+    }
+    CHECK(writer.dropped() == 7);
+    stuck.release();
+  }
+  REQUIRE(lines.size() == 5);
+  CHECK(std::count(lines.begin(), lines.end(), "3") == 1);
+  const auto is_report = [](const std::string& line) {
+    return line.find("log_lines_dropped") != std::string::npos;
+  };
+  CHECK(std::count_if(lines.begin(), lines.end(), is_report) == 1);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/platform_budget_test.cc
@@ -0,0 +1,41 @@
+#include "adapters/platform_budget.h"
+
+#include <catch2/catch.hpp>
+
+namespace rosemaryreach {
+namespace {
+
+time_point At(int ms) {
+  return time_point(std::chrono::milliseconds(ms));
+}
+
+TEST_CASE("The budget refills over a minute") {
+  read_budget budget(60);
+  int taken = 0;
+  while (budget.Take(At(1'000))) {
+    ++taken;
+  }
+  CHECK(taken == 60);
+  CHECK_FALSE(budget.Take(At(1'900)));
+  CHECK(budget.Take(At(2'100)));
+  CHECK_FALSE(budget.Take(At(2'200)));
+}
+
+TEST_CASE("The backoff doubles up to its limit and ends with an answer") {
+  const duration first = std::chrono::milliseconds(100);
+  const duration highest = std::chrono::milliseconds(400);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    retry_backoff backoff(first, highest, seed);
+    CHECK(backoff.Ready(At(0)));
+    for (const int limit : {100, 200, 400, 400}) {
+      backoff.Fail(At(0));
+      CHECK_FALSE(backoff.Ready(At(limit / 2 - 1)));
+      CHECK(backoff.Ready(At(limit)));
+    }
+    backoff.Succeed();
+    CHECK(backoff.Ready(At(0)));
+  }
+}
+
+}  // namespace
+}  // namespace rosemaryreach
