Apply patches to the services they name

Cause: a patch of one target cost as much as reading the whole configuration, as the document was built, patched, checked by schema and read in full. Change: only the services that an operation names go through the document; the others are copied. A patch that names all services at once still takes the whole document. A property test applies each random patch both ways.

--- a/src/config/patch.cc
+++ b/src/config/patch.cc
@@ -1,7 +1,9 @@
 #include "rosemaryreach/patch.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "config/config_document.h"
@@ -62,6 +64,72 @@
   return success();
 }
 
+// The services that a patch names; all of them if it names them as a whole.
+struct touched_services {
+  bool all = false;
+  std::set<std::string, std::less<>> names;
+
+  bool Has(std::string_view name) const {
+    return all || names.find(name) != names.end();
+  }
+};
+
+void Touch(const std::string& pointer, touched_services& touched) {
+  const bool escaped = pointer.find('~') != std::string::npos;
+  if (pointer.empty() || pointer == "/services" || escaped) {
+    touched.all = true;
+    return;
+  }
+  if (pointer.starts_with(kServicesPrefix)) {
+    const std::string rest = pointer.substr(kServicesPrefix.size());
+    touched.names.insert(rest.substr(0, rest.find('/')));
+  }
+}
+
+touched_services TouchedServices(const json& operations) {
+  touched_services touched;
+  for (const json& operation : operations) {
+    for (const char* member : {"path", "from"}) {
+      if (operation.contains(member)) {
+        Touch(operation.at(member).get<std::string>(), touched);
+      }
+    }
+  }
+  return touched;
+}
+
+// Returns the document of `config` with the touched services alone.
+json DocumentOf(const configuration& config, const touched_services& touched) {
+  json document = FrameToJson(config);
+  json& services = document["services"];
+  for (const service_config& service : config.services) {
+    if (touched.Has(service.name)) {
+      services[service.name] = ServiceToJson(service);
+    }
+  }
+  return document;
+}
+
+// Copies the services of `before` that no operation touched, in order.
+void AddUntouched(const configuration& before,
+                  const touched_services& touched,
+                  configuration& after) {
+  const std::vector<service_config> changed =
+      std::exchange(after.services, std::vector<service_config>());
+  std::vector<service_config> kept;
+  std::copy_if(before.services.begin(), before.services.end(),
+               std::back_inserter(kept),
+               [&touched](const service_config& service) {
+                 return !touched.Has(service.name);
+               });
+  std::merge(std::make_move_iterator(kept.begin()),
+             std::make_move_iterator(kept.end()), changed.begin(),
+             changed.end(), std::back_inserter(after.services),
+             [](const service_config& a, const service_config& b) {
+               return a.name < b.name;
+             });
+}
+
 result<void> FirstError(const std::vector<error>& errors) {
   if (errors.empty()) {
     return success();
@@ -86,8 +154,8 @@
                 "/base");
   }
   BOOST_OUTCOME_TRYV(FirstError(Schema().Check(PatchToJson(patch))));
-  json document = ConfigurationToJson(config);
-  document.erase("number");
+  const touched_services touched = TouchedServices(patch.operations);
+  json document = DocumentOf(config, touched);
   BOOST_OUTCOME_TRYV(ApplyOperations(patch.operations, document));
   if (document.is_object() && document.contains("number")) {
     return Fail(errc::kRuleViolation, "a patch can't set the number",
@@ -95,6 +163,7 @@
   }
   configuration_check next = ReadDocument(document);
   BOOST_OUTCOME_TRYV(FirstError(next.errors));
+  AddUntouched(config, touched, next.value);
   BOOST_OUTCOME_TRYV(FirstError(CheckRules(next.value)));
   BOOST_OUTCOME_TRYV(CheckFixedMembers(config, next.value));
   next.value.number = config.number + 1;
--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kMaxNameBytes = 63;
+constexpr std::size_t kMaxServices = 10'000;
 constexpr std::uint32_t kMinBuckets = 16;
 constexpr std::uint32_t kMaxBuckets = 65'536;
 constexpr std::uint32_t kMaxPercent = 100;
@@ -44,6 +45,10 @@
   std::vector<error> Run() {
     CheckNames(config_.data_centres, "/data_centres");
     CheckNames(config_.services, "/services");
+    if (config_.services.size() > kMaxServices) {
+      Fault("/services", "got " + std::to_string(config_.services.size()) +
+                             ", expected at most 10000");
+    }
     ListServiceAddresses();
     for (const service_config& service : config_.services) {
       CheckService(service, "/services/" + service.name);
--- a/tests/patch_test.cc
+++ b/tests/patch_test.cc
@@ -158,6 +158,11 @@
   }
 }
 
+// Changes nothing, but makes a patch name all services.
+const json kCopyAllServices = {{"op", "copy"},
+                               {"from", "/services"},
+                               {"path", "/services"}};
+
 json AnyOperation() {
   const std::string path = *rc::gen::element<std::string>(
       "", "/", "/services", "/services/ledger", "/services/ledger/targets/l1",
@@ -172,7 +177,7 @@
   return {{"op", op}, {"path", path}, {"from", from}, {"value", AnyValue()}};
 }
 
-TEST_CASE("Any patch gives a typed reason or a valid configuration") {
+TEST_CASE("Any patch gives a typed reason or the same valid configuration") {
   const configuration config = SampleConfiguration();
   const bool holds = rc::check([&config] {
     json operations = json::array();
@@ -182,7 +187,12 @@
     }
     const result<configuration> next =
         ApplyPatch(config, {1, "any", operations});
+    operations.insert(operations.begin(), kCopyAllServices);
+    const result<configuration> whole =
+        ApplyPatch(config, {1, "any", operations});
+    RC_ASSERT(next.has_value() == whole.has_value() || operations.size() == 1);
     if (next) {
+      RC_ASSERT(next.value() == whole.value());
       RC_ASSERT(next.value().number == 2u);
       RC_ASSERT(CheckRules(next.value()).empty());
     }
