Tell apart the addresses of services by protocol

A second UDP service on an address was accepted when a TCP service had the address too, as only the first user of an address was kept. Each protocol has its own list now; the new test fails without it.

--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -60,8 +60,11 @@
   }
 
  private:
-  // Where an address is used. Views point into config_.
-  struct use {
+  // Services and targets by address. Views point into config_.
+  using service_uses =
+      absl::flat_hash_map<endpoint, std::string_view, endpoint_hash>;
+
+  struct target_use {
     std::string_view service;
     std::string_view target;
   };
@@ -95,10 +98,10 @@
             "/services/" + service.name + "/addresses/" + std::to_string(i);
         CheckPort(address, path);
         const auto [found, added] =
-            service_addresses_.try_emplace(address, use{service.name, {}});
-        if (!added && !SharedByProtocol(service, found->second.service)) {
+            UsesOf(service.protocol).try_emplace(address, service.name);
+        if (!added) {
           Fault(path, "got " + FormatEndpoint(address) + ", which service \"" +
-                          std::string(found->second.service) +
+                          std::string(found->second) +
                           "\" has; expected an address of one service");
         }
       }
@@ -106,10 +109,13 @@
   }
 
   // TCP and UDP services may share an address; two of a protocol may not.
-  bool SharedByProtocol(const service_config& service,
-                        std::string_view other_name) const {
-    const service_config* other = FindService(config_, other_name);
-    return other->protocol != service.protocol;
+  service_uses& UsesOf(transport_protocol protocol) {
+    return protocol == transport_protocol::kTcp ? tcp_addresses_
+                                                : udp_addresses_;
+  }
+
+  bool IsServiceAddress(const endpoint& address) const {
+    return tcp_addresses_.contains(address) || udp_addresses_.contains(address);
   }
 
   void CheckService(const service_config& service, const std::string& path) {
@@ -173,12 +179,12 @@
       Fault(path + "/data_centre",
             "got \"" + target.data_centre + "\", expected one of data_centres");
     }
-    if (service_addresses_.contains(target.address)) {
+    if (IsServiceAddress(target.address)) {
       Fault(path + "/address", "got " + FormatEndpoint(target.address) +
                                    ", which is a service's own address");
     }
-    const auto [found, added] =
-        targets_.try_emplace(target.address, use{service.name, target.name});
+    const auto [found, added] = targets_.try_emplace(
+        target.address, target_use{service.name, target.name});
     if (!added) {
       Fault(path + "/address",
             "got " + FormatEndpoint(target.address) + ", which target \"" +
@@ -190,7 +196,7 @@
 
   void CheckNextHop(const endpoint& next_hop, const std::string& path) {
     CheckPort(next_hop, path);
-    if (service_addresses_.contains(next_hop)) {
+    if (IsServiceAddress(next_hop)) {
       Fault(path, "got " + FormatEndpoint(next_hop) +
                       ", which is a service's own address");
     }
@@ -203,8 +209,9 @@
   }
 
   const configuration& config_;
-  absl::flat_hash_map<endpoint, use, endpoint_hash> service_addresses_;
-  absl::flat_hash_map<endpoint, use, endpoint_hash> targets_;
+  service_uses tcp_addresses_;
+  service_uses udp_addresses_;
+  absl::flat_hash_map<endpoint, target_use, endpoint_hash> targets_;
   std::vector<error> errors_;
 };
 
--- a/tests/config_json_test.cc
+++ b/tests/config_json_test.cc
@@ -64,6 +64,20 @@
   }
 }
 
+TEST_CASE("A TCP and a UDP service may share an address, two of one may not") {
+  configuration config = SampleConfiguration();
+  for (const char* name : {"u1", "u2"}) {
+    CHECK(CheckRules(config).empty());
+    service_config service;
+    service.name = name;
+    service.protocol = transport_protocol::kUdp;
+    service.addresses = config.services[0].addresses;
+    config.services.push_back(service);
+  }
+  REQUIRE(CheckRules(config).size() == 1);
+  CHECK(CheckRules(config)[0].path == "/services/u2/addresses/0");
+}
+
 TEST_CASE("CheckConfiguration lists every error") {
   std::string text = SampleWith("\"slots\": 2", "\"slots\": 0");
   text.replace(text.find("6635"), 4, "0");
