Add the platform sources, the admin interface and a platform stand-in

The platform is read over HTTP by blocking queries, each with a deadline of its own so that a silent watch is noticed, a jittered backoff, and a budget of reads; or from a directory that is polled. The admin interface answers GET alone, with a bearer token beyond loopback. Connections are freed outside their own callbacks, as libevent asks.

--- /dev/null
+++ b/src/adapters/admin_server.h
@@ -0,0 +1,88 @@
+// The admin interface: read-only JSON over HTTP for operators and
+// rosemaryreachctl.
+#ifndef ROSEMARYREACH_ADAPTERS_ADMIN_SERVER_H_
+#define ROSEMARYREACH_ADAPTERS_ADMIN_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "adapters/event_loop.h"
+#include "rosemaryreach/config.h"
+#include "rosemaryreach/result.h"
+#include "rosemaryreach/types.h"
+
+struct evhttp;
+struct evhttp_request;
+
+namespace rosemaryreach {
+
+// Whether the instance serves, and what it waits for if not.
+struct readiness {
+  bool ready = false;
+  std::string waiting_for;
+};
+
+// Asks where a packet of a flow goes.
+struct flow_question {
+  std::string service;
+  transport_protocol protocol = transport_protocol::kTcp;
+  endpoint source;
+  endpoint destination;
+};
+
+// Asks where a request goes.
+struct request_question {
+  std::string service;
+  std::string method = "GET";
+  std::string path = "/";
+  std::string caller;
+  std::string idempotency_key;
+};
+
+// Where the answers come from; called on the server's loop. An unset hook
+// makes its path answer 404.
+struct admin_hooks {
+  std::function<readiness()> ready;
+  std::function<std::string()> metrics;
+  std::function<nlohmann::json()> status;
+  std::function<nlohmann::json()> configuration;
+  std::function<nlohmann::json()> verdicts;
+  std::function<nlohmann::json()> targets;
+  std::function<result<nlohmann::json>(const flow_question&)> explain_flow;
+  std::function<result<nlohmann::json>(const request_question&)>
+      explain_request;
+};
+
+class admin_server {
+ public:
+  // An empty `token` lets everyone in; else each request but /healthz and
+  // /readyz must carry it as a bearer token.
+  admin_server(event_loop& loop, std::string token, admin_hooks hooks);
+  ~admin_server();
+  admin_server(const admin_server&) = delete;
+  admin_server& operator=(const admin_server&) = delete;
+
+  // Binds `address` and returns the port, which is a free one if that of
+  // `address` is 0; kIo if it can't be bound.
+  result<std::uint16_t> Listen(const endpoint& address);
+
+ private:
+  struct server_deleter {
+    void operator()(evhttp* server) const;
+  };
+
+  static void OnRequest(evhttp_request* request, void* self);
+  void Serve(evhttp_request* request);
+  bool Allowed(evhttp_request* request, const std::string& path) const;
+
+  std::string token_;
+  admin_hooks hooks_;
+  std::unique_ptr<evhttp, server_deleter> server_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_ADMIN_SERVER_H_
--- /dev/null
+++ b/src/adapters/http_get.cc
@@ -0,0 +1,97 @@
+#include "adapters/http_get.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <cstdlib>
+#include <utility>
+
+namespace rosemaryreach {
+namespace {
+
+constexpr ev_ssize_t kMaxHeaderBytes = 16'384;
+
+std::string BodyOf(evhttp_request* request) {
+  evbuffer* buffer = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_copyout(buffer, body.data(), body.size());
+  return body;
+}
+
+}  // namespace
+
+void http_getter::connection_deleter::operator()(
+    evhttp_connection* connection) const {
+  evhttp_connection_free(connection);
+}
+
+http_getter::http_getter(event_loop& loop,
+                         const endpoint& server,
+                         std::size_t max_body,
+                         std::string token)
+    : loop_(loop),
+      server_(server),
+      max_body_(max_body),
+      token_(std::move(token)),
+      deadline_(loop, [this] { OnDeadline(); }) {}
+
+http_getter::~http_getter() = default;
+
+void http_getter::Get(const std::string& path,
+                      duration deadline,
+                      http_reply_callback done) {
+  const std::string host = FormatIp(server_.address);
+  connection_.reset(evhttp_connection_base_new(loop_.base(), nullptr,
+                                               host.c_str(), server_.port));
+  evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaderBytes);
+  evhttp_connection_set_max_body_size(connection_.get(),
+                                      static_cast<ev_ssize_t>(max_body_));
+  done_ = std::move(done);
+  deadline_.Start(deadline);
+  evhttp_request* request = evhttp_request_new(&http_getter::OnDone, this);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", FormatEndpoint(server_).c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  if (!token_.empty()) {
+    evhttp_add_header(headers, "Authorization", ("Bearer " + token_).c_str());
+  }
+  evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str());
+}
+
+void http_getter::OnDone(evhttp_request* request, void* self) {
+  http_getter* getter = static_cast<http_getter*>(self);
+  getter->closed_ = std::move(getter->connection_);
+  const int status =
+      request == nullptr ? 0 : evhttp_request_get_response_code(request);
+  if (status == 0) {
+    getter->Finish(Fail(errc::kUnavailable, "connection failed or closed",
+                        FormatEndpoint(getter->server_)));
+    return;
+  }
+  getter->Finish(http_reply{status, BodyOf(request)});
+}
+
+void http_getter::OnDeadline() {
+  connection_.reset();
+  Finish(Fail(errc::kTimeout, "no answer before the deadline",
+              FormatEndpoint(server_)));
+}
+
+void http_getter::Finish(result<http_reply> reply) {
+  deadline_.Stop();
+  const http_reply_callback done = std::exchange(done_, nullptr);
+  if (done) {
+    done(std::move(reply));
+  }
+}
+
+std::string EncodeQueryValue(const std::string& value) {
+  char* encoded =
+      evhttp_uriencode(value.data(), static_cast<ev_ssize_t>(value.size()), 0);
+  std::string text = encoded;
+  std::free(encoded);
+  return text;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/adapters/http_get.h
@@ -0,0 +1,74 @@
+// HTTP/1.1 GET with a deadline, for the platform and the admin interface.
+#ifndef ROSEMARYREACH_ADAPTERS_HTTP_GET_H_
+#define ROSEMARYREACH_ADAPTERS_HTTP_GET_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "adapters/event_loop.h"
+#include "rosemaryreach/result.h"
+#include "rosemaryreach/types.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace rosemaryreach {
+
+struct http_reply {
+  int status = 0;
+  std::string body;
+};
+
+using http_reply_callback = std::function<void(result<http_reply>)>;
+
+// Sends one GET at a time, each on a connection of its own.
+class http_getter {
+ public:
+  // Bodies above `max_body` octets fail. `token` goes out as a bearer token
+  // unless it is empty.
+  http_getter(event_loop& loop,
+              const endpoint& server,
+              std::size_t max_body,
+              std::string token = {});
+  ~http_getter();
+  http_getter(const http_getter&) = delete;
+  http_getter& operator=(const http_getter&) = delete;
+
+  // Asks for `path`, and calls `done` once unless destroyed before: any status
+  // is a reply. Errors: kTimeout at the deadline, kUnavailable. Must not be
+  // called while busy(); `done` must not destroy the getter.
+  void Get(const std::string& path,
+           duration deadline,
+           http_reply_callback done);
+
+  bool busy() const { return connection_ != nullptr; }
+
+ private:
+  struct connection_deleter {
+    void operator()(evhttp_connection* connection) const;
+  };
+  using connection_pointer =
+      std::unique_ptr<evhttp_connection, connection_deleter>;
+
+  static void OnDone(evhttp_request* request, void* self);
+  void OnDeadline();
+  void Finish(result<http_reply> reply);
+
+  event_loop& loop_;
+  endpoint server_;
+  std::size_t max_body_;
+  std::string token_;
+  loop_timer deadline_;
+  connection_pointer connection_;
+  // The last connection, which can't be freed in its own callback.
+  connection_pointer closed_;
+  http_reply_callback done_;
+};
+
+// Returns `value` with reserved characters percent-encoded for a query.
+std::string EncodeQueryValue(const std::string& value);
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_HTTP_GET_H_
--- /dev/null
+++ b/src/adapters/platform_directory.cc
@@ -0,0 +1,55 @@
+#include "adapters/platform_directory.h"
+
+#include <utility>
+
+#include "adapters/platform_documents.h"
+
+namespace rosemaryreach {
+
+platform_directory::platform_directory(event_loop& loop,
+                                       std::string directory,
+                                       duration poll)
+    : loop_(loop),
+      directory_(std::move(directory)),
+      poll_(poll),
+      timer_(loop, [this] { Look(); }) {}
+
+void platform_directory::WatchEntries(const log_position& after,
+                                      duration wait,
+                                      entries_callback done) {
+  if (done_) {
+    loop_.Post([alive = std::weak_ptr<bool>(alive_), done = std::move(done)] {
+      if (!alive.expired()) {
+        done(Fail(errc::kLimit, "a watch is waiting already"));
+      }
+    });
+    return;
+  }
+  after_ = after;
+  until_ = loop_.now() + wait;
+  done_ = std::move(done);
+  timer_.Start(duration::zero());
+}
+
+void platform_directory::Look() {
+  result<platform_page> page = ReadDirectory(directory_, after_);
+  const bool wait_on =
+      page && page.value().entries.empty() && loop_.now() < until_;
+  if (wait_on) {
+    timer_.Start(std::min(poll_, until_ - loop_.now()));
+    return;
+  }
+  const entries_callback done = std::exchange(done_, nullptr);
+  done(std::move(page));
+}
+
+void platform_directory::ReadLiveList(live_list_callback done) {
+  loop_.Post(
+      [this, alive = std::weak_ptr<bool>(alive_), done = std::move(done)] {
+        if (!alive.expired()) {
+          done(ReadInstanceFile(directory_));
+        }
+      });
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/adapters/platform_directory.h
@@ -0,0 +1,40 @@
+// The platform as a directory of documents, polled; for trying things out and
+// for platforms that can put files in place.
+#ifndef ROSEMARYREACH_ADAPTERS_PLATFORM_DIRECTORY_H_
+#define ROSEMARYREACH_ADAPTERS_PLATFORM_DIRECTORY_H_
+
+#include <memory>
+#include <string>
+
+#include "adapters/event_loop.h"
+#include "rosemaryreach/platform_source.h"
+
+namespace rosemaryreach {
+
+class platform_directory : public platform_source {
+ public:
+  // Looks for new files each `poll` while a watch waits.
+  platform_directory(event_loop& loop, std::string directory, duration poll);
+
+  void WatchEntries(const log_position& after,
+                    duration wait,
+                    entries_callback done) override;
+  void ReadLiveList(live_list_callback done) override;
+
+ private:
+  void Look();
+
+  event_loop& loop_;
+  std::string directory_;
+  duration poll_;
+  loop_timer timer_;
+  log_position after_;
+  time_point until_{};
+  entries_callback done_;
+  // Held weakly by posted messages, which may outlive this object.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_PLATFORM_DIRECTORY_H_
--- a/src/adapters/platform_documents.cc
+++ b/src/adapters/platform_documents.cc
@@ -10,7 +10,6 @@
 #include "config/json_text.h"
 #include "config/schema_check.h"
 #include "config/schemas.h"
-#include "rosemaryreach/config_json.h"
 
 namespace rosemaryreach {
 namespace {
@@ -129,12 +128,13 @@
   return page;
 }
 
-result<std::string> ReadFileText(const std::string& path) {
+result<std::string> ReadFileText(const std::string& path,
+                                 std::size_t max_bytes) {
   std::ifstream stream(path, std::ios::binary);
   if (!stream) {
     return Fail(errc::kIo, "can't be read", path);
   }
-  std::string text(kMaxValueBytes + 1, '\0');
+  std::string text(max_bytes, '\0');
   stream.read(text.data(), static_cast<std::streamsize>(text.size()));
   text.resize(static_cast<std::size_t>(stream.gcount()));
   return text;
--- a/src/adapters/platform_documents.h
+++ b/src/adapters/platform_documents.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "rosemaryreach/config_json.h"
 #include "rosemaryreach/platform_source.h"
 
 namespace rosemaryreach {
@@ -21,8 +22,10 @@
 result<platform_page> ReadDirectory(const std::string& directory,
                                     const log_position& after);
 
-// Returns the octets of a file, at most one more than a value may have.
-result<std::string> ReadFileText(const std::string& path);
+// Returns up to `max_bytes` octets of a file, by default one more than a value
+// may have; kIo if it can't be read.
+result<std::string> ReadFileText(const std::string& path,
+                                 std::size_t max_bytes = kMaxValueBytes + 1);
 
 // Reads DIRECTORY/instances.json. A file that isn't there is an empty list.
 result<std::vector<live_instance>> ReadInstanceFile(
--- /dev/null
+++ b/src/adapters/platform_http.h
@@ -0,0 +1,68 @@
+// The platform over HTTP: blocking queries with an index, as
+// docs/design/configuration.md describes them.
+#ifndef ROSEMARYREACH_ADAPTERS_PLATFORM_HTTP_H_
+#define ROSEMARYREACH_ADAPTERS_PLATFORM_HTTP_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "adapters/event_loop.h"
+#include "adapters/http_get.h"
+#include "adapters/platform_budget.h"
+#include "rosemaryreach/platform_source.h"
+
+namespace rosemaryreach {
+
+struct platform_http_options {
+  endpoint server;
+  std::uint32_t reads_per_minute = 240;
+  // Time for an answer beyond the wait that the call asked for.
+  std::uint32_t answer_timeout_ms = 400;
+  std::uint32_t backoff_min_ms = 50;
+  std::uint32_t backoff_max_ms = 1'000;
+};
+
+class platform_http : public platform_source {
+ public:
+  // `seed` drives the jitter of the backoff.
+  platform_http(event_loop& loop,
+                const platform_http_options& options,
+                std::uint64_t seed);
+
+  void WatchEntries(const log_position& after,
+                    duration wait,
+                    entries_callback done) override;
+  void ReadLiveList(live_list_callback done) override;
+
+ private:
+  // One kind of read, with a connection and a backoff of its own.
+  struct channel {
+    channel(event_loop& loop,
+            const platform_http_options& options,
+            std::uint64_t seed);
+
+    http_getter getter;
+    retry_backoff backoff;
+  };
+
+  using body_callback = std::function<void(result<std::string>)>;
+
+  void Read(channel& channel,
+            const std::string& path,
+            duration deadline,
+            body_callback done);
+  void Refuse(body_callback done, std::string why);
+
+  event_loop& loop_;
+  platform_http_options options_;
+  read_budget budget_;
+  channel entries_;
+  channel instances_;
+  // Held weakly by posted messages, which may outlive this object.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_PLATFORM_HTTP_H_
