--- /dev/null
+++ b/src/ctl/config_commands.cc
@@ -0,0 +1,134 @@
+// Commands on configuration files and on the published log.
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "adapters/admin_documents.h"
+#include "config/json_text.h"
+#include "ctl/admin_client.h"
+#include "ctl/config_source.h"
+#include "ctl/ctl_commands.h"
+#include "ctl/ctl_output.h"
+#include "rosemaryreach/config_json.h"
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+namespace fs = std::filesystem;
+
+constexpr std::size_t kPartBytes = 500'000;
+
+bool IsUnreadable(const std::vector<error>& errors) {
+  return errors.front().code == errc::kIo;
+}
+
+std::size_t CountTargets(const configuration& config) {
+  std::size_t count = 0;
+  for (const service_config& service : config.services) {
+    count += service.targets.size();
+  }
+  return count;
+}
+
+std::string EntryFileName(const log_entry& entry) {
+  return std::to_string(entry.sequence) + "." + std::to_string(entry.part) +
+         "-of-" + std::to_string(entry.parts) + ".json";
+}
+
+// Writes aside and renames, so that a reader sees a whole file or none.
+result<void> PutFile(const fs::path& path, const std::string& text) {
+  const fs::path aside = path.parent_path() / ("." + path.filename().string());
+  std::ofstream(aside, std::ios::binary) << text;
+  std::error_code failure;
+  fs::rename(aside, path, failure);
+  if (failure) {
+    return Fail(errc::kIo, failure.message(), path.string());
+  }
+  return success();
+}
+
+result<void> PutEntries(const fs::path& directory,
+                        const std::vector<log_entry>& entries) {
+  std::error_code failure;
+  fs::create_directories(directory, failure);
+  for (const log_entry& entry : entries) {
+    const fs::path path = directory / EntryFileName(entry);
+    if (fs::exists(path)) {
+      return Fail(errc::kIo, "is there already; entries are never rewritten",
+                  path.string());
+    }
+    BOOST_OUTCOME_TRYV(PutFile(path, entry.text));
+  }
+  return success();
+}
+
+}  // namespace
+
+int CheckConfigFile(const ctl_options& options, ctl_arguments arguments) {
+  const configuration_check check = ReadConfigFile(arguments[0]);
+  if (!check.ok()) {
+    return PrintErrors(options, check.errors,
+                       IsUnreadable(check.errors) ? kExitUsage : kExitNo);
+  }
+  PrintDocument(options,
+                {{"ok", true},
+                 {"number", check.value.number},
+                 {"data_centres", check.value.data_centres.size()},
+                 {"services", check.value.services.size()},
+                 {"targets", CountTargets(check.value)},
+                 {"digest", FormatHex(ConfigurationDigest(check.value))}});
+  return kExitOk;
+}
+
+int ShowConfig(const ctl_options& options, ctl_arguments /*arguments*/) {
+  const result<configuration> config = LoadConfiguration(options);
+  if (!config) {
+    return PrintError(options, config.error(), kExitNo);
+  }
+  PrintText(FormatConfiguration(config.value()));
+  return kExitOk;
+}
+
+int WriteSnapshot(const ctl_options& options, ctl_arguments arguments) {
+  const std::uint64_t sequence =
+      std::strtoull(arguments[1].c_str(), nullptr, 10);
+  configuration_check check = ReadConfigFile(arguments[2]);
+  if (sequence == 0) {
+    check.errors.push_back(
+        {errc::kUnsupported, arguments[1], "expected a sequence above 0"});
+  }
+  if (!check.ok()) {
+    return PrintErrors(options, check.errors, kExitUsage);
+  }
+  if (check.value.number == 0) {
+    check.value.number = 1;
+  }
+  const result<void> written =
+      PutEntries(fs::path(arguments[0]) / "entries",
+                 MakeSnapshot(check.value, snapshot_kind::kPublished, sequence,
+                              kPartBytes));
+  return written ? kExitOk : PrintError(options, written.error(), kExitUsage);
+}
+
+int CheckLog(const ctl_options& options, ctl_arguments arguments) {
+  patch_log log(nullptr);
+  const result<std::vector<entry_outcome>> outcomes =
+      ReplayLog(arguments[0], log);
+  if (!outcomes) {
+    return PrintError(options, outcomes.error(), kExitUsage);
+  }
+  bool good = log.current() != nullptr;
+  for (const entry_outcome& outcome : outcomes.value()) {
+    good = good && (outcome.verdict == entry_verdict::kAccepted ||
+                    outcome.verdict == entry_verdict::kConfirmed ||
+                    outcome.verdict == entry_verdict::kPartial);
+  }
+  PrintDocument(options, {{"number", log.Head().number},
+                          {"digest", FormatHex(log.Head().digest)},
+                          {"sequence", log.Head().sequence},
+                          {"verdicts", VerdictsToJson(outcomes.value())}});
+  return good ? kExitOk : kExitNo;
+}
+
+}  // namespace rosemaryreach
