--- /dev/null
+++ b/src/adapters/target_prober.cc
@@ -0,0 +1,150 @@
+#include "adapters/target_prober.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "adapters/http_get.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr duration kScheduleInterval = std::chrono::milliseconds(50);
+constexpr std::size_t kMaxBodyBytes = 4'096;
+constexpr int kHttpOk = 200;
+
+probe_result ReadReply(const result<http_reply>& reply) {
+  if (!reply) {
+    return probe_result::kTimeout;
+  }
+  if (reply.value().status != kHttpOk) {
+    return probe_result::kRefused;
+  }
+  const nlohmann::json report =
+      nlohmann::json::parse(reply.value().body, nullptr, false);
+  const bool cold = report.is_object() && report.contains("state") &&
+                    report["state"] == "cold";
+  return cold ? probe_result::kCold : probe_result::kOk;
+}
+
+}  // namespace
+
+// The probes of one target, one at a time.
+class target_prober::probe {
+ public:
+  probe(target_prober& owner,
+        std::string service,
+        const target_config& target,
+        time_point first)
+      : owner_(owner),
+        service_(std::move(service)),
+        target_(target.name),
+        address_(*target.probe),
+        next_(first),
+        getter_(owner.loop_, *target.probe, kMaxBodyBytes) {}
+
+  bool Matches(const target_config& target) const {
+    return target.probe == address_;
+  }
+
+  void StartIfDue(time_point now) {
+    if (getter_.busy() || now < next_) {
+      return;
+    }
+    started_ = now;
+    next_ = now + std::chrono::milliseconds(owner_.settings_.interval_ms);
+    getter_.Get("/healthz",
+                std::chrono::milliseconds(owner_.settings_.timeout_ms),
+                [this](const result<http_reply>& reply) { Take(reply); });
+  }
+
+ private:
+  void Take(const result<http_reply>& reply) {
+    const duration latency = owner_.loop_.now() - started_;
+    if (health_.OnProbe(ReadReply(reply), latency)) {
+      owner_.on_condition_(service_, target_, health_.condition());
+    }
+  }
+
+  target_prober& owner_;
+  std::string service_;
+  std::string target_;
+  endpoint address_;
+  time_point next_;
+  time_point started_;
+  target_health health_;
+  http_getter getter_;
+};
+
+target_prober::target_prober(event_loop& loop,
+                             const probe_settings& settings,
+                             std::uint64_t seed,
+                             condition_handler on_condition)
+    : loop_(loop),
+      settings_(settings),
+      random_(seed),
+      on_condition_(std::move(on_condition)),
+      timer_(loop, [this] { StartDueProbes(); }) {
+  timer_.StartEvery(kScheduleInterval);
+}
+
+target_prober::~target_prober() = default;
+
+void target_prober::ApplyConfiguration(
+    std::shared_ptr<const configuration> config) {
+  config_ = std::move(config);
+  Choose();
+}
+
+void target_prober::ApplyView(const fleet_view& view) {
+  view_ = view;
+  Choose();
+}
+
+void target_prober::Choose() {
+  if (!config_) {
+    return;
+  }
+  probe_map chosen;
+  for (const data_centre_config& centre : config_->data_centres) {
+    const owner_ranking ranking(view_, centre.region, centre.name);
+    for (const service_config& service : config_->services) {
+      ChooseTargets(service, centre, ranking, chosen);
+    }
+  }
+  probed_ = std::move(chosen);
+}
+
+void target_prober::ChooseTargets(const service_config& service,
+                                  const data_centre_config& centre,
+                                  const owner_ranking& ranking,
+                                  probe_map& chosen) {
+  for (const target_config& target : service.targets) {
+    if (target.data_centre != centre.name || !target.probe) {
+      continue;
+    }
+    const std::uint64_t key = TargetKey(service.name, target.name);
+    const owner_pair owners = ranking.Owners(key);
+    if (owners.owner != view_.self && owners.successor != view_.self) {
+      continue;
+    }
+    std::unique_ptr<probe>& known = probed_[key];
+    chosen[key] = known && known->Matches(target)
+                      ? std::move(known)
+                      : std::make_unique<probe>(*this, service.name, target,
+                                                FirstProbe());
+  }
+}
+
+time_point target_prober::FirstProbe() {
+  std::uniform_int_distribution<std::uint32_t> spread(0, settings_.interval_ms);
+  return loop_.now() + std::chrono::milliseconds(spread(random_));
+}
+
+void target_prober::StartDueProbes() {
+  const time_point now = loop_.now();
+  for (const auto& [key, one] : probed_) {
+    one->StartIfDue(now);
+  }
+}
+
+}  // namespace rosemaryreach
