Encode, seal and budget control messages

Instances talk over UDP and, where answers may be long, over gRPC. One sealed envelope serves both: key id, sender, sequence and a truncated HMAC bound to the receiver, so that a datagram can't be replayed to another instance. A sender whose clock fell back is told the sequence it has to exceed.

Tables of members first went over UDP in pages. In a start of 157 instances at once they filled the budget, acks waited behind them and members were falsely held dead; so they go over gRPC and only short records over UDP.

--- a/include/rosemaryreach/control_budget.h
+++ b/include/rosemaryreach/control_budget.h
@@ -19,8 +19,8 @@
 class control_budget {
  public:
   struct options {
-    std::uint32_t bytes_per_s = 4'500;
-    std::uint32_t burst_bytes = 5'000;
+    std::uint32_t bytes_per_s = 3'000;
+    std::uint32_t burst_bytes = 20'000;
   };
 
   explicit control_budget(options options);
@@ -39,6 +39,9 @@
   time_point refilled_{};
 };
 
+// Octets of IP and UDP headers, which count against the budget.
+inline constexpr std::size_t kFrameBytes = 28;
+
 // A sealed datagram that waits for the budget.
 struct queued_datagram {
   endpoint to;
@@ -54,7 +57,8 @@
     control_budget::options budget;
     std::size_t max_datagrams = 256;
     // Datagrams that waited longer are dropped: their senders repeat them.
-    std::uint32_t max_wait_ms = 2'000;
+    std::array<std::uint32_t, kControlPriorities> max_wait_ms = {200, 1'000,
+                                                                 2'000, 1'000};
   };
 
   struct counters {
--- a/include/rosemaryreach/control_messages.h
+++ b/include/rosemaryreach/control_messages.h
@@ -1,5 +1,5 @@
-// The messages that instances send each other over UDP. Encoded by protobuf
-// (proto/peer.proto) and sealed by peer_auth.
+// The messages that instances send each other, over UDP or, where they may be
+// long, over gRPC. Encoded by protobuf (proto/peer.proto), sealed by peer_auth.
 #ifndef ROSEMARYREACH_CONTROL_MESSAGES_H_
 #define ROSEMARYREACH_CONTROL_MESSAGES_H_
 
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "rosemaryreach/fleet_view.h"
+#include "rosemaryreach/patch_log.h"
 #include "rosemaryreach/result.h"
 #include "rosemaryreach/types.h"
 
@@ -89,18 +90,24 @@
 struct gossip {};
 
 // Asks for the records of the buckets whose digests differ, or for all of them
-// if `joining`. The receiver answers and asks for what it lacks itself.
+// if `joining`. Goes over gRPC, as do the three that follow.
 struct sync_request {
   table_digests digests{};
   bool joining = false;
 };
 
-// One page of records; `pages` pages answer one request. `joining`
-// repeats what was asked.
+// The records, and whether the sender trusts its own table.
 struct sync_reply {
-  std::uint32_t page = 0;
-  std::uint32_t pages = 1;
-  bool joining = false;
+  bool trusted = false;
+};
+
+// Asks for the entries of the published log that follow a position.
+struct log_request {
+  log_position after;
+};
+
+struct log_reply {
+  std::vector<log_entry> entries;
 };
 
 // Asks a contact of another data centre whether it is there.
@@ -143,6 +150,8 @@
                                   gossip,
                                   sync_request,
                                   sync_reply,
+                                  log_request,
+                                  log_reply,
                                   link_ping,
                                   link_ack,
                                   configuration_digest,
--- a/include/rosemaryreach/peer_auth.h
+++ b/include/rosemaryreach/peer_auth.h
@@ -28,6 +28,8 @@
 // The payload of a datagram whose authenticator held.
 struct opened_datagram {
   instance_id from;
+  // Whether it was sealed for this receiver alone.
+  bool bound = false;
   std::string_view payload;
 };
 
@@ -67,6 +69,10 @@
   // Returns the highest sequence seen from `from`, or 0.
   std::uint64_t HighestFrom(instance_id from) const;
 
+  // Returns the sender of the last datagram that Open() refused for a sequence
+  // far behind what it sent before, and forgets it; zero if there is none.
+  instance_id TakeLagging();
+
   const counters& stats() const { return counters_; }
 
  private:
@@ -83,6 +89,7 @@
   peer_keys keys_;
   std::uint64_t next_sequence_;
   std::unordered_map<std::uint64_t, replay_window> windows_;
+  instance_id lagging_;
   counters counters_;
 };
 
