Decide membership by ring probes, suspicion and gossip

Probing members at random leaves one in 150 failures unprobed for five periods; three fixed successors on a ring and one at random bound the time to the first probe by one period. Suspects are passed over, so that those behind them stay watched. Data centres are joined by three contacts each that vote on the links and tell the least configuration number of their members.

--- a/include/rosemaryreach/membership.h
+++ b/include/rosemaryreach/membership.h
@@ -18,16 +18,15 @@
 
 struct membership_options {
   // Times in milliseconds.
-  std::uint32_t probe_slot_ms = 250;
+  std::uint32_t probe_ms = 1'000;
   std::uint32_t ack_timeout_ms = 250;
   std::uint32_t indirect_timeout_ms = 350;
   std::uint32_t suspicion_ms = 1'500;
-  std::uint32_t gossip_interval_ms = 50;
   std::uint32_t link_interval_ms = 500;
   std::uint32_t remote_link_interval_ms = 1'000;
   std::uint32_t link_timeout_ms = 2'000;
   std::uint32_t join_retry_ms = 300;
-  std::uint32_t alone_ms = 2'000;
+  std::uint32_t alone_ms = 2'500;
   std::uint32_t pause_gap_ms = 1'000;
   std::uint32_t tombstone_ms = 900'000;
   // Members.
@@ -36,6 +35,9 @@
   std::uint32_t gossip_fanout = 3;
   std::uint32_t gossip_rounds = 2;
   std::uint32_t contacts = 3;
+  // Octets of gossip.
+  std::uint32_t gossip_bytes_per_s = 1'500;
+  std::uint32_t gossip_burst_bytes = 8'000;
 };
 
 // A message to send. `to` is zero if the receiver's id is not known yet.
@@ -45,8 +47,15 @@
   control_message message;
 };
 
+// A request for records, to be sent over gRPC.
+struct table_request {
+  contact peer;
+  control_message message;
+};
+
 struct membership_actions {
   std::vector<outgoing_message> send;
+  std::vector<table_request> ask;
   bool view_changed = false;
 };
 
@@ -88,14 +97,19 @@
                                const endpoint& source,
                                const control_message& message);
 
+  // Answers a sync_request that came over gRPC.
+  control_message AnswerSync(const control_message& request) const;
+
   // Takes the platform's list of instances as a hint of whom to ask.
   void OnLiveList(std::span<const instance_info> instances);
 
-  // Announces the own state; kLeaving keeps answering until Leave().
+  // Announces the own state. A member that was declared dead falls back to
+  // kJoining; make it active again once its state is fresh. kLeaving keeps
+  // answering until Leave().
   membership_actions SetState(time_point now, instance_state state);
 
   // Announces that this instance is gone. Nothing is sent after it.
-  membership_actions Leave(time_point now);
+  membership_actions Leave();
 
   // Announces the configuration number in force here and the sequence judged.
   membership_actions SetConfiguration(time_point now,
--- /dev/null
+++ b/src/fleet/member_table.h
@@ -0,0 +1,95 @@
+// The replicated records of members, data centres and links. The newest
+// version of each record wins, whatever the order of arrival.
+#ifndef ROSEMARYREACH_FLEET_MEMBER_TABLE_H_
+#define ROSEMARYREACH_FLEET_MEMBER_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "rosemaryreach/control_messages.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+struct member_entry {
+  member_record record;
+  // When the record last changed, was heard of directly and was probed.
+  time_point changed{};
+  time_point heard{};
+  time_point probed{};
+  // Whether the last full exchange named the member.
+  bool confirmed = false;
+};
+
+enum class merge_outcome : std::uint8_t {
+  kOld,      // nothing new
+  kUnknown,  // a compact record of an incarnation that isn't known
+  kNewer,    // taken in
+};
+
+// Returns whether the member is in the fleet: alive or suspect.
+inline bool IsLive(const member_record& record) {
+  return record.health == liveness::kAlive ||
+         record.health == liveness::kSuspect;
+}
+
+// Returns the control endpoint of `info`.
+inline endpoint ControlEndpoint(const instance_info& info) {
+  return {info.address, info.control_port};
+}
+
+// Returns the bucket of the table that holds `id`.
+inline std::size_t TableBucket(instance_id id) {
+  return id.value % kTableBuckets;
+}
+
+// Returns whether `a` is a newer version than `b` of the same member.
+bool IsNewer(const member_record& a, const member_record& b);
+
+class member_table {
+ public:
+  using members_map = std::map<std::uint64_t, member_entry>;
+  using centres_map = std::map<std::string, centre_summary, std::less<>>;
+  using votes_map =
+      std::map<std::pair<std::string, std::uint64_t>, link_vote, std::less<>>;
+
+  merge_outcome Merge(time_point now, const member_record& record);
+  bool Merge(const centre_summary& summary);
+  bool Merge(const link_vote& vote);
+
+  // Removes the member for good.
+  void Erase(instance_id id);
+
+  // Removes tombstones that are older than `age`.
+  void ExpireTombstones(time_point now, duration age);
+
+  // Removes the votes of members other than `voters`.
+  void KeepVotesOf(const std::vector<instance_id>& voters);
+
+  member_entry* Find(instance_id id);
+  const member_entry* Find(instance_id id) const;
+
+  members_map& members() { return members_; }
+  const members_map& members() const { return members_; }
+  const centres_map& centres() const { return centres_; }
+  const votes_map& votes() const { return votes_; }
+
+  // Digests of the live members of each bucket; suspicion doesn't count.
+  const table_digests& digests() const { return digests_; }
+  // Digest of the live members and the summaries.
+  std::uint64_t digest() const;
+  std::uint32_t votes_digest() const;
+
+ private:
+  members_map members_;
+  centres_map centres_;
+  votes_map votes_;
+  table_digests digests_{};
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_FLEET_MEMBER_TABLE_H_
--- /dev/null
+++ b/src/fleet/membership.cc
@@ -0,0 +1,599 @@
+#include "rosemaryreach/membership.h"
+
+#include <algorithm>
+
+#include "fleet/membership_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kJoinFanout = 3;
+constexpr std::uint32_t kKnockMs = 1'000;
+constexpr std::uint32_t kExpiryMs = 10'000;
+// A call that comes this late voids the probes that are out.
+constexpr std::uint32_t kLateMs = 300;
+constexpr std::size_t kMaxHints = 4'096;
+
+}  // namespace
+
+membership::impl::impl(membership_options options,
+                       instance_info self,
+                       std::span<const endpoint> seeds,
+                       std::uint64_t seed)
+    : options_(options),
+      self_(self.id),
+      data_centre_(self.data_centre),
+      region_(self.region),
+      seeds_(seeds.begin(), seeds.end()),
+      random_(seed) {
+  number_ = self.configuration_number;
+  view_.self = self_;
+  member_record record;
+  record.info = std::move(self);
+  table_.Merge({}, record);
+  RefreshLocals();
+  RefreshView();
+}
+
+membership_actions membership::impl::Tick(time_point now) {
+  if (stopped_) {
+    return {};
+  }
+  CheckGap(now);
+  RefreshLocals();
+  RunJoin(now);
+  if (trusted_) {
+    RunProbes(now);
+    CheckProbes(now);
+    CheckSuspects(now);
+    CheckIsolation(now);
+    RefreshLocals();
+    RunLinks(now);
+    CountVotes(now);
+    PublishSummary(now);
+    Knock(now);
+  }
+  ReportNumber(now);
+  FlushGossip(now);
+  if (now >= next_expiry_) {
+    next_expiry_ = now + milliseconds(kExpiryMs);
+    table_.ExpireTombstones(now, milliseconds(options_.tombstone_ms));
+  }
+  return Take();
+}
+
+membership_actions membership::impl::OnMessage(time_point now,
+                                               const endpoint& source,
+                                               const control_message& message) {
+  if (stopped_ || message.from == self_) {
+    return {};
+  }
+  CheckGap(now);
+  MergeRecords(now, source, message);
+  HearSender(now, source, message);
+  RefreshLocals();
+  if (std::holds_alternative<ping>(message.body)) {
+    OnPing(source, message);
+  } else if (std::holds_alternative<ack>(message.body)) {
+    OnAck(now, message);
+  } else if (std::holds_alternative<ping_request>(message.body)) {
+    OnPingRequest(now, source, message);
+  } else if (std::holds_alternative<sync_reply>(message.body)) {
+    OnSyncReply(now, message);
+  } else if (std::holds_alternative<link_ping>(message.body)) {
+    OnLinkPing(source, message);
+  } else if (std::holds_alternative<link_ack>(message.body)) {
+    OnLinkAck(now, message);
+  }
+  CompareDigests(now, message);
+  return Take();
+}
+
+// Marks late calls: what peers did in between is not known.
+void membership::impl::CheckGap(time_point now) {
+  if (!started_) {
+    Start(now);
+    return;
+  }
+  const duration gap = now - last_call_;
+  last_call_ = now;
+  if (gap < milliseconds(kLateMs)) {
+    return;
+  }
+  probes_.clear();
+  relays_.clear();
+  heard_local_ += gap;
+  for (auto& [id, entry] : table_.members()) {
+    entry.changed += gap;
+  }
+  for (auto& [name, link] : links_) {
+    link.answered += gap;
+    link.created += gap;
+  }
+  if (gap >= milliseconds(options_.pause_gap_ms)) {
+    ++counters_.pauses;
+    BeginJoin(now);
+  }
+}
+
+void membership::impl::Start(time_point now) {
+  started_ = true;
+  last_call_ = now;
+  BeginJoin(now);
+}
+
+void membership::impl::BeginJoin(time_point now) {
+  joining_ = true;
+  trusted_ = false;
+  view_stale_ = true;
+  join_started_ = now;
+  next_join_ = now;
+  heard_local_ = now;
+  next_ask_ = now;
+  gossip_ = {};
+  for (auto& [id, entry] : table_.members()) {
+    entry.confirmed = id == self_.value;
+  }
+  QueueMember(self_);
+}
+
+void membership::impl::RunJoin(time_point now) {
+  if (!joining_) {
+    return;
+  }
+  if (now - join_started_ >= milliseconds(options_.alone_ms)) {
+    DropUnheard(now, join_started_);
+    FinishJoin(now);
+    return;
+  }
+  if (now < next_join_) {
+    return;
+  }
+  next_join_ = now + milliseconds(options_.join_retry_ms);
+  if (!locals_.empty() && join_hints_.empty()) {
+    Ask(now, *locals_[RandomIndex(locals_.size())], true);
+    return;
+  }
+  const std::vector<address> candidates = JoinCandidates();
+  for (std::size_t i = 0; i < std::min(candidates.size(), kJoinFanout); ++i) {
+    SendHello(candidates[i]);
+  }
+}
+
+// Pings an instance that may not know this one yet. Who answers is asked for
+// its table.
+void membership::impl::SendHello(const address& to) {
+  control_message message = Stamp(ping{next_sequence_++});
+  message.members.push_back(Self());
+  if (const centre_summary* own = OwnSummary()) {
+    message.centres.push_back(*own);
+  }
+  Send(to, std::move(message));
+}
+
+// Returns whom to ask for the table: shuffled, own data centre first.
+std::vector<membership::impl::address> membership::impl::JoinCandidates() {
+  std::vector<address> near = join_hints_;
+  join_hints_.clear();
+  const std::size_t hinted = near.size();
+  for (const member_entry* entry : locals_) {
+    near.push_back(
+        {entry->record.info.id, ControlEndpoint(entry->record.info)});
+  }
+  std::shuffle(near.begin() + static_cast<std::ptrdiff_t>(hinted), near.end(),
+               random_);
+  if (near.size() >= kJoinFanout) {
+    return near;
+  }
+  std::vector<address> far;
+  for (const instance_info& hint : hints_) {
+    if (hint.id != self_ && IsLocal(hint)) {
+      far.push_back({hint.id, ControlEndpoint(hint)});
+    }
+  }
+  for (const endpoint& seed : seeds_) {
+    if (seed != ControlEndpoint(Self().info)) {
+      far.push_back({{}, seed});
+    }
+  }
+  if (const centre_summary* own = OwnSummary()) {
+    for (const contact& peer : own->contacts) {
+      if (peer.id != self_) {
+        far.push_back({peer.id, peer.control});
+      }
+    }
+  }
+  std::shuffle(far.begin(), far.end(), random_);
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+void membership::impl::OnSyncReply(time_point now,
+                                   const control_message& message) {
+  const member_entry* sender = table_.Find(message.from);
+  if (!joining_ || sender == nullptr) {
+    return;
+  }
+  for (const member_record& record : message.members) {
+    if (member_entry* entry = table_.Find(record.info.id)) {
+      entry->confirmed = true;
+    }
+  }
+  if (std::get<sync_reply>(message.body).trusted &&
+      IsLocal(sender->record.info)) {
+    FinishJoin(now);
+  }
+}
+
+// Trusts the table: what peers didn't name and hasn't spoken is not there.
+void membership::impl::FinishJoin(time_point now) {
+  joining_ = false;
+  trusted_ = true;
+  view_stale_ = true;
+  heard_local_ = now;
+  next_random_probe_ = now;
+  std::vector<instance_id> unknown;
+  for (const auto& [id, entry] : table_.members()) {
+    if (!entry.confirmed && entry.heard < join_started_) {
+      unknown.push_back({id});
+    }
+  }
+  for (const instance_id id : unknown) {
+    table_.Erase(id);
+  }
+  members_changed_ = true;
+  RefreshLocals();
+}
+
+// Starts afresh with a new incarnation after others have given this one up.
+void membership::impl::Rejoin(time_point now,
+                              const endpoint& source,
+                              instance_id from) {
+  ++counters_.rejoins;
+  member_record record = Self();
+  table_ = {};
+  ++record.info.incarnation;
+  record.revision = 0;
+  record.health = liveness::kAlive;
+  if (record.info.state == instance_state::kActive) {
+    record.info.state = instance_state::kJoining;
+  }
+  table_.Merge(now, record);
+  probes_.clear();
+  links_.clear();
+  join_hints_ = {{from, source}};
+  members_changed_ = true;
+  RefreshLocals();
+  BeginJoin(now);
+}
+
+// Answers a claim about this instance that overrides its own record.
+void membership::impl::DefendSelf(time_point now,
+                                  const endpoint& source,
+                                  const member_record& claim,
+                                  const control_message& message) {
+  member_record own = Self();
+  if (!IsNewer(claim, own)) {
+    return;
+  }
+  if (claim.info.incarnation > own.info.incarnation) {
+    own.info.incarnation = claim.info.incarnation;
+    UpdateSelf(now, own);
+    Rejoin(now, source, message.from);
+    return;
+  }
+  if (claim.health == liveness::kSuspect) {
+    ++counters_.refutations;
+  } else if (!IsLive(claim)) {
+    const member_entry* sender = table_.Find(message.from);
+    const bool same_side = sender != nullptr && IsLive(sender->record);
+    if (joining_ || same_side || YieldsTo(message)) {
+      Rejoin(now, source, message.from);
+      return;
+    }
+  }
+  own.revision = claim.revision + 1;
+  own.health = liveness::kAlive;
+  UpdateSelf(now, own);
+}
+
+// Returns whether the sender's side of a split is the larger one.
+bool membership::impl::YieldsTo(const control_message& message) const {
+  return std::pair(message.live_count, message.from) >
+         std::pair(live_count_, self_);
+}
+
+void membership::impl::UpdateSelf(time_point now, member_record record) {
+  record.compact = false;
+  table_.Merge(now, record);
+  table_changed_ = now;
+  members_changed_ = true;
+  QueueMember(self_);
+}
+
+// Holds members of the own data centre dead that haven't spoken since `since`.
+void membership::impl::DropUnheard(time_point now, time_point since) {
+  RefreshLocals();
+  for (member_entry* entry : locals_) {
+    if (entry->heard < since || entry->heard == time_point{}) {
+      member_record record = entry->record;
+      record.health = liveness::kDead;
+      table_.Merge(now, record);
+      members_changed_ = true;
+    }
+  }
+  RefreshLocals();
+}
+
+// Asks one instance that should be there but isn't known to be alive.
+void membership::impl::Knock(time_point now) {
+  if (now < next_knock_) {
+    return;
+  }
+  next_knock_ = now + milliseconds(kKnockMs);
+  std::set<endpoint> known;
+  std::vector<address> absent;
+  for (const auto& [id, entry] : table_.members()) {
+    const instance_info& info = entry.record.info;
+    if (IsLive(entry.record)) {
+      known.insert(ControlEndpoint(info));
+    } else if (IsLocal(info) && entry.record.health == liveness::kDead) {
+      absent.push_back({info.id, ControlEndpoint(info)});
+    }
+  }
+  for (const auto& [name, summary] : table_.centres()) {
+    for (const contact& peer : summary.contacts) {
+      known.insert(peer.control);
+    }
+  }
+  for (const endpoint& seed : seeds_) {
+    if (!known.contains(seed)) {
+      absent.push_back({{}, seed});
+    }
+  }
+  for (const instance_info& hint : hints_) {
+    const bool wanted =
+        IsLocal(hint) || !table_.centres().contains(hint.data_centre);
+    if (wanted && !known.contains(ControlEndpoint(hint))) {
+      absent.push_back({hint.id, ControlEndpoint(hint)});
+    }
+  }
+  if (absent.empty()) {
+    return;
+  }
+  SendHello(absent[RandomIndex(absent.size())]);
+}
+
+void membership::impl::OnLiveList(std::span<const instance_info> instances) {
+  const std::size_t count = std::min(instances.size(), kMaxHints);
+  hints_.assign(instances.begin(),
+                instances.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
+membership_actions membership::impl::SetState(time_point now,
+                                              instance_state state) {
+  member_record record = Self();
+  if (record.info.state != state) {
+    record.info.state = state;
+    ++record.revision;
+    UpdateSelf(now, record);
+  }
+  RefreshLocals();
+  return Take();
+}
+
+membership_actions membership::impl::Leave() {
+  member_record record = Self();
+  ++record.revision;
+  record.health = liveness::kLeft;
+  control_message message = Stamp(gossip{});
+  message.members.push_back(Brief(record));
+  RefreshLocals();
+  for (const member_entry* entry :
+       RandomLocals(options_.gossip_fanout * options_.gossip_rounds, self_)) {
+    Send(entry->record, message);
+  }
+  ForwardToLinks(message);
+  stopped_ = true;
+  trusted_ = false;
+  membership_actions actions = std::move(out_);
+  out_ = {};
+  return actions;
+}
+
+control_message membership::impl::Stamp(control_body body) const {
+  control_message message;
+  message.from = self_;
+  message.incarnation = incarnation();
+  message.configuration_number = number_;
+  message.configuration_sequence = sequence_;
+  message.table_digest = table_.digest();
+  message.votes_digest = table_.votes_digest();
+  message.live_count = live_count_;
+  message.body = std::move(body);
+  return message;
+}
+
+void membership::impl::Send(const address& to, control_message message) {
+  out_.send.push_back({to.id, to.control, std::move(message)});
+}
+
+void membership::impl::Send(const member_record& to, control_message message) {
+  Send(address{to.info.id, ControlEndpoint(to.info)}, std::move(message));
+}
+
+std::size_t membership::impl::RandomIndex(std::size_t size) {
+  return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
+}
+
+std::vector<const member_entry*> membership::impl::RandomLocals(
+    std::size_t count,
+    instance_id except) {
+  std::vector<const member_entry*> picked;
+  std::sample(locals_.begin(), locals_.end(), std::back_inserter(picked),
+              count + 1, random_);
+  std::shuffle(picked.begin(), picked.end(), random_);
+  std::erase_if(picked, [except](const member_entry* entry) {
+    return entry->record.info.id == except;
+  });
+  picked.resize(std::min(picked.size(), count));
+  return picked;
+}
+
+// Rebuilds the ring and the contacts after a change of members.
+void membership::impl::RefreshLocals() {
+  if (!members_changed_) {
+    return;
+  }
+  members_changed_ = false;
+  view_stale_ = true;
+  locals_.clear();
+  std::vector<std::pair<std::uint64_t, instance_id>> active;
+  std::vector<std::pair<std::uint64_t, instance_id>> others;
+  for (auto& [id, entry] : table_.members()) {
+    const instance_info& info = entry.record.info;
+    if (!IsLocal(info) || !IsLive(entry.record)) {
+      continue;
+    }
+    if (info.id != self_) {
+      locals_.push_back(&entry);
+    }
+    std::vector<std::pair<std::uint64_t, instance_id>>& ranked =
+        info.state == instance_state::kActive ? active : others;
+    ranked.emplace_back(HashPair(id, HashBytes(data_centre_)), info.id);
+  }
+  live_count_ = static_cast<std::uint32_t>(locals_.size()) + 1;
+  const auto next = std::find_if(locals_.begin(), locals_.end(),
+                                 [this](const member_entry* entry) {
+                                   return entry->record.info.id > self_;
+                                 });
+  std::rotate(locals_.begin(), next, locals_.end());
+  std::vector<std::pair<std::uint64_t, instance_id>>& ranked =
+      active.empty() ? others : active;
+  std::sort(ranked.rbegin(), ranked.rend());
+  contacts_.clear();
+  for (std::size_t i = 0; i < ranked.size() && i < options_.contacts; ++i) {
+    contacts_.push_back(ranked[i].second);
+  }
+}
+
+// Rebuilds the view; raises its version if owners may change by it.
+void membership::impl::RefreshView() {
+  if (!view_stale_) {
+    return;
+  }
+  view_stale_ = false;
+  std::map<std::string, std::uint64_t> minimum;
+  for (const auto& [name, summary] : table_.centres()) {
+    const bool covers = summary.region == region_ &&
+                        summary.members_digest == MembersDigest(name);
+    minimum[name] = covers ? summary.minimum_number : 0;
+  }
+  std::vector<instance_info> instances;
+  for (const auto& [id, entry] : table_.members()) {
+    const instance_info& info = entry.record.info;
+    const auto reachable = reachable_.find(info.data_centre);
+    const bool near =
+        IsLocal(info) || (reachable != reachable_.end() && reachable->second);
+    if (near && IsLive(entry.record)) {
+      instances.push_back(info);
+      instances.back().configuration_number =
+          std::max(info.configuration_number, minimum[info.data_centre]);
+    }
+  }
+  const std::uint64_t before = ViewDigest(view_);
+  view_.instances = std::move(instances);
+  if (ViewDigest(view_) != before) {
+    ++view_.version;
+  }
+  out_.view_changed = true;
+}
+
+membership_actions membership::impl::Take() {
+  RefreshLocals();
+  RefreshView();
+  membership_actions actions = std::move(out_);
+  out_ = {};
+  return actions;
+}
+
+membership::membership(membership_options options,
+                       instance_info self,
+                       std::span<const endpoint> seeds,
+                       std::uint64_t seed)
+    : impl_(std::make_unique<impl>(options, std::move(self), seeds, seed)) {}
+
+membership::~membership() = default;
+membership::membership(membership&&) noexcept = default;
+
+membership_actions membership::Tick(time_point now) {
+  return impl_->Tick(now);
+}
+
+membership_actions membership::OnMessage(time_point now,
+                                         const endpoint& source,
+                                         const control_message& message) {
+  return impl_->OnMessage(now, source, message);
+}
+
+control_message membership::AnswerSync(const control_message& request) const {
+  return impl_->AnswerSync(request);
+}
+
+void membership::OnLiveList(std::span<const instance_info> instances) {
+  impl_->OnLiveList(instances);
+}
+
+membership_actions membership::SetState(time_point now, instance_state state) {
+  return impl_->SetState(now, state);
+}
+
+membership_actions membership::Leave() {
+  return impl_->Leave();
+}
+
+membership_actions membership::SetConfiguration(time_point now,
+                                                std::uint64_t number,
+                                                std::uint64_t sequence) {
+  return impl_->SetConfiguration(now, number, sequence);
+}
+
+control_message membership::Stamp(control_body body) const {
+  return impl_->Stamp(std::move(body));
+}
+
+const fleet_view& membership::view() const {
+  return impl_->view();
+}
+
+bool membership::trusted() const {
+  return impl_->trusted();
+}
+
+std::vector<instance_info> membership::Contacts() const {
+  return impl_->Contacts();
+}
+
+std::vector<contact> membership::LinkPeers() const {
+  return impl_->LinkPeers();
+}
+
+std::vector<centre_status> membership::Centres() const {
+  return impl_->Centres();
+}
+
+instance_state membership::state() const {
+  return impl_->state();
+}
+
+std::uint64_t membership::incarnation() const {
+  return impl_->incarnation();
+}
+
+const membership_counters& membership::counters() const {
+  return impl_->counters();
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/fleet/membership_gossip.cc
@@ -0,0 +1,357 @@
+#include <algorithm>
+
+#include "fleet/membership_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Room for records in one datagram, by their largest usual sizes in octets.
+constexpr std::size_t kRecordRoom = 1'000;
+// Octets around the records of a gossip datagram.
+constexpr std::size_t kHeaderBytes = 110;
+constexpr std::size_t kFixedMemberBytes = 62;
+constexpr std::size_t kCompactMemberBytes = 32;
+constexpr std::size_t kFixedSummaryBytes = 46;
+constexpr std::size_t kContactBytes = 26;
+constexpr std::size_t kFixedVoteBytes = 26;
+// Revisions up to this one are told in full, since they are new to many.
+constexpr std::uint32_t kFullRevisions = 1;
+// More new records than this in one reply are not worth telling on.
+constexpr std::size_t kMaxRetoldPerReply = 4;
+constexpr std::size_t kMaxQueuedMembers = 24;
+constexpr std::uint32_t kSettleMs = 500;
+constexpr std::uint32_t kSyncMs = 1'000;
+// Claims of death from a side of a split that is smaller by this factor are
+// not taken in.
+constexpr std::uint32_t kMinoritySplit = 2;
+
+std::size_t SizeOf(const member_record& record) {
+  if (record.compact) {
+    return kCompactMemberBytes;
+  }
+  const instance_info& info = record.info;
+  return kFixedMemberBytes + info.name.size() + info.data_centre.size() +
+         info.region.size() + info.address.bytes.size();
+}
+
+std::size_t SizeOf(const centre_summary& summary) {
+  return kFixedSummaryBytes + summary.data_centre.size() +
+         summary.region.size() + summary.contacts.size() * kContactBytes;
+}
+
+std::size_t SizeOf(const link_vote& vote) {
+  return kFixedVoteBytes + vote.data_centre.size();
+}
+
+// Takes one telling off `left`; returns whether that was the last.
+bool SpendOne(std::uint32_t& left) {
+  return --left == 0;
+}
+
+}  // namespace
+
+// Notes that the sender is alive, what it runs, and whether it is known.
+void membership::impl::HearSender(time_point now,
+                                  const endpoint& source,
+                                  const control_message& message) {
+  member_entry* entry = table_.Find(message.from);
+  if (entry == nullptr) {
+    return;
+  }
+  const std::uint64_t known = entry->record.info.incarnation;
+  if (known < message.incarnation) {
+    return;
+  }
+  if (known > message.incarnation || !IsLive(entry->record)) {
+    control_message answer = Stamp(gossip{});
+    answer.members.push_back(entry->record);
+    Send({message.from, source}, std::move(answer));
+    return;
+  }
+  entry->heard = now;
+  if (IsLocal(entry->record.info)) {
+    heard_local_ = now;
+  }
+  std::uint64_t& number = entry->record.info.configuration_number;
+  if (message.configuration_number > number) {
+    number = message.configuration_number;
+    view_stale_ = true;
+  }
+}
+
+// Returns whether `record` may come from the sender of `message`.
+bool membership::impl::MayMerge(const member_record& record,
+                                const control_message& message) const {
+  const member_entry* known = table_.Find(record.info.id);
+  if (record.compact && known == nullptr) {
+    return false;
+  }
+  const instance_info& place =
+      record.compact ? known->record.info : record.info;
+  if (place.region != region_) {
+    return false;
+  }
+  const member_entry* sender = table_.Find(message.from);
+  const bool from_here = sender != nullptr && IsLocal(sender->record.info);
+  if (IsLocal(place) && !from_here && !joining_ &&
+      record.info.id != message.from) {
+    return false;
+  }
+  const bool claims_death =
+      record.health == liveness::kDead || record.health == liveness::kSuspect;
+  return !claims_death || !from_here ||
+         message.live_count * kMinoritySplit >= live_count_;
+}
+
+// Returns whether another data centre still holds a member of this one live
+// that is no longer known here, so that it has to be told of the death.
+bool membership::impl::IsForgotten(const member_record& record,
+                                   const control_message& message) const {
+  const member_entry* sender = table_.Find(message.from);
+  return !joining_ && !record.compact && IsLocal(record.info) &&
+         IsLive(record) && record.info.state != instance_state::kJoining &&
+         record.info.id != message.from && sender != nullptr &&
+         !IsLocal(sender->record.info) &&
+         table_.Find(record.info.id) == nullptr;
+}
+
+// Returns whether a newer version of `record` is known here.
+bool membership::impl::IsBehind(const member_record& record) const {
+  const member_entry* known = table_.Find(record.info.id);
+  return known != nullptr && IsNewer(known->record, record);
+}
+
+void membership::impl::MergeRecords(time_point now,
+                                    const endpoint& source,
+                                    const control_message& message) {
+  const bool reply = std::holds_alternative<sync_reply>(message.body);
+  std::vector<instance_id> fresh;
+  for (const member_record& record : message.members) {
+    if (record.info.id == self_) {
+      DefendSelf(now, source, record, message);
+      continue;
+    }
+    if (IsForgotten(record, message)) {
+      member_record dead = record;
+      dead.health = liveness::kDead;
+      table_.Merge(now, dead);
+      fresh.push_back(record.info.id);
+    } else if (MayMerge(record, message) &&
+               table_.Merge(now, record) == merge_outcome::kNewer) {
+      fresh.push_back(record.info.id);
+    } else if (reply && trusted_ && IsBehind(record)) {
+      QueueMember(record.info.id);
+    }
+  }
+  if (!fresh.empty()) {
+    members_changed_ = true;
+    table_changed_ = now;
+  }
+  if (!reply || (trusted_ && fresh.size() <= kMaxRetoldPerReply)) {
+    for (const instance_id id : fresh) {
+      QueueMember(id);
+    }
+  }
+  for (const centre_summary& summary : message.centres) {
+    if (table_.Merge(summary)) {
+      gossip_.centres[summary.data_centre] = options_.gossip_rounds;
+      table_changed_ = now;
+      view_stale_ = true;
+    }
+  }
+  for (const link_vote& vote : message.votes) {
+    const bool voter = std::find(contacts_.begin(), contacts_.end(),
+                                 vote.voter) != contacts_.end();
+    if (voter && vote.data_centre != data_centre_ && vote.voter != self_ &&
+        table_.Merge(vote)) {
+      gossip_.votes[{vote.data_centre, vote.voter.value}] =
+          options_.gossip_rounds;
+      table_changed_ = now;
+    }
+  }
+}
+
+// Tells peers about a member, unless so many wait that peers do better to
+// compare tables.
+void membership::impl::QueueMember(instance_id id) {
+  if (gossip_.members.size() >= kMaxQueuedMembers && id != self_) {
+    return;
+  }
+  gossip_.members[id.value] = options_.gossip_rounds;
+}
+
+// Returns the record as it is told on: in full only while it is new.
+member_record membership::impl::Brief(const member_record& record) const {
+  member_record brief = record;
+  if (record.revision > kFullRevisions) {
+    brief.info = {};
+    brief.info.id = record.info.id;
+    brief.info.incarnation = record.info.incarnation;
+    brief.info.state = record.info.state;
+    brief.info.configuration_number = record.info.configuration_number;
+    brief.compact = true;
+  }
+  return brief;
+}
+
+// Moves what fits into `message`; what was told often enough leaves `queue`.
+// Returns its octets.
+std::size_t membership::impl::FillGossip(control_message& message,
+                                         gossip_queue& queue) const {
+  std::size_t used = 0;
+  const auto fits = [&used](std::size_t bytes) {
+    const bool room = used + bytes <= kRecordRoom;
+    used += room ? bytes : 0;
+    return room;
+  };
+  for (auto next = queue.members.begin(); next != queue.members.end();) {
+    const member_entry* entry = table_.Find({next->first});
+    if (entry != nullptr) {
+      member_record record = Brief(entry->record);
+      if (!fits(SizeOf(record))) {
+        return used;
+      }
+      message.members.push_back(std::move(record));
+    }
+    next = SpendOne(next->second) ? queue.members.erase(next) : std::next(next);
+  }
+  for (auto next = queue.votes.begin(); next != queue.votes.end();) {
+    const auto vote = table_.votes().find(next->first);
+    if (vote != table_.votes().end()) {
+      if (!fits(SizeOf(vote->second))) {
+        return used;
+      }
+      message.votes.push_back(vote->second);
+    }
+    next = SpendOne(next->second) ? queue.votes.erase(next) : std::next(next);
+  }
+  for (auto next = queue.centres.begin(); next != queue.centres.end();) {
+    const auto summary = table_.centres().find(next->first);
+    if (summary != table_.centres().end()) {
+      if (!fits(SizeOf(summary->second))) {
+        return used;
+      }
+      message.centres.push_back(summary->second);
+    }
+    next = SpendOne(next->second) ? queue.centres.erase(next) : std::next(next);
+  }
+  return used;
+}
+
+// Tells some members what is new, as far as the pace allows: what waits is
+// merged with what comes.
+void membership::impl::FlushGossip(time_point now) {
+  const double elapsed_s =
+      std::chrono::duration<double>(now - gossip_paced_).count();
+  gossip_paced_ = now;
+  gossip_allowance_ = std::min<double>(
+      options_.gossip_burst_bytes,
+      gossip_allowance_ + elapsed_s * options_.gossip_bytes_per_s);
+  if (gossip_.empty() || locals_.empty() || gossip_allowance_ < 0) {
+    return;
+  }
+  control_message message = Stamp(gossip{});
+  const std::size_t bytes = FillGossip(message, gossip_) + kHeaderBytes;
+  for (const member_entry* entry :
+       RandomLocals(options_.gossip_fanout, self_)) {
+    Send(entry->record, message);
+    gossip_allowance_ -= static_cast<double>(bytes);
+  }
+  ForwardToLinks(message);
+}
+
+// A contact passes what is new of its own data centre on to the others.
+void membership::impl::ForwardToLinks(const control_message& message) {
+  if (!IsContact()) {
+    return;
+  }
+  control_message forwarded = message;
+  forwarded.votes.clear();
+  std::erase_if(forwarded.members, [this](const member_record& record) {
+    const member_entry* entry = table_.Find(record.info.id);
+    return entry == nullptr || !IsLocal(entry->record.info) ||
+           record.health == liveness::kSuspect;
+  });
+  std::erase_if(forwarded.centres, [this](const centre_summary& summary) {
+    return summary.data_centre != data_centre_;
+  });
+  if (forwarded.members.empty() && forwarded.centres.empty()) {
+    return;
+  }
+  for (const auto& [name, link] : links_) {
+    const std::vector<address> targets = LinkTargets(name);
+    if (!targets.empty()) {
+      Send(targets.front(), forwarded);
+    }
+  }
+}
+
+// Asks a sender whose table stays different from this one.
+void membership::impl::CompareDigests(time_point now,
+                                      const control_message& message) {
+  const member_entry* sender = table_.Find(message.from);
+  if (sender == nullptr || !IsLive(sender->record) || now < next_ask_) {
+    return;
+  }
+  if (joining_) {
+    Ask(now, *sender, true);
+    return;
+  }
+  const bool votes_differ = IsLocal(sender->record.info) &&
+                            message.votes_digest != table_.votes_digest();
+  if (message.table_digest == table_.digest() && !votes_differ) {
+    differs_ = false;
+    return;
+  }
+  if (!differs_) {
+    differs_ = true;
+    differs_since_ = now;
+  }
+  if (now - table_changed_ >= milliseconds(kSettleMs) ||
+      now - differs_since_ >= milliseconds(kSyncMs)) {
+    Ask(now, *sender, false);
+  }
+}
+
+void membership::impl::Ask(time_point now,
+                           const member_entry& peer,
+                           bool joining) {
+  ++counters_.syncs;
+  next_ask_ = now + milliseconds(joining ? options_.join_retry_ms : kSyncMs);
+  control_message message = Stamp(sync_request{table_.digests(), joining});
+  if (joining) {
+    message.members.push_back(Self());
+  }
+  const instance_info& info = peer.record.info;
+  out_.ask.push_back(
+      {{info.id, ControlEndpoint(info), info.grpc_port}, std::move(message)});
+}
+
+control_message membership::impl::AnswerSync(
+    const control_message& request) const {
+  const sync_request& body = std::get<sync_request>(request.body);
+  control_message answer = Stamp(sync_reply{trusted_});
+  const member_entry* sender = table_.Find(request.from);
+  for (const auto& [name, summary] : table_.centres()) {
+    answer.centres.push_back(summary);
+  }
+  if (sender == nullptr) {
+    return answer;
+  }
+  for (const auto& [id, entry] : table_.members()) {
+    const std::size_t bucket = TableBucket({id});
+    if (body.joining || body.digests[bucket] != table_.digests()[bucket]) {
+      answer.members.push_back(entry.record);
+    }
+  }
+  if (IsLocal(sender->record.info)) {
+    for (const auto& [key, vote] : table_.votes()) {
+      answer.votes.push_back(vote);
+    }
+  }
+  return answer;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/fleet/membership_probe.cc
@@ -0,0 +1,171 @@
+#include <algorithm>
+
+#include "fleet/membership_impl.h"
+
+namespace rosemaryreach {
+
+using std::chrono::milliseconds;
+
+// Probes the next members on the ring, each once a period, and one at random.
+// Suspects are passed over, so that those behind them stay watched.
+void membership::impl::RunProbes(time_point now) {
+  const duration period = milliseconds(options_.probe_ms);
+  std::uint32_t watched = 0;
+  for (member_entry* entry : locals_) {
+    if (watched == options_.ring_successors) {
+      break;
+    }
+    if (entry->record.health != liveness::kAlive) {
+      continue;
+    }
+    ++watched;
+    if (now - entry->probed >= period) {
+      Probe(now, *entry);
+    }
+  }
+  if (now >= next_random_probe_ && !locals_.empty()) {
+    next_random_probe_ = now + period;
+    Probe(now, *locals_[RandomIndex(locals_.size())]);
+  }
+}
+
+void membership::impl::Probe(time_point now, member_entry& entry) {
+  entry.probed = now;
+  const std::uint32_t sequence = next_sequence_++;
+  probes_[sequence] = {entry.record.info.id, now, false};
+  control_message message = Stamp(ping{sequence});
+  if (entry.record.health == liveness::kSuspect) {
+    message.members.push_back(Brief(entry.record));
+  }
+  Send(entry.record, std::move(message));
+}
+
+// Asks others about members that haven't answered, then suspects them.
+void membership::impl::CheckProbes(time_point now) {
+  const duration direct = milliseconds(options_.ack_timeout_ms);
+  const duration whole = direct + milliseconds(options_.indirect_timeout_ms);
+  std::erase_if(relays_,
+                [now](const auto& item) { return item.second.expires <= now; });
+  std::vector<std::uint32_t> expired;
+  for (auto& [sequence, probe] : probes_) {
+    member_entry* entry = table_.Find(probe.subject);
+    if (entry == nullptr || !IsLive(entry->record) ||
+        entry->heard > probe.sent) {
+      expired.push_back(sequence);
+    } else if (now - probe.sent >= whole) {
+      expired.push_back(sequence);
+      Suspect(now, *entry);
+    } else if (!probe.indirect && now - probe.sent >= direct) {
+      probe.indirect = true;
+      Send(entry->record, Stamp(ping{sequence}));
+      for (const member_entry* helper :
+           RandomLocals(options_.indirect_probes, probe.subject)) {
+        Send(helper->record, Stamp(ping_request{sequence, probe.subject}));
+      }
+    }
+  }
+  for (const std::uint32_t sequence : expired) {
+    probes_.erase(sequence);
+  }
+}
+
+void membership::impl::Suspect(time_point now, member_entry& entry) {
+  if (entry.record.health != liveness::kAlive) {
+    return;
+  }
+  ++counters_.suspicions;
+  SetHealth(now, entry, liveness::kSuspect);
+  control_message message = Stamp(gossip{});
+  message.members.push_back(Brief(entry.record));
+  Send(entry.record, std::move(message));
+}
+
+void membership::impl::SetHealth(time_point now,
+                                 member_entry& entry,
+                                 liveness health) {
+  member_record record = entry.record;
+  record.health = health;
+  table_.Merge(now, record);
+  table_changed_ = now;
+  members_changed_ = true;
+  QueueMember(record.info.id);
+}
+
+void membership::impl::CheckSuspects(time_point now) {
+  const duration limit = milliseconds(options_.suspicion_ms);
+  for (member_entry* entry : locals_) {
+    if (entry->record.health != liveness::kSuspect ||
+        now - entry->changed < limit) {
+      continue;
+    }
+    if (entry->heard > entry->changed) {
+      // It speaks; its refutation is on its way.
+      entry->record.health = liveness::kAlive;
+      entry->changed = now;
+      continue;
+    }
+    ++counters_.deaths;
+    SetHealth(now, *entry, liveness::kDead);
+  }
+}
+
+// Without a word from any member, this instance is the one that is cut off.
+void membership::impl::CheckIsolation(time_point now) {
+  const duration limit = milliseconds(options_.alone_ms);
+  if (!locals_.empty() && now - heard_local_ >= limit) {
+    counters_.deaths += locals_.size();
+    DropUnheard(now, now);
+    gossip_ = {};
+    probes_.clear();
+  }
+}
+
+void membership::impl::OnPing(const endpoint& source,
+                              const control_message& message) {
+  control_message answer =
+      Stamp(ack{std::get<ping>(message.body).sequence, self_});
+  const member_entry* sender = table_.Find(message.from);
+  const bool stranger = sender == nullptr || !IsLocal(sender->record.info) ||
+                        !message.members.empty();
+  if (stranger) {
+    answer.members.push_back(Self());
+    if (const centre_summary* own = OwnSummary()) {
+      answer.centres.push_back(*own);
+    }
+  }
+  Send({message.from, source}, std::move(answer));
+}
+
+void membership::impl::OnAck(time_point now, const control_message& message) {
+  const ack& body = std::get<ack>(message.body);
+  const auto found = probes_.find(body.sequence);
+  if (found != probes_.end() && found->second.subject == body.subject) {
+    if (member_entry* entry = table_.Find(body.subject)) {
+      entry->heard = now;
+    }
+    probes_.erase(found);
+  }
+  const auto relayed = relays_.find(body.sequence);
+  if (relayed != relays_.end() && body.subject == message.from) {
+    const relay& back = relayed->second;
+    Send(back.requester, Stamp(ack{back.sequence, body.subject}));
+    relays_.erase(relayed);
+  }
+}
+
+void membership::impl::OnPingRequest(time_point now,
+                                     const endpoint& source,
+                                     const control_message& message) {
+  const ping_request& body = std::get<ping_request>(message.body);
+  const member_entry* subject = table_.Find(body.subject);
+  if (subject == nullptr) {
+    return;
+  }
+  const std::uint32_t sequence = next_sequence_++;
+  relays_[sequence] = {body.sequence,
+                       {message.from, source},
+                       now + milliseconds(options_.indirect_timeout_ms)};
+  Send(subject->record, Stamp(ping{sequence}));
+}
+
+}  // namespace rosemaryreach
