Decide when and from whom to read the published log

Two instances of a data centre watch the platform and two stand by; digests go to four peers, who pull and tell others. Each watch has its own deadline. control_plane joins membership, log, authentication and budget behind one set of events and actions for the daemon, the tests and the bench.

--- a/include/rosemaryreach/config_sync.h
+++ b/include/rosemaryreach/config_sync.h
@@ -24,10 +24,10 @@
   std::uint32_t standbys = 2;
   // Peers told of each new configuration.
   std::uint32_t push_fanout = 4;
-  std::uint32_t watch_wait_ms = 1'000;
-  std::uint32_t watch_deadline_ms = 1'500;
-  std::uint32_t watcher_silence_ms = 2'500;
-  std::uint32_t heartbeat_ms = 1'000;
+  std::uint32_t watch_wait_ms = 800;
+  std::uint32_t watch_deadline_ms = 1'100;
+  std::uint32_t watcher_silence_ms = 1'300;
+  std::uint32_t heartbeat_ms = 400;
   std::uint32_t pull_timeout_ms = 500;
   std::uint32_t peer_wait_ms = 500;
   std::uint32_t backoff_min_ms = 100;
@@ -94,9 +94,7 @@
 
   // Takes the live instances, and one contact of each other data centre if
   // this instance speaks for its own.
-  void OnView(time_point now,
-              const fleet_view& view,
-              std::vector<contact> link_peers);
+  void OnView(const fleet_view& view, std::vector<contact> link_peers);
 
   // Takes in what a peer said of its log. Zero `content` means not told.
   std::vector<config_sync_action> OnPeerDigest(
@@ -114,6 +112,9 @@
       std::uint64_t token,
       const result<std::vector<log_entry>>& entries);
 
+  // Returns whether this instance is one that watches the platform.
+  bool IsWatcher() const { return Rank() < options_.watchers; }
+
   // Returns whether a configuration is in force.
   bool ready() const { return log_.Head().number != 0; }
 
--- /dev/null
+++ b/include/rosemaryreach/control_plane.h
@@ -0,0 +1,175 @@
+// One instance's part in the fleet as a whole: membership, the published log,
+// authentication and the control budget behind one set of events and actions.
+#ifndef ROSEMARYREACH_CONTROL_PLANE_H_
+#define ROSEMARYREACH_CONTROL_PLANE_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosemaryreach/config_sync.h"
+#include "rosemaryreach/control_budget.h"
+#include "rosemaryreach/membership.h"
+#include "rosemaryreach/patch_log.h"
+#include "rosemaryreach/peer_auth.h"
+#include "rosemaryreach/platform_source.h"
+
+namespace rosemaryreach {
+
+struct control_plane_options {
+  membership_options membership;
+  config_sync_options configuration;
+  control_queue::options queue;
+  patch_log_limits log;
+  // Most octets of log text in the answer to one pull.
+  std::size_t pull_bytes = 1'000'000;
+  std::uint32_t live_list_ms = 30'000;
+  // Time without an answer from the seeds after which the list is read.
+  std::uint32_t seeds_wait_ms = 700;
+};
+
+// Which plane a piece of state is for.
+enum class state_kind : std::uint8_t { kFlows, kRequests };
+
+// State that a peer sent.
+struct received_state {
+  state_kind kind = state_kind::kFlows;
+  instance_id from;
+  std::string payload;
+};
+
+// A sealed request to send over gRPC; answer with OnAnswer() and its token.
+struct ask_peer {
+  std::uint64_t token = 0;
+  endpoint grpc;
+  std::string bytes;
+};
+
+// What the caller is to do, in any order.
+struct control_actions {
+  std::vector<queued_datagram> send;
+  std::vector<read_platform> reads;
+  std::vector<ask_peer> asks;
+  std::vector<received_state> states;
+  std::vector<entry_outcome> judged;
+  bool read_live_list = false;
+  // The view, its trust or a configuration number in it has changed.
+  bool view_changed = false;
+};
+
+// Counts of datagrams that were authentic but not understood or not allowed.
+struct control_plane_counters {
+  std::uint64_t undecodable = 0;
+  std::uint64_t misplaced = 0;
+  std::uint64_t oversized = 0;
+};
+
+class control_plane {
+ public:
+  // `first_sequence` must exceed all that an earlier start has used.
+  control_plane(control_plane_options options,
+                const instance_info& self,
+                std::span<const endpoint> seeds,
+                peer_keys keys,
+                std::uint64_t first_sequence,
+                std::uint64_t seed,
+                accepted_handler on_accepted);
+  ~control_plane();
+
+  // Call each 50 ms or so, and first of all with the time of the start.
+  control_actions Tick(time_point now);
+
+  control_actions OnDatagram(time_point now,
+                             const endpoint& source,
+                             std::string_view bytes);
+  control_actions OnPlatformPage(time_point now,
+                                 std::uint64_t token,
+                                 const result<platform_page>& page);
+  // Takes in what came back for an ask_peer.
+  control_actions OnAnswer(time_point now,
+                           std::uint64_t token,
+                           const result<std::string>& answer);
+
+  // Answers a sealed request that came over gRPC. Errors: kUnauthenticated,
+  // kStale, kTruncated, kUnsupported.
+  result<std::string> OnAsk(time_point now, std::string_view bytes);
+  void OnLiveList(std::span<const live_instance> instances);
+
+  control_actions SetState(time_point now, instance_state state);
+
+  // Announces that this instance is gone; the actions are the last ones.
+  control_actions Leave(time_point now);
+
+  // Queues state for a peer. Errors: kNotFound if the peer isn't in the view,
+  // kTooLarge above kMaxStatePayloadBytes.
+  result<void> SendState(time_point now,
+                         state_kind kind,
+                         instance_id to,
+                         std::string_view payload);
+
+  void SetKeys(peer_keys keys) { auth_.SetKeys(std::move(keys)); }
+
+  // Returns whether a configuration is in force and the view may be acted on.
+  bool ready() const { return membership_.trusted() && sync_.ready(); }
+
+  // Returns why it isn't ready, for people; empty if it is.
+  std::string WaitingFor() const;
+
+  const membership& members() const { return membership_; }
+  const config_sync& sync() const { return sync_; }
+  const patch_log& log() const { return log_; }
+  const peer_auth& auth() const { return auth_; }
+  const control_queue& queue() const { return queue_; }
+  const control_plane_counters& counters() const { return counters_; }
+
+ private:
+  // A request that waits for its answer; `pull` is zero for a table.
+  struct pending_ask {
+    std::uint64_t token = 0;
+    std::uint64_t pull = 0;
+    contact peer;
+  };
+
+  void Take(time_point now, const membership_actions& actions);
+  void Take(time_point now, std::vector<config_sync_action> actions);
+  void Push(time_point now,
+            instance_id to,
+            const endpoint& address,
+            const control_message& message);
+  void Ask(const contact& peer,
+           std::uint64_t pull,
+           const control_message& message);
+  result<control_message> OpenAnswer(const pending_ask& ask,
+                                     const result<std::string>& answer);
+  void AnnounceHead(time_point now);
+  void Receive(time_point now,
+               const endpoint& source,
+               const control_message& message);
+  void NoteLagging(time_point now, const endpoint& source);
+  void MaybeReadLiveList(time_point now);
+  control_actions Finish(time_point now);
+
+  control_plane_options options_;
+  instance_info self_;
+  peer_auth auth_;
+  control_queue queue_;
+  patch_log log_;
+  membership membership_;
+  config_sync sync_;
+  control_plane_counters counters_;
+  control_actions out_;
+  log_head announced_;
+  std::vector<pending_ask> asks_;
+  std::uint64_t next_ask_ = 1;
+  time_point started_{};
+  time_point next_live_list_{};
+  time_point next_notice_{};
+  bool started_up_ = false;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_CONTROL_PLANE_H_
--- /dev/null
+++ b/src/fleet/control_plane.cc
@@ -0,0 +1,347 @@
+#include "rosemaryreach/control_plane.h"
+
+#include <algorithm>
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kSyncSeed = 0x636f6e66;
+constexpr std::uint32_t kNoticeMs = 200;
+
+constexpr std::size_t kMaxPendingAsks = 16;
+
+// Returns whether `body` may come from an instance that doesn't know this
+// one's id yet.
+bool MayBeUnbound(const control_body& body) {
+  return std::holds_alternative<ping>(body);
+}
+
+// Returns whether `body` goes over gRPC alone.
+bool IsForAsking(const control_body& body) {
+  return std::holds_alternative<sync_request>(body) ||
+         std::holds_alternative<sync_reply>(body) ||
+         std::holds_alternative<log_request>(body) ||
+         std::holds_alternative<log_reply>(body);
+}
+
+// Returns the entries of a log_reply, or the error.
+result<std::vector<log_entry>> EntriesOf(result<control_message> message) {
+  if (!message) {
+    return message.error();
+  }
+  if (auto* reply = std::get_if<log_reply>(&message.value().body)) {
+    return std::move(reply->entries);
+  }
+  return Fail(errc::kUnsupported, "not an answer to a pull");
+}
+
+}  // namespace
+
+control_plane::control_plane(control_plane_options options,
+                             const instance_info& self,
+                             std::span<const endpoint> seeds,
+                             peer_keys keys,
+                             std::uint64_t first_sequence,
+                             std::uint64_t seed,
+                             accepted_handler on_accepted)
+    : options_(options),
+      self_(self),
+      auth_(self.id, std::move(keys), first_sequence),
+      queue_(options.queue),
+      log_(std::move(on_accepted), options.log),
+      membership_(options.membership, self, seeds, seed),
+      sync_(options.configuration,
+            log_,
+            self.id,
+            self.data_centre,
+            HashPair(seed, kSyncSeed)) {}
+
+control_plane::~control_plane() = default;
+
+control_actions control_plane::Tick(time_point now) {
+  if (!started_up_) {
+    started_up_ = true;
+    started_ = now;
+  }
+  Take(now, membership_.Tick(now));
+  Take(now, sync_.Tick(now));
+  MaybeReadLiveList(now);
+  return Finish(now);
+}
+
+control_actions control_plane::OnDatagram(time_point now,
+                                          const endpoint& source,
+                                          std::string_view bytes) {
+  if (bytes.size() > kMaxControlDatagramBytes) {
+    ++counters_.oversized;
+    return Finish(now);
+  }
+  const result<opened_datagram> opened = auth_.Open(bytes);
+  if (!opened) {
+    NoteLagging(now, source);
+    return Finish(now);
+  }
+  const opened_datagram& datagram = opened.value();
+  const result<control_message> message =
+      DecodeMessage(datagram.from, datagram.payload);
+  if (!message) {
+    ++counters_.undecodable;
+  } else if ((!datagram.bound && !MayBeUnbound(message.value().body)) ||
+             IsForAsking(message.value().body)) {
+    ++counters_.misplaced;
+  } else {
+    Receive(now, source, message.value());
+  }
+  return Finish(now);
+}
+
+// Tells a peer whose sequence fell back, as after a start with a slow clock.
+void control_plane::NoteLagging(time_point now, const endpoint& source) {
+  const instance_id sender = auth_.TakeLagging();
+  if (sender && now >= next_notice_) {
+    next_notice_ = now + milliseconds(kNoticeMs);
+    Push(now, sender, source,
+         membership_.Stamp(sequence_notice{auth_.HighestFrom(sender)}));
+  }
+}
+
+void control_plane::Receive(time_point now,
+                            const endpoint& source,
+                            const control_message& message) {
+  Take(now, membership_.OnMessage(now, source, message));
+  contact peer{message.from, source, 0};
+  const instance_info* known = FindInstance(membership_.view(), message.from);
+  if (known != nullptr) {
+    peer.grpc_port = known->grpc_port;
+  }
+  for (const centre_summary& summary : message.centres) {
+    for (const contact& named : summary.contacts) {
+      if (named.id == message.from) {
+        peer.grpc_port = named.grpc_port;
+      }
+    }
+  }
+  configuration_digest digest{message.configuration_number,
+                              message.configuration_sequence, 0, false};
+  if (const auto* told = std::get_if<configuration_digest>(&message.body)) {
+    digest = *told;
+  } else if (const auto* notice = std::get_if<sequence_notice>(&message.body)) {
+    auth_.RaiseSequence(notice->highest);
+  } else if (const auto* flows = std::get_if<flow_state>(&message.body)) {
+    out_.states.push_back({state_kind::kFlows, message.from, flows->payload});
+  } else if (const auto* requests = std::get_if<request_state>(&message.body)) {
+    out_.states.push_back(
+        {state_kind::kRequests, message.from, requests->payload});
+  }
+  if (peer.grpc_port != 0) {
+    Take(now, sync_.OnPeerDigest(now, peer, digest));
+  }
+}
+
+control_actions control_plane::OnPlatformPage(
+    time_point now,
+    std::uint64_t token,
+    const result<platform_page>& page) {
+  Take(now, sync_.OnPlatformPage(now, token, page));
+  return Finish(now);
+}
+
+control_actions control_plane::OnAnswer(time_point now,
+                                        std::uint64_t token,
+                                        const result<std::string>& answer) {
+  const auto found = std::find_if(
+      asks_.begin(), asks_.end(),
+      [token](const pending_ask& ask) { return ask.token == token; });
+  if (found == asks_.end()) {
+    return Finish(now);
+  }
+  const pending_ask ask = *found;
+  asks_.erase(found);
+  result<control_message> message = OpenAnswer(ask, answer);
+  if (ask.pull != 0) {
+    Take(now, sync_.OnPulled(now, ask.pull, EntriesOf(std::move(message))));
+  } else if (message) {
+    Take(now, membership_.OnMessage(now, ask.peer.control, message.value()));
+  }
+  return Finish(now);
+}
+
+result<control_message> control_plane::OpenAnswer(
+    const pending_ask& ask,
+    const result<std::string>& answer) {
+  if (!answer) {
+    return answer.error();
+  }
+  BOOST_OUTCOME_TRY(opened, auth_.Open(answer.value()));
+  if (opened.from != ask.peer.id || !opened.bound) {
+    return Fail(errc::kUnauthenticated, "the answer of another instance");
+  }
+  return DecodeMessage(opened.from, opened.payload);
+}
+
+result<std::string> control_plane::OnAsk(time_point now,
+                                         std::string_view bytes) {
+  BOOST_OUTCOME_TRY(opened, auth_.Open(bytes));
+  if (!opened.bound) {
+    return Fail(errc::kUnauthenticated, "a request for any receiver");
+  }
+  BOOST_OUTCOME_TRY(request, DecodeMessage(opened.from, opened.payload));
+  if (std::holds_alternative<sync_request>(request.body)) {
+    // A newcomer tells of itself in its request.
+    for (const member_record& record : request.members) {
+      const endpoint source{record.info.address, record.info.control_port};
+      Take(now, membership_.OnMessage(now, source, request));
+    }
+    return auth_.Seal(opened.from,
+                      EncodeMessage(membership_.AnswerSync(request)));
+  }
+  if (const auto* wanted = std::get_if<log_request>(&request.body)) {
+    log_reply reply{log_.EntriesAfter(wanted->after, options_.pull_bytes)};
+    return auth_.Seal(opened.from,
+                      EncodeMessage(membership_.Stamp(std::move(reply))));
+  }
+  return Fail(errc::kUnsupported, "not a request");
+}
+
+void control_plane::Ask(const contact& peer,
+                        std::uint64_t pull,
+                        const control_message& message) {
+  if (asks_.size() >= kMaxPendingAsks) {
+    asks_.erase(asks_.begin());
+  }
+  const std::uint64_t token = next_ask_++;
+  asks_.push_back({token, pull, peer});
+  out_.asks.push_back({token,
+                       {peer.control.address, peer.grpc_port},
+                       auth_.Seal(peer.id, EncodeMessage(message))});
+}
+
+void control_plane::OnLiveList(std::span<const live_instance> instances) {
+  std::vector<instance_info> hints;
+  for (const live_instance& live : instances) {
+    if (live.state != live_state::kLive || live.name == self_.name) {
+      continue;
+    }
+    instance_info info;
+    info.id = MakeInstanceId(live.name);
+    info.name = live.name;
+    info.data_centre = live.data_centre;
+    info.region = live.region;
+    info.address = live.address;
+    info.control_port = live.control_port;
+    info.grpc_port = live.grpc_port;
+    hints.push_back(std::move(info));
+  }
+  membership_.OnLiveList(hints);
+}
+
+control_actions control_plane::SetState(time_point now, instance_state state) {
+  Take(now, membership_.SetState(now, state));
+  return Finish(now);
+}
+
+control_actions control_plane::Leave(time_point now) {
+  Take(now, membership_.Leave());
+  return Finish(now);
+}
+
+result<void> control_plane::SendState(time_point now,
+                                      state_kind kind,
+                                      instance_id to,
+                                      std::string_view payload) {
+  if (payload.size() > kMaxStatePayloadBytes) {
+    return Fail(errc::kTooLarge, "state of " + std::to_string(payload.size()) +
+                                     " octets for one datagram");
+  }
+  const instance_info* peer = FindInstance(membership_.view(), to);
+  if (peer == nullptr) {
+    return Fail(errc::kNotFound, "no such live instance");
+  }
+  control_body body = flow_state{std::string(payload)};
+  if (kind == state_kind::kRequests) {
+    body = request_state{std::string(payload)};
+  }
+  Push(now, to, {peer->address, peer->control_port},
+       membership_.Stamp(std::move(body)));
+  return success();
+}
+
+std::string control_plane::WaitingFor() const {
+  if (!membership_.trusted()) {
+    return "answers of other instances";
+  }
+  return sync_.WaitingFor();
+}
+
+void control_plane::Take(time_point now, const membership_actions& actions) {
+  for (const outgoing_message& outgoing : actions.send) {
+    Push(now, outgoing.to, outgoing.address, outgoing.message);
+  }
+  for (const table_request& request : actions.ask) {
+    Ask(request.peer, 0, request.message);
+  }
+  if (actions.view_changed) {
+    out_.view_changed = true;
+    sync_.OnView(membership_.view(), membership_.LinkPeers());
+  }
+}
+
+void control_plane::Take(time_point now,
+                         std::vector<config_sync_action> actions) {
+  AnnounceHead(now);
+  for (config_sync_action& action : actions) {
+    if (const auto* read = std::get_if<read_platform>(&action)) {
+      out_.reads.push_back(*read);
+    } else if (const auto* pull = std::get_if<pull_from_peer>(&action)) {
+      Ask(pull->peer, pull->token, membership_.Stamp(log_request{pull->after}));
+    } else if (const auto* push = std::get_if<push_digest>(&action)) {
+      Push(now, push->peer.id, push->peer.control,
+           membership_.Stamp(push->digest));
+    } else if (auto* judged = std::get_if<entry_judged>(&action)) {
+      out_.judged.push_back(std::move(judged->outcome));
+    }
+  }
+}
+
+void control_plane::AnnounceHead(time_point now) {
+  const log_head head = log_.Head();
+  if (head == announced_) {
+    return;
+  }
+  announced_ = head;
+  Take(now, membership_.SetConfiguration(now, head.number, head.sequence));
+}
+
+void control_plane::Push(time_point now,
+                         instance_id to,
+                         const endpoint& address,
+                         const control_message& message) {
+  std::string bytes = auth_.Seal(to, EncodeMessage(message));
+  if (bytes.size() > kMaxControlDatagramBytes) {
+    ++counters_.oversized;
+    return;
+  }
+  queue_.Push(now, {address, PriorityOf(message), std::move(bytes)});
+}
+
+// Newcomers without answers ask for the list; watchers refresh it.
+void control_plane::MaybeReadLiveList(time_point now) {
+  const bool waiting = !membership_.trusted() &&
+                       now - started_ >= milliseconds(options_.seeds_wait_ms);
+  const bool due = waiting || sync_.IsWatcher();
+  if (now >= next_live_list_ && due) {
+    next_live_list_ = now + milliseconds(options_.live_list_ms);
+    out_.read_live_list = true;
+  }
+}
+
+control_actions control_plane::Finish(time_point now) {
+  out_.send = queue_.Pop(now);
+  control_actions actions = std::move(out_);
+  out_ = {};
+  return actions;
+}
+
+}  // namespace rosemaryreach
