--- /dev/null
+++ b/src/adapters/grpc_peer.h
@@ -0,0 +1,53 @@
+// Requests between instances over gRPC: an opaque sealed message each way.
+// The only header of the project that stands for gRPC.
+#ifndef ROSEMARYREACH_ADAPTERS_GRPC_PEER_H_
+#define ROSEMARYREACH_ADAPTERS_GRPC_PEER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "adapters/event_loop.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+// Serves and sends requests. Handlers and answers run on the loop's thread;
+// gRPC's own threads only post to it.
+class grpc_peer {
+ public:
+  // Returns the answer to a request, or why there is none.
+  using ask_handler = std::function<result<std::string>(std::string_view)>;
+  using answer_callback = std::function<void(result<std::string>)>;
+
+  explicit grpc_peer(event_loop& loop);
+
+  // Ends what is under way; no callback runs afterwards.
+  ~grpc_peer();
+  grpc_peer(const grpc_peer&) = delete;
+  grpc_peer& operator=(const grpc_peer&) = delete;
+
+  // Listens on `local`; port 0 takes any free port. Returns the endpoint, or
+  // errc::kIo if it can't be bound.
+  result<endpoint> Listen(const endpoint& local, ask_handler handler);
+
+  // Sends `bytes` to `peer`. `done` gets the answer, or kTimeout,
+  // kUnavailable or kUnauthenticated.
+  void Ask(const endpoint& peer,
+           std::string bytes,
+           duration timeout,
+           answer_callback done);
+
+ private:
+  class server;
+  class client;
+
+  std::unique_ptr<server> server_;
+  std::unique_ptr<client> client_;
+  event_loop& loop_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_GRPC_PEER_H_
