--- a/src/packets/flow_changes.cc
+++ b/src/packets/flow_changes.cc
@@ -182,6 +182,7 @@
   if (last_tick_ && now - *last_tick_ > kPauseGap) {
     last_tick_ = now;
     log_.Write(log_level::kWarning, "pause_detected", "");
+    paused_ = true;
     BeginRefresh(now);
   }
 }
@@ -204,6 +205,7 @@
 
 void flow_router::impl::EndRefresh(time_point now) {
   refreshing_ = false;
+  paused_ = false;
   refreshed_once_ = true;
   awaited_.clear();
   UpdateAllOwners(now);
--- a/src/packets/flow_router.cc
+++ b/src/packets/flow_router.cc
@@ -15,6 +15,8 @@
 constexpr int kMaxTargetProbes = 32;
 // Share of a cold target's rate that the owners together hand out.
 constexpr double kColdRateShare = 0.8;
+// New flows that the ramp may let pass ahead of the cold rate.
+constexpr double kMaxTokenDebt = -4;
 
 }  // namespace
 
@@ -56,7 +58,7 @@
   const std::uint16_t steady = service.steady[routed.bucket];
   if (detour != nullptr && detour->pinned_target != 0) {
     decision = RoutePinnedByOwner(service, routed);
-  } else if (refreshing_) {
+  } else if (refreshing_ && (paused_ || steady != kOpenBucket)) {
     decision = RouteRefreshing(service, routed);
   } else if (steady != kOpenBucket) {
     if (detour != nullptr && !detour->refreshing) {
@@ -87,6 +89,12 @@
 // other instance is left to ask.
 flow_decision flow_router::impl::RouteRefreshing(service_state& service,
                                                  const routed_packet& packet) {
+  const open_bucket* open = service.FindOpen(packet.bucket);
+  const pin* found =
+      open == nullptr ? nullptr : open->pins.Find(packet.info.flow_hash);
+  if (found != nullptr && !packet.info.syn) {
+    return Forward(service, found->target, packet.info, "pinned");
+  }
   const owner_pair owners = peers_.Owners(OwnerKey(service, packet.bucket));
   const instance_id to =
       owners.owner == peers_.self() ? owners.successor : owners.owner;
@@ -96,12 +104,6 @@
   if (to && packet.info.syn) {
     return Drop(service, "refreshing");
   }
-  const open_bucket* open = service.FindOpen(packet.bucket);
-  const pin* found =
-      open == nullptr ? nullptr : open->pins.Find(packet.info.flow_hash);
-  if (found != nullptr) {
-    return Forward(service, found->target, packet.info, "pinned");
-  }
   return Forward(service, service.floor[packet.bucket], packet.info,
                  "refreshing");
 }
@@ -226,6 +228,8 @@
     return Drop(service, "no_room");
   }
   if (target == floor) {
+    // So that a copy of this SYN is not sent elsewhere.
+    SetPin(bucket, packet.info.flow_hash, floor, packet.now);
     bucket.unpinned_seen = packet.now;
     return Forward(service, floor, packet.info, "new_floor");
   }
@@ -308,7 +312,7 @@
       static_cast<double>(HashPair(flow_hash, cold.epoch) >> 11) /
       static_cast<double>(std::uint64_t{1} << 53);
   if (draw < ramp) {
-    cold.tokens = std::max(0.0, cold.tokens - 1);
+    cold.tokens = std::max(kMaxTokenDebt, cold.tokens - 1);
     return true;
   }
   if (cold.tokens < 1) {
--- a/src/packets/flow_router_impl.h
+++ b/src/packets/flow_router_impl.h
@@ -255,6 +255,7 @@
   };
   bool refreshing_ = false;
   bool refreshed_once_ = false;
+  bool paused_ = false;  // the refresh follows a pause of the process
   std::uint64_t refresh_number_ = 0;
   time_point refresh_began_;
   time_point sync_sent_;
