Add HTTP/2 connections and the request task

Cause: the request plane needs listeners, upstream connections and something that carries out what request_router decides. Change: h2_connection wraps one nghttp2 session and its socket, as server or client; request_task joins callers' streams to attempts at targets and peers. A stream's window bounds what it buffers; the connection's window is opened at once, so that a stalled stream holds no other up. A cancelled request counts as read by its target once a PING sent after the reset is answered.

--- a/src/adapters/event_loop.cc
+++ b/src/adapters/event_loop.cc
@@ -83,6 +83,10 @@
   event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NONBLOCK);
 }
 
+void event_loop::RunOnce() {
+  event_base_loop(base_.get(), EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
 void event_loop::OnWake(int descriptor, short /*what*/, void* self) {
   std::uint64_t count = 0;
   [[maybe_unused]] const ssize_t got = read(descriptor, &count, sizeof(count));
@@ -168,6 +172,10 @@
   }
 }
 
+void descriptor_watch::Trigger() {
+  event_active(event_, EV_TIMEOUT, 0);
+}
+
 void descriptor_watch::OnReady(int /*descriptor*/, short /*what*/, void* self) {
   static_cast<descriptor_watch*>(self)->run_();
 }
--- a/src/adapters/event_loop.h
+++ b/src/adapters/event_loop.h
@@ -44,6 +44,9 @@
   // Runs the events that are due, without waiting.
   void RunPending();
 
+  // Waits for events and runs those that are due then.
+  void RunOnce();
+
   time_point now() const { return MonotonicNow(); }
   event_base* base() { return base_.get(); }
 
@@ -106,6 +109,9 @@
   void Pause();
   void Resume();
 
+  // Runs the callback once, after the events now being served.
+  void Trigger();
+
  private:
   static void OnReady(int descriptor, short what, void* self);
 
--- /dev/null
+++ b/src/adapters/h2_connection.cc
@@ -0,0 +1,375 @@
+// The socket side of h2_connection: connecting, reading, writing, timeouts.
+#include "adapters/h2_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "adapters/socket_address.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1'024;
+constexpr std::size_t kOutputBytes = 64 * 1'024;
+constexpr int kReadsAtOnce = 4;
+// The socket is not read while this many frames wait to be written.
+constexpr std::size_t kMaxWaitingFrames = 1'000;
+// Between the announcement of a drain and its last stream id.
+constexpr duration kDrainNotice = std::chrono::milliseconds(500);
+// A gap between ticks after which this process must have stood still.
+constexpr duration kPauseGap = std::chrono::seconds(1);
+
+endpoint LocalEndpoint(int descriptor) {
+  socket_address address;
+  address.size = sizeof(address.storage);
+  if (getsockname(descriptor, address.get(), &address.size) != 0) {
+    return {};
+  }
+  return FromSocketAddress(address.storage);
+}
+
+endpoint RemoteEndpoint(int descriptor) {
+  socket_address address;
+  address.size = sizeof(address.storage);
+  if (getpeername(descriptor, address.get(), &address.size) != 0) {
+    return {};
+  }
+  return FromSocketAddress(address.storage);
+}
+
+void SetOption(int descriptor, int option, int value) {
+  setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+h2_connection::h2_connection(event_loop& loop,
+                             int descriptor,
+                             const h2_limits& limits,
+                             h2_hooks hooks)
+    : loop_(loop),
+      role_(h2_role::kServer),
+      limits_(limits),
+      hooks_(std::move(hooks)),
+      descriptor_(descriptor),
+      remote_(RemoteEndpoint(descriptor)),
+      local_(LocalEndpoint(descriptor)) {
+  Watch();
+  StartSession();
+}
+
+h2_connection::h2_connection(event_loop& loop,
+                             const endpoint& remote,
+                             const h2_limits& limits,
+                             h2_hooks hooks)
+    : loop_(loop),
+      role_(h2_role::kClient),
+      limits_(limits),
+      hooks_(std::move(hooks)),
+      state_(state::kConnecting),
+      remote_(remote) {
+  const socket_address address = ToSocketAddress(remote);
+  descriptor_ = socket(address.storage.ss_family,
+                       SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor_ < 0 ||
+      (connect(descriptor_, address.get(), address.size) != 0 &&
+       errno != EINPROGRESS)) {
+    abort_reason_ = std::strerror(errno);
+  }
+  Watch();
+  StartSession();
+}
+
+h2_connection::~h2_connection() {
+  read_watch_.reset();
+  write_watch_.reset();
+  if (session_ != nullptr) {
+    nghttp2_session_del(session_);
+  }
+  if (descriptor_ >= 0) {
+    close(descriptor_);
+  }
+}
+
+void h2_connection::Watch() {
+  opened_at_ = loop_.now();
+  last_read_ = opened_at_;
+  last_tick_ = opened_at_;
+  idle_since_ = opened_at_;
+  control_since_ = opened_at_;
+  SetOption(descriptor_, TCP_NODELAY, 1);
+  SetOption(descriptor_, TCP_USER_TIMEOUT,
+            static_cast<int>((limits_.ping_interval + limits_.ping_timeout) /
+                             std::chrono::milliseconds(1)));
+  read_watch_ = std::make_unique<descriptor_watch>(
+      loop_, descriptor_, watch_for::kRead, [this] { OnReadable(); });
+  write_watch_ = std::make_unique<descriptor_watch>(
+      loop_, descriptor_, watch_for::kWrite, [this] { OnWritable(); });
+  if (state_ == state::kConnecting) {
+    read_watch_->Pause();
+  }
+  if (!abort_reason_.empty()) {
+    write_watch_->Trigger();
+  }
+}
+
+void h2_connection::OnReadable() {
+  static thread_local std::array<std::uint8_t, kReadBytes> buffer;
+  for (int i = 0; i < kReadsAtOnce && state_ == state::kOpen; ++i) {
+    if (nghttp2_session_get_outbound_queue_size(session_) > kMaxWaitingFrames) {
+      read_watch_->Pause();
+      break;
+    }
+    const ssize_t got = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (got < 0) {
+      if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        Close(std::strerror(errno));
+      }
+      break;
+    }
+    if (got == 0) {
+      Close("closed by peer");
+      return;
+    }
+    last_read_ = loop_.now();
+    TakeBytes(std::span(buffer).first(static_cast<std::size_t>(got)));
+    if (static_cast<std::size_t>(got) < buffer.size()) {
+      break;
+    }
+  }
+  if (state_ == state::kOpen) {
+    Flush();
+  }
+}
+
+void h2_connection::OnWritable() {
+  if (state_ == state::kClosed) {
+    return;
+  }
+  if (!abort_reason_.empty()) {
+    Close(abort_reason_);
+    return;
+  }
+  if (state_ == state::kConnecting && !FinishConnect()) {
+    return;
+  }
+  Flush();
+}
+
+bool h2_connection::FinishConnect() {
+  int failure = 0;
+  socklen_t size = sizeof(failure);
+  getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &failure, &size);
+  if (failure != 0) {
+    Close(std::strerror(failure));
+    return false;
+  }
+  sockaddr_storage peer;
+  size = sizeof(peer);
+  if (getpeername(descriptor_, reinterpret_cast<sockaddr*>(&peer), &size) !=
+      0) {
+    return false;  // Triggered by a request; the connect still goes on.
+  }
+  state_ = state::kOpen;
+  local_ = LocalEndpoint(descriptor_);
+  opened_at_ = loop_.now();
+  last_read_ = opened_at_;
+  read_watch_->Resume();
+  return true;
+}
+
+void h2_connection::RequestFlush() {
+  if (state_ == state::kOpen) {
+    write_watch_->Trigger();
+  }
+}
+
+void h2_connection::Flush() {
+  while (state_ == state::kOpen) {
+    if (!FillOutput()) {
+      Close("protocol error");
+      return;
+    }
+    if (output_.empty()) {
+      break;
+    }
+    if (!SendOutput()) {
+      return;
+    }
+  }
+  if (state_ != state::kOpen) {
+    return;
+  }
+  write_watch_->Pause();
+  read_watch_->Resume();
+  const bool session_over = nghttp2_session_want_read(session_) == 0 &&
+                            nghttp2_session_want_write(session_) == 0;
+  if (session_over || (drain_finished_ && streams_.empty())) {
+    Close(draining_ ? "drained" : "session over");
+  }
+}
+
+// Returns false on a fatal session error.
+bool h2_connection::FillOutput() {
+  while (output_.size() < kOutputBytes) {
+    const std::uint8_t* frame = nullptr;
+    in_callback_ = true;
+    const ssize_t size = nghttp2_session_mem_send(session_, &frame);
+    in_callback_ = false;
+    if (size < 0) {
+      return false;
+    }
+    if (size == 0) {
+      if (!ProveCancels()) {
+        return true;
+      }
+      continue;
+    }
+    output_.insert(output_.end(), frame, frame + size);
+  }
+  return true;
+}
+
+// Returns whether all output has left.
+bool h2_connection::SendOutput() {
+  while (output_sent_ < output_.size()) {
+    const ssize_t sent = send(descriptor_, output_.data() + output_sent_,
+                              output_.size() - output_sent_, MSG_NOSIGNAL);
+    if (sent < 0) {
+      if (errno == EINTR) {
+        continue;
+      }
+      if (errno == EAGAIN || errno == EWOULDBLOCK) {
+        write_watch_->Resume();
+        return false;
+      }
+      Close(std::strerror(errno));
+      return false;
+    }
+    output_sent_ += static_cast<std::size_t>(sent);
+  }
+  output_.clear();
+  output_sent_ = 0;
+  return true;
+}
+
+void h2_connection::Drain() {
+  if (draining_ || state_ == state::kClosed) {
+    return;
+  }
+  draining_ = true;
+  drain_started_ = loop_.now();
+  if (role_ == h2_role::kServer) {
+    nghttp2_submit_shutdown_notice(session_);
+  } else {
+    drain_finished_ = true;
+  }
+  RequestFlush();
+}
+
+void h2_connection::FinishDrain(time_point now) {
+  if (!draining_ || drain_finished_ || now - drain_started_ < kDrainNotice) {
+    return;
+  }
+  drain_finished_ = true;
+  nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
+                        nghttp2_session_get_last_proc_stream_id(session_),
+                        NGHTTP2_NO_ERROR, nullptr, 0);
+  RequestFlush();
+}
+
+void h2_connection::Abort(std::string_view reason) {
+  if (in_callback_) {
+    abort_reason_ = reason;
+    write_watch_->Trigger();
+    return;
+  }
+  Close(reason);
+}
+
+void h2_connection::Close(std::string_view reason) {
+  if (state_ == state::kClosed) {
+    return;
+  }
+  state_ = state::kClosed;
+  const std::string kept(reason);
+  read_watch_->Pause();
+  write_watch_->Pause();
+  if (descriptor_ >= 0) {
+    shutdown(descriptor_, SHUT_RDWR);
+  }
+  std::unordered_map<std::int32_t, open_stream> streams;
+  streams.swap(streams_);
+  for (const auto& [id, stream] : streams) {
+    if (stream.events != nullptr) {
+      stream.events->OnClosed({NGHTTP2_INTERNAL_ERROR, true, stream.sent});
+    }
+  }
+  hooks_.on_closed(*this, kept);
+}
+
+void h2_connection::Tick(time_point now) {
+  const bool paused = now - last_tick_ > kPauseGap;
+  last_tick_ = now;
+  if (paused) {
+    // The answers to what was sent before the pause have yet to be read.
+    ping_sent_at_ = now;
+    opened_at_ = std::max(opened_at_, now);
+    if (frame_started_) {
+      frame_started_ = now;
+    }
+  }
+  if (state_ == state::kClosed) {
+    return;
+  }
+  if (state_ == state::kConnecting) {
+    if (now - opened_at_ > limits_.connect_timeout) {
+      Close("connect timeout");
+    }
+    return;
+  }
+  if (!got_settings_ && now - opened_at_ > limits_.preface_timeout) {
+    Close("no preface");
+    return;
+  }
+  if (frame_started_ && now - *frame_started_ > limits_.frame_timeout) {
+    Close("frame timeout");
+    return;
+  }
+  if (!PingInTime(now)) {
+    Close("silent");
+    return;
+  }
+  if (streams_.empty() && limits_.idle_timeout > duration::zero() &&
+      now - idle_since_ > limits_.idle_timeout) {
+    Drain();
+  }
+  FinishDrain(now);
+}
+
+bool h2_connection::PingInTime(time_point now) {
+  if (pings_acked_ < pings_sent_) {
+    return now - ping_sent_at_ <= limits_.ping_timeout;
+  }
+  const bool watched = role_ == h2_role::kClient || !streams_.empty();
+  if (watched && now - last_read_ >= limits_.ping_interval) {
+    SubmitPing(now);
+    RequestFlush();
+  }
+  return true;
+}
+
+bool h2_connection::Suspect(time_point now) const {
+  return pings_acked_ < pings_sent_ &&
+         now - ping_sent_at_ > limits_.ping_timeout / 2;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/adapters/h2_listener.h
@@ -0,0 +1,42 @@
+// Accepts TCP connections on one endpoint.
+#ifndef ROSEMARYREACH_ADAPTERS_H2_LISTENER_H_
+#define ROSEMARYREACH_ADAPTERS_H2_LISTENER_H_
+
+#include <functional>
+#include <memory>
+
+#include "adapters/event_loop.h"
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+class h2_listener {
+ public:
+  // Gets each accepted, non-blocking descriptor and owns it from then on.
+  using accept_handler = std::function<void(int descriptor)>;
+
+  // Listens on `local`; port 0 takes any free port. Returns errc::kIo with the
+  // system's reason if that fails.
+  static result<std::unique_ptr<h2_listener>> Listen(event_loop& loop,
+                                                     const endpoint& local,
+                                                     accept_handler accept);
+
+  h2_listener(event_loop& loop, int descriptor, accept_handler accept);
+  ~h2_listener();
+  h2_listener(const h2_listener&) = delete;
+  h2_listener& operator=(const h2_listener&) = delete;
+
+  // Returns the bound address.
+  endpoint local() const;
+
+ private:
+  void Accept();
+
+  int descriptor_;
+  accept_handler accept_;
+  descriptor_watch watch_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_H2_LISTENER_H_
--- /dev/null
+++ b/src/adapters/h2_types.h
@@ -0,0 +1,91 @@
+// Types shared by the HTTP/2 adapter: headers, limits and stream events.
+#ifndef ROSEMARYREACH_ADAPTERS_H2_TYPES_H_
+#define ROSEMARYREACH_ADAPTERS_H2_TYPES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+// One header field; names are lower case.
+struct h2_header {
+  std::string name;
+  std::string value;
+
+  bool operator==(const h2_header&) const = default;
+};
+
+using h2_headers = std::vector<h2_header>;
+
+// Returns the value of the first field called `name`, or an empty view.
+std::string_view FindHeader(const h2_headers& headers, std::string_view name);
+
+enum class h2_role : std::uint8_t { kServer, kClient };
+
+// Bounds of one connection.
+struct h2_limits {
+  std::uint32_t max_streams = 256;
+  std::uint32_t max_header_list_bytes = 16 * 1'024;
+  // Bounds what one stream may have buffered here.
+  std::uint32_t stream_window_bytes = 64 * 1'024;
+  std::uint32_t connection_window_bytes = 16 * 1'024 * 1'024;
+  // PING, SETTINGS, PRIORITY and empty DATA frames taken in a second.
+  std::uint32_t max_control_frames_per_s = 200;
+  // Streams that a caller may reset at once, and then each second.
+  std::uint32_t reset_burst = 500;
+  std::uint32_t resets_per_s = 100;
+  // For the TCP connection, the preface and each frame but DATA.
+  duration connect_timeout = std::chrono::seconds(1);
+  duration preface_timeout = std::chrono::seconds(5);
+  duration frame_timeout = std::chrono::seconds(5);
+  // A connection without streams is closed after this time; zero keeps it.
+  duration idle_timeout = std::chrono::minutes(5);
+  // PING after this silence; the connection is lost without an answer.
+  duration ping_interval = std::chrono::seconds(10);
+  duration ping_timeout = std::chrono::seconds(5);
+};
+
+// How a stream ended.
+struct h2_close {
+  // HTTP/2 error code; NGHTTP2_NO_ERROR for a whole exchange.
+  std::uint32_t code = 0;
+  // The connection went away under the stream.
+  bool lost = false;
+  // Whether any of the stream's frames may have left this process.
+  bool sent = true;
+};
+
+// What a body source has put into a buffer. All zero means "not yet".
+struct h2_body_read {
+  std::size_t bytes = 0;
+  bool end = false;
+  // Sent after the body; only read at its end.
+  h2_headers trailers;
+};
+
+// Receives the events of one stream and supplies the body that it sends.
+class h2_stream {
+ public:
+  virtual ~h2_stream() = default;
+
+  // Response headers arrived (clients only; informational ones are left out).
+  // With `end`, OnEnd() follows at once.
+  virtual void OnHeaders(h2_headers headers, bool end) = 0;
+  virtual void OnData(std::span<const std::uint8_t> data) = 0;
+  // The peer has ended its side; `trailers` may be empty.
+  virtual void OnEnd(h2_headers trailers) = 0;
+  // The last call for the stream.
+  virtual void OnClosed(const h2_close& close) = 0;
+  virtual h2_body_read ReadBody(std::span<std::uint8_t> into) = 0;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_H2_TYPES_H_
--- /dev/null
+++ b/src/adapters/request_task.cc
@@ -0,0 +1,308 @@
+// The life of request_task: listeners, connections, ticks and the stop.
+#include "adapters/request_task.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "adapters/request_task_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr duration kSweepPeriod = std::chrono::milliseconds(100);
+constexpr std::size_t kMaxConnectionsToOne = 32;
+// Callers' connections are still accepted for this time after a stop began.
+constexpr duration kAcceptAfterStop = std::chrono::seconds(1);
+// How long connections without requests may outlast a stop.
+constexpr duration kCloseAfterStop = std::chrono::seconds(3);
+
+}  // namespace
+
+request_task::request_task(event_loop& loop,
+                           instance_id self,
+                           request_task_settings settings,
+                           request_task_hooks hooks,
+                           log_sink& log)
+    : impl_(std::make_unique<impl>(loop,
+                                   self,
+                                   std::move(settings),
+                                   std::move(hooks),
+                                   log)) {}
+
+request_task::~request_task() = default;
+
+result<void> request_task::Start() {
+  return impl_->Start();
+}
+
+void request_task::ApplyConfiguration(
+    std::shared_ptr<const configuration> config) {
+  impl_->ApplyConfiguration(std::move(config));
+}
+
+void request_task::ApplyView(const fleet_view& view) {
+  impl_->ApplyView(view);
+}
+
+void request_task::ConfirmView() {
+  impl_->Apply(impl_->router.ConfirmView(impl_->loop.now()));
+}
+
+void request_task::OnTargetReport(const target_report& report) {
+  impl_->Apply(impl_->router.OnTargetReport(impl_->loop.now(), report));
+}
+
+void request_task::OnMessage(instance_id from, const request_message& message) {
+  impl_->Apply(impl_->router.OnMessage(impl_->loop.now(), from, message));
+}
+
+void request_task::BeginStop() {
+  impl_->BeginStop();
+}
+
+request_task_stats request_task::stats() const {
+  return impl_->stats();
+}
+
+std::vector<endpoint> request_task::caller_endpoints() const {
+  std::vector<endpoint> endpoints;
+  for (const std::unique_ptr<h2_listener>& listener : impl_->caller_listeners) {
+    endpoints.push_back(listener->local());
+  }
+  return endpoints;
+}
+
+endpoint request_task::peer_endpoint() const {
+  return impl_->peer_listener->local();
+}
+
+request_task::impl::impl(event_loop& loop,
+                         instance_id self,
+                         request_task_settings settings,
+                         request_task_hooks hooks,
+                         log_sink& log)
+    : loop(loop),
+      self(self),
+      settings(std::move(settings)),
+      hooks(std::move(hooks)),
+      log(log),
+      router(self, this->settings.router, log),
+      tick_timer_(loop, [this] { Tick(); }),
+      clear_timer_(loop, [this] {
+        dead_connections_.clear();
+        dead_exchanges_.clear();
+        dead_attempts_.clear();
+      }) {}
+
+request_task::impl::~impl() {
+  // Attempts count their buffers here until the end.
+  attempts_.clear();
+  exchanges_.clear();
+  dead_exchanges_.clear();
+  dead_attempts_.clear();
+}
+
+result<void> request_task::impl::Start() {
+  for (const endpoint& local : settings.callers) {
+    BOOST_OUTCOME_TRY(listener,
+                      h2_listener::Listen(loop, local, [this](int descriptor) {
+                        Accept(descriptor, false);
+                      }));
+    caller_listeners.push_back(std::move(listener));
+  }
+  BOOST_OUTCOME_TRY(listener, h2_listener::Listen(loop, settings.peers,
+                                                  [this](int descriptor) {
+                                                    Accept(descriptor, true);
+                                                  }));
+  peer_listener = std::move(listener);
+  tick_timer_.StartEvery(request_router::kTickPeriod);
+  return success();
+}
+
+void request_task::impl::ApplyConfiguration(
+    std::shared_ptr<const configuration> config) {
+  config_ = std::move(config);
+  Apply(router.ApplyConfiguration(loop.now(), *config_));
+}
+
+void request_task::impl::ApplyView(const fleet_view& view) {
+  view_ = view;
+  Apply(router.ApplyView(loop.now(), view));
+}
+
+void request_task::impl::Accept(int descriptor, bool from_peer) {
+  if (server_connections_.size() >= settings.max_connections) {
+    close(descriptor);
+    return;
+  }
+  h2_hooks connection_hooks;
+  connection_hooks.on_request = [this, from_peer](h2_connection& connection,
+                                                  h2_request request) {
+    OnRequest(connection, request, from_peer);
+  };
+  connection_hooks.on_draining = [](h2_connection& /*connection*/,
+                                    std::string_view /*reason*/) {};
+  connection_hooks.on_closed = [this](h2_connection& connection,
+                                      std::string_view reason) {
+    log.Write(log_level::kDebug, "caller-connection-closed", reason);
+    RemoveConnection(server_connections_, connection);
+  };
+  server_connections_.push_back(std::make_unique<h2_connection>(
+      loop, descriptor,
+      from_peer ? settings.peer_limits : settings.caller_limits,
+      std::move(connection_hooks)));
+  if (stopping_) {
+    server_connections_.back()->Drain();
+  }
+}
+
+void request_task::impl::RemoveConnection(connection_list& list,
+                                          h2_connection& connection) {
+  const auto found =
+      std::find_if(list.begin(), list.end(),
+                   [&connection](const std::unique_ptr<h2_connection>& one) {
+                     return one.get() == &connection;
+                   });
+  if (found != list.end()) {
+    dead_connections_.push_back(std::move(*found));
+    std::swap(*found, list.back());
+    list.pop_back();
+    ClearLater();
+  }
+}
+
+h2_connection* request_task::impl::PickConnection(const endpoint& remote) {
+  const time_point now = loop.now();
+  const connection_list& list = upstreams_[remote];
+  h2_connection* fallback = nullptr;
+  std::size_t sound = 0;
+  for (const std::unique_ptr<h2_connection>& connection : list) {
+    const bool suspect = connection->Suspect(now);
+    sound += !suspect && !connection->draining() ? 1 : 0;
+    if (!connection->HasRoom()) {
+      continue;
+    }
+    if (!suspect) {
+      return connection.get();
+    }
+    fallback = connection.get();
+  }
+  return sound < kMaxConnectionsToOne ? OpenConnection(remote) : fallback;
+}
+
+h2_connection* request_task::impl::OpenConnection(const endpoint& remote) {
+  h2_hooks connection_hooks;
+  connection_hooks.on_draining = [](h2_connection& /*connection*/,
+                                    std::string_view /*reason*/) {};
+  connection_hooks.on_closed = [this, remote](h2_connection& connection,
+                                              std::string_view reason) {
+    if (log.WantsDecision()) {
+      log.Write(log_level::kInfo, "upstream-connection-closed",
+                FormatEndpoint(remote) + ": " + std::string(reason));
+    }
+    RemoveConnection(upstreams_[remote], connection);
+  };
+  connection_list& list = upstreams_[remote];
+  list.push_back(std::make_unique<h2_connection>(
+      loop, remote, settings.upstream_limits, std::move(connection_hooks)));
+  return list.back().get();
+}
+
+void request_task::impl::ClearLater() {
+  if (!clear_timer_.running()) {
+    clear_timer_.Start(duration::zero());
+  }
+}
+
+void request_task::impl::CountBuffered(std::ptrdiff_t bytes) {
+  counters.buffered_bytes += static_cast<std::size_t>(bytes);
+  counters.peak_buffered_bytes =
+      std::max(counters.peak_buffered_bytes, counters.buffered_bytes);
+}
+
+void request_task::impl::Tick() {
+  const time_point now = loop.now();
+  Apply(router.Tick(now));
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepPeriod;
+    TickConnections(now);
+    ResetSlowReaders(now);
+    FinishStop(now);
+  }
+}
+
+std::vector<h2_connection*> request_task::impl::AllConnections() {
+  std::vector<h2_connection*> all;
+  for (const std::unique_ptr<h2_connection>& connection : server_connections_) {
+    all.push_back(connection.get());
+  }
+  for (const auto& [remote, list] : upstreams_) {
+    for (const std::unique_ptr<h2_connection>& connection : list) {
+      all.push_back(connection.get());
+    }
+  }
+  return all;
+}
+
+void request_task::impl::TickConnections(time_point now) {
+  // Ticks may close connections and so change the lists; the closed ones stay
+  // until the next turn of the loop.
+  for (h2_connection* connection : AllConnections()) {
+    connection->Tick(now);
+  }
+  std::erase_if(upstreams_, [](const auto& one) { return one.second.empty(); });
+}
+
+void request_task::impl::ResetSlowReaders(time_point now) {
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange->settled && now - exchange->settled_at > settings.read_limit) {
+      ++counters.cut_total;
+      exchange->settled_at = now;
+      exchange->connection.Reset(exchange->stream, NGHTTP2_INTERNAL_ERROR);
+    }
+  }
+}
+
+void request_task::impl::BeginStop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_began_ = loop.now();
+  Apply(router.BeginStop(stop_began_));
+  for (const std::unique_ptr<h2_connection>& connection : server_connections_) {
+    connection->Drain();
+  }
+}
+
+void request_task::impl::FinishStop(time_point now) {
+  if (!stopping_ || stopped_ || now - stop_began_ < kAcceptAfterStop) {
+    return;
+  }
+  caller_listeners.clear();
+  if (!router.IsDrained() || !exchanges_.empty()) {
+    return;
+  }
+  if (!server_connections_.empty() && now - stop_began_ < kCloseAfterStop) {
+    return;
+  }
+  stopped_ = true;
+  if (hooks.on_stopped) {
+    hooks.on_stopped();
+  }
+}
+
+request_task_stats request_task::impl::stats() const {
+  request_task_stats now = counters;
+  now.caller_connections = server_connections_.size();
+  now.requests = exchanges_.size();
+  for (const auto& [remote, list] : upstreams_) {
+    now.upstream_connections += list.size();
+  }
+  return now;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/adapters/request_task_exchange.cc
@@ -0,0 +1,131 @@
+#include <algorithm>
+
+#include "adapters/request_task_impl.h"
+
+namespace rosemaryreach {
+
+request_exchange::request_exchange(request_task::impl& task,
+                                   h2_connection& connection,
+                                   std::int32_t stream,
+                                   request_id id)
+    : task(task), connection(connection), stream(stream), id(id) {}
+
+void request_exchange::OnHeaders(h2_headers /*headers*/, bool /*end*/) {}
+
+void request_exchange::OnData(std::span<const std::uint8_t> data) {
+  if (settled && !relayed) {
+    return;  // The answer has gone; the window stays shut.
+  }
+  body.Append(data);
+  task.CountBuffered(static_cast<std::ptrdiff_t>(data.size()));
+  for (request_attempt* attempt : attempts) {
+    attempt->connection->ResumeBody(attempt->stream);
+  }
+}
+
+void request_exchange::OnEnd(h2_headers trailers) {
+  body_ended = true;
+  body_trailers = std::move(trailers);
+  for (request_attempt* attempt : attempts) {
+    attempt->connection->ResumeBody(attempt->stream);
+  }
+}
+
+void request_exchange::OnClosed(const h2_close& /*close*/) {
+  task.CloseExchange(*this);
+}
+
+h2_body_read request_exchange::ReadBody(std::span<std::uint8_t> into) {
+  return relayed ? relayed->ReadAnswer(into) : h2_body_read{};
+}
+
+h2_body_read request_exchange::ReadRequestBody(
+    std::uint64_t position,
+    std::span<std::uint8_t> into) const {
+  h2_body_read read;
+  read.bytes = body.Peek(position - body_base, into);
+  const bool all = position + read.bytes == body_base + body.size();
+  read.end = all && body_ended;
+  if (read.end) {
+    read.trailers = body_trailers;
+  }
+  return read;
+}
+
+void request_exchange::ReleaseBody() {
+  if (attempts.empty()) {
+    return;
+  }
+  std::uint64_t first = attempts.front()->body_position;
+  std::uint64_t last = first;
+  for (const request_attempt* attempt : attempts) {
+    first = std::min(first, attempt->body_position);
+    last = std::max(last, attempt->body_position);
+  }
+  replayable = replayable && body.size() <= task.settings.replay_bytes;
+  if (!replayable && first > body_base) {
+    const std::uint64_t dropped = first - body_base;
+    body.Drop(dropped);
+    body_base = first;
+    task.CountBuffered(-static_cast<std::ptrdiff_t>(dropped));
+  }
+  const std::uint64_t open_to = replayable ? last : first;
+  if (open_to > body_consumed) {
+    connection.Consume(stream, open_to - body_consumed);
+    body_consumed = open_to;
+  }
+}
+
+void request_exchange::Relay(const std::shared_ptr<request_attempt>& attempt) {
+  relayed = attempt;
+  replayable = false;
+  ReleaseBody();
+  h2_headers answer;
+  for (const h2_header& header : attempt->answer_headers) {
+    if (!header.name.starts_with(kHeaderPrefix)) {
+      answer.push_back(header);
+    }
+  }
+  const run_state run =
+      SaysOverloaded(answer) ? run_state::kUnknown : run_state::kRun;
+  answer.push_back({std::string(kRunHeader), std::string(RunStateName(run))});
+  if (forwarded_by) {
+    answer.push_back(
+        {std::string(kLoadHeader), FormatLoad(task.router.LoadOf(service))});
+  }
+  const bool has_body = !attempt->answer_ended || !attempt->answer.empty();
+  connection.SubmitResponse(stream, answer, has_body);
+}
+
+void request_exchange::ResumeAnswer() {
+  connection.ResumeBody(stream);
+}
+
+void request_exchange::Answer(const answer_action& action) {
+  settled = true;
+  settled_at = task.loop.now();
+  if (action.condition == answer_condition::kAnswerCut) {
+    ++task.counters.cut_total;
+    connection.Reset(stream, NGHTTP2_INTERNAL_ERROR);
+    return;
+  }
+  ++task.counters.refused_total;
+  h2_headers answer = AnswerHeaders(AnswerTo(action), grpc);
+  if (forwarded_by) {
+    answer.push_back(
+        {std::string(kReachedHeader), action.reached_target ? "1" : "0"});
+    answer.push_back(
+        {std::string(kLoadHeader), FormatLoad(task.router.LoadOf(service))});
+  }
+  connection.SubmitResponse(stream, answer, false);
+}
+
+void request_exchange::Detach(const request_attempt& attempt) {
+  std::erase(attempts, &attempt);
+}
+
+bool request_exchange::BodyIsEmpty() const {
+  return body_ended && body_base == 0 && body.empty() && body_trailers.empty();
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/adapters/request_task_headers.h
@@ -0,0 +1,76 @@
+// Headers of the request plane: deadlines, run state, hops, and the answers
+// that rosemaryreach gives itself.
+#ifndef ROSEMARYREACH_ADAPTERS_REQUEST_TASK_HEADERS_H_
+#define ROSEMARYREACH_ADAPTERS_REQUEST_TASK_HEADERS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "adapters/h2_types.h"
+#include "rosemaryreach/request_types.h"
+
+namespace rosemaryreach {
+
+inline constexpr std::string_view kHeaderPrefix = "rosemaryreach-";
+inline constexpr std::string_view kTimeoutHeader = "rosemaryreach-timeout-ms";
+inline constexpr std::string_view kRunHeader = "rosemaryreach-run";
+inline constexpr std::string_view kReasonHeader = "rosemaryreach-reason";
+// Between instances only.
+inline constexpr std::string_view kHopHeader = "rosemaryreach-hop";
+inline constexpr std::string_view kServiceHeader = "rosemaryreach-service";
+inline constexpr std::string_view kCallerHeader = "rosemaryreach-caller";
+inline constexpr std::string_view kAuthenticatorHeader =
+    "rosemaryreach-authenticator";
+inline constexpr std::string_view kReachedHeader = "rosemaryreach-reached";
+inline constexpr std::string_view kLoadHeader = "rosemaryreach-load";
+
+// Returns whether the headers are those of a gRPC message.
+bool IsGrpc(const h2_headers& headers);
+
+// Parses a grpc-timeout ("250m"); empty if `text` is no such value.
+std::optional<duration> ParseGrpcTimeout(std::string_view text);
+
+// Returns the grpc-timeout for `timeout`, rounded down, at least "1u".
+std::string FormatGrpcTimeout(duration timeout);
+
+// Returns the time that the caller gives: the shorter of grpc-timeout and
+// rosemaryreach-timeout-ms, or zero if it says neither.
+duration TimeoutOf(const h2_headers& headers);
+
+// Returns whether answer headers say that the target sheds load.
+bool SaysOverloaded(const h2_headers& headers);
+
+std::string FormatLoad(const peer_load& load);
+std::optional<peer_load> ParseLoad(std::string_view text);
+
+// An answer that rosemaryreach gives itself.
+struct own_answer {
+  int status = 0;       // HTTP status
+  int grpc_status = 0;  // for gRPC callers, whose HTTP status is 200
+  std::string_view reason;
+  run_state run = run_state::kNotRun;
+  duration retry_after{};  // zero says nothing
+};
+
+// Why the adapter refuses a request before the router sees it.
+enum class request_fault : std::uint8_t {
+  kNoService,
+  kHeadersTooLarge,
+  kUnauthenticated,
+  kBuffersFull,
+};
+
+own_answer AnswerTo(request_fault fault);
+own_answer AnswerTo(const answer_action& action);
+
+// Returns the header fields of `answer`; trailers-only for gRPC.
+h2_headers AnswerHeaders(const own_answer& answer, bool grpc);
+
+// What a peer's own answer to a forwarded request says of its run; empty for
+// answers of targets.
+std::optional<attempt_end> EndFromPeer(const h2_headers& headers);
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ADAPTERS_REQUEST_TASK_HEADERS_H_
--- /dev/null
+++ b/src/adapters/request_task_requests.cc
@@ -0,0 +1,359 @@
+// How request_task takes requests in and carries out the router's actions.
+#include <algorithm>
+#include <charconv>
+
+#include "adapters/request_task_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr int kHexBase = 16;
+constexpr std::uint64_t kKeySeed = 0x6b65'7973;
+
+std::string Hex(std::uint64_t value) {
+  char text[17];
+  const std::to_chars_result end =
+      std::to_chars(text, text + sizeof(text), value, kHexBase);
+  return {text, end.ptr};
+}
+
+std::uint64_t FromHex(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* const end = text.data() + text.size();
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), end, value, kHexBase);
+  return parsed.ec == std::errc() && parsed.ptr == end ? value : 0;
+}
+
+// Fields that belong to one hop, or that rosemaryreach sets itself.
+bool IsOfOneHop(std::string_view name) {
+  return name.starts_with(':') || name.starts_with(kHeaderPrefix) ||
+         name == "grpc-timeout" || name == "connection" || name == "host" ||
+         name == "keep-alive" || name == "proxy-connection" ||
+         name == "transfer-encoding" || name == "upgrade";
+}
+
+std::string_view HostOf(std::string_view authority) {
+  return authority.substr(0, authority.rfind(':'));
+}
+
+bool IsCalled(const service_config& service, std::string_view authority) {
+  if (authority == service.name || HostOf(authority) == service.name) {
+    return true;
+  }
+  return std::any_of(service.addresses.begin(), service.addresses.end(),
+                     [authority](const endpoint& address) {
+                       return FormatEndpoint(address) == authority;
+                     });
+}
+
+void CopyRequest(const h2_headers& headers, request_exchange& exchange) {
+  exchange.method = FindHeader(headers, ":method");
+  exchange.scheme = FindHeader(headers, ":scheme");
+  exchange.path = FindHeader(headers, ":path");
+  exchange.authority = FindHeader(headers, ":authority");
+  if (exchange.authority.empty()) {
+    exchange.authority = FindHeader(headers, "host");
+  }
+  exchange.grpc = IsGrpc(headers);
+  for (const h2_header& header : headers) {
+    if (!IsOfOneHop(header.name)) {
+      exchange.headers.push_back(header);
+    }
+  }
+}
+
+std::uint64_t HashKey(const request_exchange& exchange) {
+  const std::string_view key = FindHeader(exchange.headers, "idempotency-key");
+  if (key.empty()) {
+    return 0;
+  }
+  const std::uint64_t hash =
+      HashPair(HashBytes(exchange.service), HashBytes(key, kKeySeed));
+  return std::max<std::uint64_t>(hash, 1);
+}
+
+std::uint64_t HashCaller(const endpoint& remote) {
+  return HashBytes({reinterpret_cast<const char*>(remote.address.bytes.data()),
+                    remote.address.bytes.size()});
+}
+
+}  // namespace
+
+std::string ForwardedText(instance_id from,
+                          instance_id to,
+                          const request_exchange& exchange) {
+  std::string text;
+  for (const std::string& part :
+       {Hex(from.value), Hex(to.value), exchange.service, Hex(exchange.caller),
+        exchange.method, exchange.path}) {
+    text += part;
+    text += '\n';
+  }
+  return text;
+}
+
+const service_config* request_task::impl::ServiceFor(
+    const endpoint& local,
+    std::string_view authority) const {
+  if (!config_) {
+    return nullptr;
+  }
+  std::vector<const service_config*> here;
+  std::vector<const service_config*> called;
+  for (const service_config& service : config_->services) {
+    if (service.plane != service_plane::kRequests) {
+      continue;
+    }
+    if (std::find(service.addresses.begin(), service.addresses.end(), local) !=
+        service.addresses.end()) {
+      here.push_back(&service);
+    }
+    if (IsCalled(service, authority)) {
+      called.push_back(&service);
+    }
+  }
+  if (here.size() == 1) {
+    return here.front();
+  }
+  for (const service_config* service : called) {
+    if (here.empty() ||
+        std::find(here.begin(), here.end(), service) != here.end()) {
+      return service;
+    }
+  }
+  return nullptr;
+}
+
+void request_task::impl::Refuse(h2_connection& connection,
+                                const h2_request& request,
+                                request_fault fault) {
+  ++counters.refused_total;
+  connection.SubmitResponse(
+      request.stream, AnswerHeaders(AnswerTo(fault), IsGrpc(request.headers)),
+      false);
+}
+
+bool request_task::impl::ReadForwarded(const h2_headers& headers,
+                                       request_exchange& exchange) {
+  exchange.forwarded_by = {FromHex(FindHeader(headers, kHopHeader))};
+  exchange.service = FindHeader(headers, kServiceHeader);
+  exchange.caller = FromHex(FindHeader(headers, kCallerHeader));
+  return exchange.forwarded_by && hooks.verify &&
+         hooks.verify(ForwardedText(exchange.forwarded_by, self, exchange),
+                      FindHeader(headers, kAuthenticatorHeader));
+}
+
+void request_task::impl::OnRequest(h2_connection& connection,
+                                   const h2_request& request,
+                                   bool from_peer) {
+  ++counters.requests_total;
+  if (request.too_large) {
+    Refuse(connection, request, request_fault::kHeadersTooLarge);
+    return;
+  }
+  if (counters.buffered_bytes > settings.max_buffered_bytes) {
+    Refuse(connection, request, request_fault::kBuffersFull);
+    return;
+  }
+  const request_id id{next_request_++};
+  std::unique_ptr<request_exchange> made =
+      std::make_unique<request_exchange>(*this, connection, request.stream, id);
+  request_exchange& exchange = *made;
+  CopyRequest(request.headers, exchange);
+  exchange.body_ended = request.end;
+  if (from_peer) {
+    if (!ReadForwarded(request.headers, exchange)) {
+      Refuse(connection, request, request_fault::kUnauthenticated);
+      return;
+    }
+  } else {
+    const service_config* service =
+        ServiceFor(connection.local(), exchange.authority);
+    if (service == nullptr || exchange.method == "CONNECT") {
+      Refuse(connection, request, request_fault::kNoService);
+      return;
+    }
+    exchange.service = service->name;
+    exchange.caller = HashCaller(connection.remote());
+  }
+  exchanges_[id.value] = std::move(made);
+  connection.Attach(request.stream, &exchange);
+  request_info info;
+  info.id = id;
+  info.service = exchange.service;
+  info.method = exchange.method;
+  info.path = exchange.path;
+  info.caller = exchange.caller;
+  info.timeout = TimeoutOf(request.headers);
+  info.idempotency_key = HashKey(exchange);
+  info.forwarded_by = exchange.forwarded_by;
+  Apply(router.OnArrival(loop.now(), info));
+}
+
+void request_task::impl::CloseExchange(request_exchange& exchange) {
+  const auto found = exchanges_.find(exchange.id.value);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  CountBuffered(-static_cast<std::ptrdiff_t>(exchange.body.size()));
+  dead_exchanges_.push_back(std::move(found->second));
+  exchanges_.erase(found);
+  ClearLater();
+  if (!exchange.settled) {
+    Apply(router.OnCancel(loop.now(), exchange.id));
+  }
+  const std::vector<request_attempt*> left = std::move(exchange.attempts);
+  exchange.attempts.clear();
+  for (request_attempt* attempt : left) {
+    // The answer was whole before the request was.
+    attempt->owner = nullptr;
+    attempt->connection->Cancel(attempt->stream, [] {});
+    ReleaseAttempt(attempt->id);
+  }
+  if (exchange.relayed) {
+    exchange.relayed->owner = nullptr;
+    exchange.relayed.reset();
+  }
+}
+
+void request_task::impl::ReleaseAttempt(attempt_id id) {
+  const auto found = attempts_.find(id.value);
+  if (found != attempts_.end()) {
+    dead_attempts_.push_back(std::move(found->second));
+    attempts_.erase(found);
+    ClearLater();
+  }
+}
+
+void request_task::impl::Apply(request_router::actions actions) {
+  waiting_actions_.insert(waiting_actions_.end(), actions.begin(),
+                          actions.end());
+  if (applying_) {
+    return;
+  }
+  applying_ = true;
+  while (!waiting_actions_.empty()) {
+    const request_action action = std::move(waiting_actions_.front());
+    waiting_actions_.pop_front();
+    std::visit([this](const auto& one) { Carry(one); }, action);
+  }
+  applying_ = false;
+}
+
+void request_task::impl::Carry(const dispatch_action& action) {
+  Send(action.request, action.attempt, action.address, {}, action.timeout);
+}
+
+void request_task::impl::Carry(const forward_action& action) {
+  const instance_info* peer = FindInstance(view_, action.instance);
+  const endpoint remote = peer == nullptr
+                              ? endpoint{}
+                              : endpoint{peer->address, peer->request_port};
+  Send(action.request, action.attempt, remote, action.instance, action.timeout);
+}
+
+void request_task::impl::Carry(const cancel_action& action) {
+  const auto found = attempts_.find(action.attempt.value);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const std::shared_ptr<request_attempt> attempt = found->second;
+  attempt->reported = true;
+  if (attempt->owner != nullptr) {
+    attempt->owner->Detach(*attempt);
+    attempt->owner = nullptr;
+  }
+  ReleaseAttempt(attempt->id);
+  if (attempt->connection != nullptr) {
+    const attempt_id id = attempt->id;
+    attempt->connection->Cancel(attempt->stream, [this, id] {
+      Apply(router.OnAttemptEnd(loop.now(), id, attempt_end::kCancelled));
+    });
+  }
+}
+
+void request_task::impl::Carry(const relay_action& action) {
+  const auto exchange = exchanges_.find(action.request.value);
+  const auto attempt = attempts_.find(action.attempt.value);
+  if (exchange == exchanges_.end() || attempt == attempts_.end()) {
+    return;
+  }
+  exchange->second->Relay(attempt->second);
+}
+
+void request_task::impl::Carry(const answer_action& action) {
+  const auto exchange = exchanges_.find(action.request.value);
+  if (exchange != exchanges_.end()) {
+    exchange->second->Answer(action);
+  }
+}
+
+void request_task::impl::Carry(const send_action& action) {
+  if (hooks.send) {
+    hooks.send(action.instance, action.message);
+  }
+}
+
+void request_task::impl::Send(request_id request,
+                              attempt_id attempt,
+                              const endpoint& remote,
+                              instance_id peer,
+                              duration timeout) {
+  const auto report_unsent = [this, attempt] {
+    Apply(router.OnAttemptEnd(loop.now(), attempt, attempt_end::kUnsent));
+  };
+  const auto found = exchanges_.find(request.value);
+  if (found == exchanges_.end() || !found->second->replayable ||
+      remote.port == 0) {
+    report_unsent();
+    return;
+  }
+  request_exchange& exchange = *found->second;
+  h2_connection* const connection = PickConnection(remote);
+  if (connection == nullptr) {
+    report_unsent();
+    return;
+  }
+  std::shared_ptr<request_attempt> made = std::make_shared<request_attempt>(
+      *this, attempt, exchange, static_cast<bool>(peer));
+  const std::optional<std::int32_t> stream =
+      connection->SubmitRequest(UpstreamHeaders(exchange, peer, timeout),
+                                !exchange.BodyIsEmpty(), made.get());
+  if (!stream) {
+    report_unsent();
+    return;
+  }
+  made->connection = connection;
+  made->stream = *stream;
+  exchange.attempts.push_back(made.get());
+  attempts_[attempt.value] = std::move(made);
+}
+
+h2_headers request_task::impl::UpstreamHeaders(const request_exchange& exchange,
+                                               instance_id peer,
+                                               duration timeout) const {
+  h2_headers headers = {{":method", exchange.method},
+                        {":scheme", exchange.scheme},
+                        {":authority", exchange.authority},
+                        {":path", exchange.path}};
+  headers.insert(headers.end(), exchange.headers.begin(),
+                 exchange.headers.end());
+  const std::int64_t milliseconds = timeout / std::chrono::milliseconds(1);
+  headers.push_back(
+      {std::string(kTimeoutHeader), std::to_string(milliseconds)});
+  if (exchange.grpc) {
+    headers.push_back({"grpc-timeout", FormatGrpcTimeout(timeout)});
+  }
+  if (peer) {
+    headers.push_back({std::string(kHopHeader), Hex(self.value)});
+    headers.push_back({std::string(kServiceHeader), exchange.service});
+    headers.push_back({std::string(kCallerHeader), Hex(exchange.caller)});
+    const std::string text = ForwardedText(self, peer, exchange);
+    headers.push_back({std::string(kAuthenticatorHeader),
+                       hooks.sign ? hooks.sign(text) : std::string()});
+  }
+  return headers;
+}
+
+}  // namespace rosemaryreach
