Pass request headers by reference

Cause: the hook of arriving requests copied the headers for each call. Change: it takes a const reference.

--- a/src/adapters/h2_connection.h
+++ b/src/adapters/h2_connection.h
@@ -35,7 +35,8 @@
 struct h2_hooks {
   // A request's headers arrived; the receiver calls Attach() or Reset(). Left
   // empty by clients.
-  std::function<void(h2_connection& connection, h2_request request)> on_request;
+  std::function<void(h2_connection& connection, const h2_request& request)>
+      on_request;
   // The connection takes no new streams; those that it has go on.
   std::function<void(h2_connection& connection, std::string_view reason)>
       on_draining;
--- a/src/adapters/request_task.cc
+++ b/src/adapters/request_task.cc
@@ -140,7 +140,7 @@
   }
   h2_hooks connection_hooks;
   connection_hooks.on_request = [this, from_peer](h2_connection& connection,
-                                                  h2_request request) {
+                                                  const h2_request& request) {
     OnRequest(connection, request, from_peer);
   };
   connection_hooks.on_draining = [](h2_connection& /*connection*/,
--- a/src/adapters/request_task_requests.cc
+++ b/src/adapters/request_task_requests.cc
@@ -1,6 +1,7 @@
 // How request_task takes requests in and carries out the router's actions.
 #include <algorithm>
 #include <charconv>
+#include <variant>
 
 #include "adapters/request_task_impl.h"
 
--- a/tests/standins/target_server.h
+++ b/tests/standins/target_server.h
@@ -185,8 +185,9 @@
 
   void Accept(int descriptor) {
     h2_hooks hooks;
-    hooks.on_request = [this](h2_connection& connection, h2_request request) {
-      Take(connection, std::move(request));
+    hooks.on_request = [this](h2_connection& connection,
+                              const h2_request& request) {
+      Take(connection, request);
     };
     hooks.on_draining = [](h2_connection&, std::string_view) {};
     hooks.on_closed = [this](h2_connection& connection, std::string_view) {
@@ -196,7 +197,7 @@
         loop_, descriptor, options_.limits, std::move(hooks)));
   }
 
-  void Take(h2_connection& connection, h2_request request) {
+  void Take(h2_connection& connection, const h2_request& request) {
     const bool full = options_.slots > 0 && stats_.running >= options_.slots;
     if (shedding_ || full) {
       ++stats_.refused;
@@ -215,7 +216,7 @@
     answer.request_ended = request.end;
     ++runs_[answer.request_id];
     Choose(answer, FindHeader(request.headers, ":path"));
-    last_headers_ = std::move(request.headers);
+    last_headers_ = request.headers;
   }
 
   void Choose(answering& answer, std::string_view path) {
