Refuse a legacy next hop where it would be ignored

Cause: the request plane knows no legacy next hop, so a share of 10 % of such a service would in fact have taken all of it; and the flow table keeps the target name "legacy" for the next hop. Change: both are rule violations with a message, until the request plane can share with a legacy next hop.

--- a/src/config/rules.cc
+++ b/src/config/rules.cc
@@ -14,6 +14,7 @@
 constexpr std::uint32_t kMinBuckets = 16;
 constexpr std::uint32_t kMaxBuckets = 65'536;
 constexpr std::uint32_t kMaxPercent = 100;
+constexpr std::string_view kReservedTargetName = "legacy";
 
 struct endpoint_hash {
   std::size_t operator()(const endpoint& item) const {
@@ -126,8 +127,7 @@
                                    "65536");
     }
     if (service.legacy) {
-      CheckNextHop(service.legacy->next_hop, path + "/legacy/next_hop");
-      CheckShare(service.legacy->share_percent, path);
+      CheckLegacy(service, path + "/legacy");
     }
     CheckDeadlines(service.requests, path);
     CheckNames(service.targets, path + "/targets");
@@ -137,10 +137,16 @@
     }
   }
 
-  void CheckShare(std::uint32_t share, const std::string& path) {
-    if (share > kMaxPercent) {
-      Fault(path + "/legacy/share_percent",
-            "got " + std::to_string(share) + ", expected 0 to 100");
+  void CheckLegacy(const service_config& service, const std::string& path) {
+    const legacy_config& legacy = *service.legacy;
+    CheckNextHop(legacy.next_hop, path + "/next_hop");
+    if (legacy.share_percent > kMaxPercent) {
+      Fault(path + "/share_percent", "got " +
+                                         std::to_string(legacy.share_percent) +
+                                         ", expected 0 to 100");
+    }
+    if (service.plane == service_plane::kRequests) {
+      Fault(path, "got a legacy next hop, which the request plane can't use");
     }
   }
 
@@ -172,6 +178,9 @@
                    const target_config& target,
                    const std::string& path) {
     CheckPort(target.address, path + "/address");
+    if (target.name == kReservedTargetName) {
+      Fault(path, "got a name that is kept for the legacy next hop");
+    }
     if (target.probe) {
       CheckPort(*target.probe, path + "/probe");
     }
