--- a/include/rosemaryreach/concurrency_limit.h
+++ b/include/rosemaryreach/concurrency_limit.h
@@ -89,6 +89,7 @@
   double adaptive_;
   // By request_class.
   std::array<latency_estimate, 3> latency_;
+  // Slow answers in a row; while there are any, one request runs at a time.
   std::uint32_t slow_answers_ = 0;
   // When the first answer since the cold start came.
   std::optional<time_point> ramp_start_;
--- a/include/rosemaryreach/slot_table.h
+++ b/include/rosemaryreach/slot_table.h
@@ -86,6 +86,8 @@
   // Returns the requests a second that the held targets bear if each takes
   // `work`.
   double Throughput(time_point now, duration work) const;
+  // Returns the part of that rate that others may count on.
+  double OfferedRate(time_point now, duration work) const;
   // Returns how many slots bulk requests take on the held targets.
   std::uint32_t BulkRunning() const;
   const slot_target* Find(target_id target) const;
--- a/src/requests/concurrency_limit.cc
+++ b/src/requests/concurrency_limit.cc
@@ -51,6 +51,9 @@
 }
 
 std::uint32_t concurrency_limit::Limit(time_point now) const {
+  if (slow_answers_ > 0) {
+    return 1;
+  }
   const double above_one = bearing_.slots - 1.0;
   const double ramp = 1 + std::floor(above_one * Warmth(now));
   const double limit = std::min(ramp, std::floor(adaptive_));
@@ -91,8 +94,8 @@
     adaptive_ = std::min<double>(bearing_.slots, adaptive_ + 1 / adaptive_);
     return false;
   }
+  adaptive_ = std::max(1.0, adaptive_ * kDecrease);
   if (++slow_answers_ < kSlowAnswersForSign) {
-    adaptive_ = std::max(1.0, adaptive_ * kDecrease);
     return false;
   }
   OnSign();
--- a/src/requests/handover.cc
+++ b/src/requests/handover.cc
@@ -30,7 +30,11 @@
 }
 
 void handover::OnPause() {
+  if (paused_) {
+    return;
+  }
   paused_ = true;
+  was_paused_ = true;
   for (auto& [id, known] : records_) {
     known.state = phase::kNone;
     known.given_to = {};
@@ -60,13 +64,19 @@
     return;
   }
   record& known = found->second;
-  if (known.state == phase::kAsking || paused_) {
+  if (paused_) {
     return;
   }
-  if (known.state == phase::kHeld || known.given_to == from) {
+  // The one that the target was given to asks again: the grant was lost.
+  const bool lost_grant =
+      known.given_to == from && known.given_nonce == request.nonce;
+  if (known.state == phase::kHeld || lost_grant) {
     Give(now, known, from, request.nonce);
     return;
   }
+  if (known.state == phase::kAsking) {
+    return;
+  }
   handover_grant answer = AnswerWithoutHolding(now, known, from);
   answer.nonce = request.nonce;
   hooks_.send(from, answer);
@@ -194,7 +204,12 @@
     OnOwnerChange(now, known, owner);
   }
   if (known.owner == self_ && known.state == phase::kHeld) {
-    Hold(known);
+    const instance_id other = OwnersOf(target).without_self;
+    if (now < known.blind_until && other && other != self_) {
+      Ask(now, known, other);
+    } else {
+      Hold(known);
+    }
   }
   CheckAsked(now, known);
 }
@@ -225,7 +240,9 @@
     Ask(now, record, other);
     return;
   }
-  TakeOver(now, record, cancel_grace_);
+  const duration bound = was_paused_ ? TakeoverBound(record) : cancel_grace_;
+  TakeOver(now, record, bound);
+  record.blind_until = now + bound;
 }
 
 void handover::AcquireFrom(time_point now, record& record, instance_id holder) {
@@ -246,7 +263,6 @@
   }
   record.state = phase::kAsking;
   record.asked = holder;
-  record.given_to = {};
   record.ask_again_at = now + kAskPeriod;
   hooks_.send(holder, handover_request{record.target.id, record.nonce});
 }
@@ -276,7 +292,8 @@
   record.state = phase::kNone;
   record.given_to = to;
   record.given_nonce = nonce;
-  record.ask_again_at = now + kAskPeriod;
+  // An instance not yet in view will be; only then can it be asked.
+  record.ask_again_at = now + (InView(to) ? kAskPeriod : TakeoverBound(record));
   handover_grant grant;
   grant.target = target;
   grant.nonce = nonce;
--- a/src/requests/handover.h
+++ b/src/requests/handover.h
@@ -93,6 +93,8 @@
     // After giving away:
     instance_id given_to;
     std::uint64_t given_nonce = 0;
+    // Held without having asked anybody, as no other instance was in view.
+    time_point blind_until;
     // Nonce of the grant that gave the target to this instance.
     std::uint64_t held_nonce = 0;
   };
@@ -129,6 +131,7 @@
   handover_hooks hooks_;
   fleet_view view_;
   bool paused_ = false;
+  bool was_paused_ = false;
   std::uint64_t next_nonce_ = 1;
   absl::flat_hash_map<std::uint64_t, record> records_;
   // By region, and by region and data centre; rebuilt with each view.
--- a/src/requests/router_events.cc
+++ b/src/requests/router_events.cc
@@ -14,6 +14,8 @@
 constexpr duration kOutGrace = std::chrono::seconds(2);
 // How long a stopping instance stays to answer handover requests.
 constexpr duration kStopLinger = std::chrono::seconds(2);
+// How long it stays for an owner that does not ask.
+constexpr duration kGiveLimit = std::chrono::seconds(5);
 constexpr duration kMaxWatchTime = std::chrono::hours(24);
 // Reports of ill health are ignored when they name more than one in this many
 // targets of a service.
@@ -115,7 +117,10 @@
 
 void request_router::impl::Begin(time_point now) {
   actions_.clear();
-  if (last_event_ && now - *last_event_ > kPauseGap) {
+  const bool stood_still = last_event_ && now - *last_event_ > kPauseGap;
+  const bool lapsed =
+      confirmed_at_ && now - *confirmed_at_ > options_.view_lease;
+  if (stood_still || lapsed) {
     confirmed_at_.reset();
     keys_confirmed_at_.reset();
     handover_.OnPause();
@@ -343,8 +348,8 @@
     return false;
   }
   const duration passed = *last_event_ - *stop_at_;
-  return passed >= options_.stop_limit ||
-         (passed >= kStopLinger && !handover_.HasToGive());
+  const duration linger = handover_.HasToGive() ? kGiveLimit : kStopLinger;
+  return passed >= std::min(linger, options_.stop_limit);
 }
 
 peer_load request_router::impl::LoadOf(std::string_view name) const {
@@ -357,6 +362,8 @@
     load.limit = 0;
   }
   load.queued = static_cast<std::uint32_t>(service->queue.size());
+  load.rate_per_s = static_cast<std::uint32_t>(
+      service->slots.OfferedRate(*last_event_, service->ExpectedWork()));
   return load;
 }
 
@@ -407,8 +414,10 @@
         place = std::prev(places.end());
         place->instance = owner;
         place->slots = 0;
+        place->cold_rate_per_s = 0;
       }
       place->slots += target.slots;
+      place->cold_rate_per_s += target.cold_rate_per_s;
     }
   }
 }
--- a/src/requests/router_impl.h
+++ b/src/requests/router_impl.h
@@ -75,7 +75,11 @@
   request_place* ChoosePlace(time_point now,
                              const live_request& request,
                              bool only_peers);
-  double LoadAt(time_point now,
+  // Returns the requests a second that a place takes.
+  double RateAt(const request_service& service,
+                const request_place& place) const;
+  // Returns the seconds until a place has done what it has.
+  double WaitAt(time_point now,
                 const request_service& service,
                 const request_place& place) const;
   bool HasRoomHint(time_point now,
--- a/src/requests/router_placement.cc
+++ b/src/requests/router_placement.cc
@@ -18,13 +18,17 @@
 constexpr duration kHopAllowance = std::chrono::milliseconds(2);
 // Queues hold no more than this share of the time a request has left.
 constexpr double kQueueShareOfDeadline = 0.5;
-constexpr duration kDefaultWork = std::chrono::milliseconds(20);
 constexpr duration kInteractiveMemory = std::chrono::seconds(5);
 constexpr std::uint32_t kBulkShareDivisor = 2;
 constexpr duration kMinHedgeDelay = std::chrono::milliseconds(20);
 constexpr std::uint32_t kMinHedgeSamples = 8;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
+struct weighted_place {
+  request_place* place = nullptr;
+  double weight = 0;
+};
+
 std::size_t Index(request_class kind) {
   return static_cast<std::size_t>(kind);
 }
@@ -93,49 +97,59 @@
                                                  const live_request& request,
                                                  bool only_peers) {
   request_service& service = *request.service;
-  std::vector<request_place*> open;
-  std::uint32_t total = 0;
+  std::vector<weighted_place> open;
+  double total = 0;
   for (request_place& place : service.places) {
     const bool allowed = !request.Tried(place.instance) &&
                          !(only_peers && place.instance == self_);
     if (allowed && HasRoomHint(now, service, place)) {
-      open.push_back(&place);
-      total += place.slots;
+      open.push_back({&place, RateAt(service, place)});
+      total += open.back().weight;
     }
   }
-  if (total == 0) {
+  if (open.empty()) {
     return nullptr;
   }
-  const auto draw = [this, &open, total] {
-    std::uint64_t ticket = random_() % total;
-    for (request_place* place : open) {
-      if (ticket < place->slots) {
-        return place;
+  std::uniform_real_distribution<double> tickets(0, total);
+  const auto draw = [this, &open, &tickets] {
+    double ticket = tickets(random_);
+    for (const weighted_place& one : open) {
+      if (ticket < one.weight) {
+        return one.place;
       }
-      ticket -= place->slots;
+      ticket -= one.weight;
     }
-    return open.back();
+    return open.back().place;
   };
   request_place* first = draw();
   request_place* second = draw();
-  return LoadAt(now, service, *second) < LoadAt(now, service, *first) ? second
+  return WaitAt(now, service, *second) < WaitAt(now, service, *first) ? second
                                                                       : first;
 }
 
-double request_router::impl::LoadAt(time_point now,
-                                    const request_service& service,
+double request_router::impl::RateAt(const request_service& service,
                                     const request_place& place) const {
   if (place.instance == self_) {
-    const peer_load own = LoadOf(service.config.name);
-    return (own.running + own.queued) / std::max(1.0, 1.0 * own.limit);
+    return std::max(1U, LoadOf(service.config.name).rate_per_s);
   }
-  const bool fresh = place.has_load && now - place.load_at < kLoadLifetime;
-  if (!fresh) {
-    return place.outstanding / std::max(1.0, 1.0 * place.slots);
+  const std::uint32_t rate =
+      place.has_load ? place.load.rate_per_s : place.cold_rate_per_s;
+  return std::max(1U, rate);
+}
+
+double request_router::impl::WaitAt(time_point now,
+                                    const request_service& service,
+                                    const request_place& place) const {
+  peer_load load;
+  if (place.instance == self_) {
+    load = LoadOf(service.config.name);
+  } else if (place.has_load && now - place.load_at < kLoadLifetime) {
+    load = place.load;
+    load.running += place.sent_since_load;
+  } else {
+    load.running = place.outstanding;
   }
-  const peer_load& load = place.load;
-  return (load.running + load.queued + place.sent_since_load) /
-         std::max(1.0, 1.0 * load.limit);
+  return (load.running + load.queued) / RateAt(service, place);
 }
 
 bool request_router::impl::HasRoomHint(time_point now,
--- a/src/requests/router_state.h
+++ b/src/requests/router_state.h
@@ -21,14 +21,18 @@
 // An instance that owns usable targets of a service; this one included.
 struct request_place {
   instance_id instance;
-  std::uint32_t slots = 0;  // declared, of the usable targets it owns
-  peer_load load;           // as last piggybacked
+  std::uint32_t slots = 0;            // declared, of the usable targets it owns
+  std::uint32_t cold_rate_per_s = 0;  // of the same targets
+  peer_load load;                     // as last piggybacked
   time_point load_at;
   bool has_load = false;
   std::uint32_t outstanding = 0;  // forwarded from here and not ended
   std::uint32_t sent_since_load = 0;
 };
 
+// Assumed time at a target before the first answer was seen.
+inline constexpr duration kDefaultWork = std::chrono::milliseconds(20);
+
 struct request_service {
   request_service(const service_config& declared, duration cancel_grace)
       : config(declared),
@@ -51,6 +55,16 @@
   latency_estimate first_answer;
   time_point interactive_at;
   bool has_interactive = false;
+
+  // Returns the mean time of the usual request at a target.
+  duration ExpectedWork() const {
+    for (const latency_estimate& estimate : service_time) {
+      if (estimate.samples() > 0) {
+        return estimate.mean();
+      }
+    }
+    return kDefaultWork;
+  }
 };
 
 enum class request_stage : std::uint8_t {
--- a/src/requests/slot_table.cc
+++ b/src/requests/slot_table.cc
@@ -8,6 +8,9 @@
 
 constexpr duration kFirstBackoff = std::chrono::milliseconds(100);
 constexpr duration kMaxBackoff = std::chrono::seconds(5);
+// Share of a cold target's rate that is offered to peers, as their view of it
+// lags.
+constexpr double kOfferedRampShare = 0.3;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::uint32_t kMaxBackoffDoublings = 6;
 // Failures in a row after which a target is left alone for a while.
@@ -222,6 +225,22 @@
   return load;
 }
 
+double slot_table::OfferedRate(time_point now, duration work) const {
+  const double seconds =
+      std::max<double>(1, static_cast<double>(work.count())) /
+      kMicrosecondsPerSecond;
+  double total = 0;
+  for (const target_state& state : targets_) {
+    if (!Usable(now, state)) {
+      continue;
+    }
+    const double warm = LimitOf(now, state) / seconds;
+    const double ramp = state.limit.StartRate(now) * kOfferedRampShare;
+    total += std::min(warm, ramp);
+  }
+  return total;
+}
+
 double slot_table::Throughput(time_point now, duration work) const {
   const double seconds =
       std::max<double>(1, static_cast<double>(work.count())) /
