See a cold start by answers longer than any recent one

Now an answer 15 % above the longest of the last 64 to 128 raises suspicion, and two usual ones end it; targets with few answers are compared to the service's.

--- a/bench/requests/request_load.h
+++ b/bench/requests/request_load.h
@@ -17,8 +17,6 @@
 
 inline constexpr char kInteractiveService[] = "pots";
 inline constexpr char kBulkService[] = "statements";
-inline constexpr duration kMeanInteractiveWork = std::chrono::milliseconds(40);
-inline constexpr duration kMeanBulkWork = std::chrono::milliseconds(200);
 
 struct load_rates {
   double interactive_per_s = 0;  // bookings and views
--- a/bench/requests/world_types.h
+++ b/bench/requests/world_types.h
@@ -17,6 +17,15 @@
 
 namespace rosemaryreach::bench {
 
+inline constexpr duration kMeanInteractiveWork = std::chrono::milliseconds(40);
+inline constexpr duration kMeanBulkWork = std::chrono::milliseconds(200);
+
+// Returns the longest work of a warm target.
+inline duration LongestWork(request_class kind) {
+  return (kind == request_class::kBulk ? kMeanBulkWork : kMeanInteractiveWork) *
+         3 / 2;
+}
+
 class silent_log : public log_sink {
  public:
   bool WantsDecision() override { return false; }
--- a/include/rosemaryreach/concurrency_limit.h
+++ b/include/rosemaryreach/concurrency_limit.h
@@ -11,24 +11,30 @@
 
 namespace rosemaryreach {
 
-// Running mean and mean deviation of a latency.
+// Running mean, mean deviation and recent maximum of a latency.
 class latency_estimate {
  public:
   void Add(duration latency);
 
-  // Returns whether `latency` is far above what was seen; false while there
-  // are too few samples.
+  // Returns whether `latency` is above all that was seen lately; false while
+  // there are too few samples.
   bool IsStep(duration latency) const;
 
   // Returns a latency that few requests exceed; zero without samples.
   duration High() const;
   duration mean() const { return duration(static_cast<long>(mean_us_)); }
   std::uint32_t samples() const { return samples_; }
+  // Returns whether there are enough samples for IsStep().
+  bool ready() const;
 
  private:
   double mean_us_ = 0;
   double deviation_us_ = 0;
   std::uint32_t samples_ = 0;
+  // Maxima of the current window and of the one before.
+  duration window_max_{};
+  duration previous_max_{};
+  std::uint32_t in_window_ = 0;
 };
 
 struct target_bearing {
@@ -61,15 +67,21 @@
 
   void OnStart(time_point now);
 
-  // A whole answer came after `latency`. Returns whether it showed that the
-  // target may have turned cold, in which case the ramp starts again.
-  bool OnAnswer(time_point now, request_class kind, duration latency);
+  // A whole answer came after `latency`; `usual` is what all targets of the
+  // service take, for a target with few answers so far. Returns whether it
+  // showed that the target may have turned cold, so that the ramp starts again.
+  bool OnAnswer(time_point now,
+                request_class kind,
+                duration latency,
+                const latency_estimate& usual);
 
   // The target has begun to answer, so it warms up from now on.
   void OnAnswerBegun(time_point now);
 
   // Returns whether an answer of `kind` should have come within `waited`.
-  bool IsOverdue(request_class kind, duration waited) const;
+  bool IsOverdue(request_class kind,
+                 duration waited,
+                 const latency_estimate& usual) const;
 
   // The target refused, reset or failed: the ramp starts again.
   void OnSign();
@@ -89,8 +101,11 @@
   double adaptive_;
   // By request_class.
   std::array<latency_estimate, 3> latency_;
-  // Slow answers in a row; while there are any, one request runs at a time.
-  std::uint32_t slow_answers_ = 0;
+  std::uint32_t slow_answers_ = 0;  // in a row
+  // Whether the latency is learned anew, without comparing to other targets.
+  bool relearns_ = false;
+  // Usual answers still wanted before more than one request runs again.
+  std::uint32_t wanted_answers_ = 0;
   // When the first answer since the cold start came.
   std::optional<time_point> ramp_start_;
   time_point next_start_{};
--- a/include/rosemaryreach/slot_table.h
+++ b/include/rosemaryreach/slot_table.h
@@ -3,6 +3,7 @@
 #ifndef ROSEMARYREACH_SLOT_TABLE_H_
 #define ROSEMARYREACH_SLOT_TABLE_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -83,6 +84,10 @@
 
   // Returns the room on the held targets; `queued` stays zero.
   peer_load Load(time_point now) const;
+  // Returns the time from dispatch to the whole answer over all targets.
+  const latency_estimate& Work(request_class kind) const {
+    return work_[static_cast<std::size_t>(kind)];
+  }
   // Returns the requests a second that the held targets bear if each takes
   // `work`.
   double Throughput(time_point now, duration work) const;
@@ -129,17 +134,18 @@
                       const target_state& state,
                       request_class kind);
   static double Busyness(const target_state& state, request_class kind);
-  static void OnAnswered(time_point now,
-                         target_state& state,
-                         const slot_use& use);
+  void OnAnswered(time_point now, target_state& state, const slot_use& use);
   static void OnFailed(time_point now, target_state& state);
-  static void NoteEnd(time_point now,
-                      target_state& state,
-                      const slot_use& use,
-                      attempt_end end);
+  void NoteEnd(time_point now,
+               target_state& state,
+               const slot_use& use,
+               attempt_end end);
 
   duration cancel_grace_;
   std::vector<target_state> targets_;
+  // By request_class.
+  std::array<latency_estimate, 3> work_;
+  std::array<std::uint32_t, 3> slow_in_a_row_{};
 };
 
 }  // namespace rosemaryreach
--- a/src/requests/concurrency_limit.cc
+++ b/src/requests/concurrency_limit.cc
@@ -7,12 +7,15 @@
 
 namespace {
 
-constexpr std::uint32_t kMinSamples = 8;
+constexpr std::uint32_t kMinSamples = 16;
+constexpr std::uint32_t kWindowSamples = 64;
 constexpr double kMeanGain = 0.1;
 constexpr double kHighDeviations = 4;
-constexpr double kStepFactor = 2;
+constexpr double kStepFactor = 1.15;
 // Slow answers in a row that count as a sign of a cold start.
 constexpr std::uint32_t kSlowAnswersForSign = 2;
+// Usual answers in a row that end a suspicion.
+constexpr std::uint32_t kAnswersToClear = 2;
 constexpr duration kOverdueWithoutSamples = std::chrono::seconds(1);
 constexpr double kDecrease = 0.7;
 constexpr double kMaxRateFactor = 1'000;
@@ -31,12 +34,22 @@
     deviation_us_ += kMeanGain * (std::abs(error) - deviation_us_);
   }
   samples_ = std::min(samples_ + 1, kMinSamples);
+  window_max_ = std::max(window_max_, latency);
+  if (++in_window_ >= kWindowSamples) {
+    previous_max_ = window_max_;
+    window_max_ = duration::zero();
+    in_window_ = 0;
+  }
 }
 
 bool latency_estimate::IsStep(duration latency) const {
-  const double value = static_cast<double>(latency.count());
-  return samples_ >= kMinSamples && latency > High() &&
-         value > kStepFactor * mean_us_;
+  const duration longest = std::max(window_max_, previous_max_);
+  return ready() && static_cast<double>(latency.count()) >
+                        kStepFactor * static_cast<double>(longest.count());
+}
+
+bool latency_estimate::ready() const {
+  return samples_ >= kMinSamples;
 }
 
 duration latency_estimate::High() const {
@@ -51,7 +64,7 @@
 }
 
 std::uint32_t concurrency_limit::Limit(time_point now) const {
-  if (slow_answers_ > 0) {
+  if (wanted_answers_ > 0) {
     return 1;
   }
   const double above_one = bearing_.slots - 1.0;
@@ -82,24 +95,30 @@
 
 bool concurrency_limit::OnAnswer(time_point now,
                                  request_class kind,
-                                 duration latency) {
+                                 duration latency,
+                                 const latency_estimate& usual) {
   OnAnswerBegun(now);
   if (kind == request_class::kWatch) {
     return false;
   }
   latency_estimate& estimate = latency_[static_cast<std::size_t>(kind)];
-  if (!estimate.IsStep(latency)) {
+  const bool own = estimate.ready() || relearns_;
+  const latency_estimate& known = own ? estimate : usual;
+  if (!known.IsStep(latency)) {
     slow_answers_ = 0;
+    wanted_answers_ -= std::min(wanted_answers_, 1U);
     estimate.Add(latency);
     adaptive_ = std::min<double>(bearing_.slots, adaptive_ + 1 / adaptive_);
     return false;
   }
+  wanted_answers_ = kAnswersToClear;
   adaptive_ = std::max(1.0, adaptive_ * kDecrease);
   if (++slow_answers_ < kSlowAnswersForSign) {
     return false;
   }
   OnSign();
   estimate = latency_estimate();
+  relearns_ = true;
   return true;
 }
 
@@ -109,16 +128,18 @@
   }
 }
 
-bool concurrency_limit::IsOverdue(request_class kind, duration waited) const {
-  const latency_estimate& estimate = latency_[static_cast<std::size_t>(kind)];
-  if (estimate.samples() < kMinSamples) {
-    return waited >= kOverdueWithoutSamples;
-  }
-  return estimate.IsStep(waited);
+bool concurrency_limit::IsOverdue(request_class kind,
+                                  duration waited,
+                                  const latency_estimate& usual) const {
+  const latency_estimate& own = latency_[static_cast<std::size_t>(kind)];
+  const latency_estimate& known = own.ready() ? own : usual;
+  return known.ready() ? known.IsStep(waited)
+                       : waited >= kOverdueWithoutSamples;
 }
 
 void concurrency_limit::OnSign() {
   slow_answers_ = 0;
+  wanted_answers_ = 0;
   ramp_start_.reset();
   adaptive_ = 1;
 }
--- a/src/requests/handover.cc
+++ b/src/requests/handover.cc
@@ -16,6 +16,7 @@
                      const std::vector<owned_target>& targets) {
   view_ = view;
   ranks_.clear();
+  seen_others_ = seen_others_ || view.instances.size() > 1;
   if (const instance_info* own = FindInstance(view, self_)) {
     next_nonce_ =
         std::max(next_nonce_, (own->incarnation << kIncarnationShift) + 1);
@@ -240,7 +241,9 @@
     Ask(now, record, other);
     return;
   }
-  const duration bound = was_paused_ ? TakeoverBound(record) : cancel_grace_;
+  // Whoever was in view may have taken over during a pause.
+  const bool unsure = was_paused_ && seen_others_;
+  const duration bound = unsure ? TakeoverBound(record) : cancel_grace_;
   TakeOver(now, record, bound);
   record.blind_until = now + bound;
 }
--- a/src/requests/handover.h
+++ b/src/requests/handover.h
@@ -132,6 +132,7 @@
   fleet_view view_;
   bool paused_ = false;
   bool was_paused_ = false;
+  bool seen_others_ = false;
   std::uint64_t next_nonce_ = 1;
   absl::flat_hash_map<std::uint64_t, record> records_;
   // By region, and by region and data centre; rebuilt with each view.
--- a/src/requests/router_endings.cc
+++ b/src/requests/router_endings.cc
@@ -145,8 +145,7 @@
 duration request_router::impl::RetryAfter(time_point now,
                                           const live_request& request) const {
   const request_service& service = *request.service;
-  const duration work =
-      service.service_time[static_cast<std::size_t>(request.kind)].mean();
+  const duration work = service.slots.Work(request.kind).mean();
   const double rate = service.slots.Throughput(now, work);
   if (work == duration::zero() || rate <= 0) {
     return kRetryAfterFailure;
@@ -207,11 +206,6 @@
                                        const live_attempt& attempt,
                                        attempt_end end) {
   request_service& service = *attempt.service;
-  const live_request* request = Get(attempt.request);
-  if (end == attempt_end::kDone && request != nullptr && !attempt.cancelled) {
-    service.service_time[static_cast<std::size_t>(request->kind)].Add(
-        now - attempt.started);
-  }
   if (service.slots.End(now, id, end)) {
     handover_.OnSlotFreed(attempt.target);
   }
--- a/src/requests/router_placement.cc
+++ b/src/requests/router_placement.cc
@@ -15,9 +15,11 @@
 constexpr duration kNoRoomLifetime = std::chrono::milliseconds(100);
 // Taken off the deadline of a forwarded request, so that the owner's answer
 // comes before ours is due.
-constexpr duration kHopAllowance = std::chrono::milliseconds(2);
+constexpr duration kHopAllowance = 2 * request_router::kTickPeriod;
 // Queues hold no more than this share of the time a request has left.
 constexpr double kQueueShareOfDeadline = 0.5;
+// Share of a request's time that its work is assumed to take if unknown.
+constexpr int kUnknownWorkDivisor = 4;
 constexpr duration kInteractiveMemory = std::chrono::seconds(5);
 constexpr std::uint32_t kBulkShareDivisor = 2;
 constexpr duration kMinHedgeDelay = std::chrono::milliseconds(20);
@@ -29,10 +31,6 @@
   double weight = 0;
 };
 
-std::size_t Index(request_class kind) {
-  return static_cast<std::size_t>(kind);
-}
-
 }  // namespace
 
 void request_router::impl::Place(time_point now, live_request& request) {
@@ -227,8 +225,9 @@
   if (ahead == 0 && load.running < load.limit) {
     return duration::zero();
   }
-  const latency_estimate& work = service.service_time[Index(request.kind)];
-  const duration each = work.samples() == 0 ? kDefaultWork : work.mean();
+  const latency_estimate& work = service.slots.Work(request.kind);
+  const duration each =
+      work.samples() == 0 ? ExpectedWork(request) : work.mean();
   const double rate = std::max(0.1, service.slots.Throughput(now, each));
   const double seconds = static_cast<double>(ahead + 1) / rate;
   return duration(static_cast<long>(seconds * kMicrosecondsPerSecond));
@@ -238,7 +237,10 @@
   if (request.kind == request_class::kWatch) {
     return duration::zero();
   }
-  return request.service->service_time[Index(request.kind)].High();
+  const latency_estimate& work = request.service->slots.Work(request.kind);
+  return work.samples() == 0
+             ? (request.deadline - request.arrived) / kUnknownWorkDivisor
+             : work.High();
 }
 
 void request_router::impl::RefuseHere(time_point now,
--- a/src/requests/router_state.h
+++ b/src/requests/router_state.h
@@ -3,7 +3,6 @@
 #define ROSEMARYREACH_REQUESTS_ROUTER_STATE_H_
 
 #include <algorithm>
-#include <array>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -49,8 +48,6 @@
   std::set<target_id> reported_unhealthy;
   // Requests that wait until some owner has room, with when to try again.
   std::vector<request_id> waiting;
-  // Time from dispatch to the whole answer, by request_class.
-  std::array<latency_estimate, 3> service_time;
   // Time from arrival to the answer's headers.
   latency_estimate first_answer;
   time_point interactive_at;
@@ -58,12 +55,12 @@
 
   // Returns the mean time of the usual request at a target.
   duration ExpectedWork() const {
-    for (const latency_estimate& estimate : service_time) {
-      if (estimate.samples() > 0) {
-        return estimate.mean();
-      }
-    }
-    return kDefaultWork;
+    const latency_estimate& interactive =
+        slots.Work(request_class::kInteractive);
+    const latency_estimate& bulk = slots.Work(request_class::kBulk);
+    const latency_estimate& usual =
+        interactive.samples() > 0 ? interactive : bulk;
+    return usual.samples() > 0 ? usual.mean() : kDefaultWork;
   }
 };
 
--- a/src/requests/slot_table.cc
+++ b/src/requests/slot_table.cc
@@ -11,6 +11,8 @@
 // Share of a cold target's rate that is offered to peers, as their view of it
 // lags.
 constexpr double kOfferedRampShare = 0.3;
+// Slow answers in a row, over all targets, that are the new usual.
+constexpr std::uint32_t kSlowForNewUsual = 16;
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr std::uint32_t kMaxBackoffDoublings = 6;
 // Failures in a row after which a target is left alone for a while.
@@ -145,7 +147,8 @@
     if (one.use.attempt == attempt && !one.detached) {
       one.detached = true;
       const duration waited = now - one.use.started;
-      if (!one.answered && state->limit.IsOverdue(one.use.kind, waited)) {
+      if (!one.answered &&
+          state->limit.IsOverdue(one.use.kind, waited, Work(one.use.kind))) {
         OnFailed(now, *state);
       }
     }
@@ -337,7 +340,17 @@
                             const slot_use& use) {
   state.failures = 0;
   state.reported_unhealthy = false;
-  state.limit.OnAnswer(now, use.kind, now - use.started);
+  const duration latency = now - use.started;
+  latency_estimate& work = work_[static_cast<std::size_t>(use.kind)];
+  state.limit.OnAnswer(now, use.kind, latency, work);
+  std::uint32_t& slow = slow_in_a_row_[static_cast<std::size_t>(use.kind)];
+  slow = work.IsStep(latency) ? slow + 1 : 0;
+  if (slow == 0) {
+    work.Add(latency);
+  } else if (slow >= kSlowForNewUsual) {
+    work = latency_estimate();
+    slow = 0;
+  }
 }
 
 void slot_table::OnFailed(time_point now, target_state& state) {
