Refuse steps that would break open connections

Cause: a valid patch could remove a target that carries connections, change its address, or declare a service of the old system straight at a share of 50 %, and break connections that were to survive planned changes. Change: rules for the step from one number to the next: targets leave by draining or with their data centre out, addresses stay, a service with a legacy next hop starts at a share of 0 and loses the next hop at 100. Conclusion: the careful order of steps no longer depends on the author.

--- a/src/config/patch.cc
+++ b/src/config/patch.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "config/change_rules.h"
 #include "config/config_document.h"
 #include "config/json_patch.h"
 #include "config/json_text.h"
@@ -38,32 +39,6 @@
   return FormatHex(HashBytes(DumpJson(document)));
 }
 
-// Returns the rule that a change of `service` from `before` breaks, or "".
-std::string FixedMember(const service_config& before,
-                        const service_config& after) {
-  if (before.buckets != after.buckets) {
-    return "buckets";
-  }
-  if (before.protocol != after.protocol) {
-    return "protocol";
-  }
-  return before.plane != after.plane ? "plane" : "";
-}
-
-result<void> CheckFixedMembers(const configuration& before,
-                               const configuration& after) {
-  for (const service_config& service : after.services) {
-    const service_config* old = FindService(before, service.name);
-    const std::string member = old == nullptr ? "" : FixedMember(*old, service);
-    if (!member.empty()) {
-      return Fail(errc::kRuleViolation,
-                  "expected no change during a service's life",
-                  "/services/" + service.name + "/" + member);
-    }
-  }
-  return success();
-}
-
 // The services that a patch names; all of them if it names them as a whole.
 struct touched_services {
   bool all = false;
@@ -165,7 +140,7 @@
   BOOST_OUTCOME_TRYV(FirstError(next.errors));
   AddUntouched(config, touched, next.value);
   BOOST_OUTCOME_TRYV(FirstError(CheckRules(next.value)));
-  BOOST_OUTCOME_TRYV(CheckFixedMembers(config, next.value));
+  BOOST_OUTCOME_TRYV(FirstError(CheckChange(config, next.value)));
   next.value.number = config.number + 1;
   return std::move(next.value);
 }
