--- a/include/rosemaryreach/request_types.h
+++ b/include/rosemaryreach/request_types.h
@@ -58,10 +58,10 @@
 // What an owner tells of its room for one service; piggybacked on answers to
 // forwarded requests.
 struct peer_load {
-  std::uint32_t limit = 0;       // requests that its targets bear at once
-  std::uint32_t rate_per_s = 0;  // requests a second that they bear
-  std::uint32_t running = 0;     // slots taken
+  std::uint32_t limit = 0;    // requests that its targets bear at once
+  std::uint32_t running = 0;  // slots taken
   std::uint32_t queued = 0;
+  std::uint32_t rate_per_s = 0;  // requests a second that the targets bear
 
   bool operator==(const peer_load&) const = default;
 };
--- a/src/adapters/request_task_headers.cc
+++ b/src/adapters/request_task_headers.cc
@@ -153,11 +153,11 @@
 
 std::string FormatLoad(const peer_load& load) {
   return std::to_string(load.limit) + "," + std::to_string(load.running) + "," +
-         std::to_string(load.queued);
+         std::to_string(load.queued) + "," + std::to_string(load.rate_per_s);
 }
 
 std::optional<peer_load> ParseLoad(std::string_view text) {
-  std::array<std::uint32_t, 3> parts{};
+  std::array<std::uint32_t, 4> parts{};
   const char* next = text.data();
   const char* const end = text.data() + text.size();
   for (std::size_t i = 0; i < parts.size(); ++i) {
@@ -173,7 +173,7 @@
   if (next != end) {
     return std::nullopt;
   }
-  return peer_load{parts[0], parts[1], parts[2]};
+  return peer_load{parts[0], parts[1], parts[2], parts[3]};
 }
 
 own_answer AnswerTo(request_fault fault) {
