--- a/include/rosemaryreach/flow_messages.h
+++ b/include/rosemaryreach/flow_messages.h
@@ -72,7 +72,7 @@
 };
 
 // Octets of an encoded message at most, to fit one datagram.
-inline constexpr std::size_t kMaxFlowMessageBytes = 1'200;
+inline constexpr std::size_t kMaxFlowMessageBytes = 1'000;
 
 // Returns the protobuf form of `message`.
 std::string EncodeFlowMessage(const flow_message& message);
--- a/src/packets/flow_changes.cc
+++ b/src/packets/flow_changes.cc
@@ -52,6 +52,7 @@
 }
 
 void flow_router::impl::ApplyView(const fleet_view& view, time_point now) {
+  has_view_ = true;
   const bool appeared = peers_.Apply(view, now);
   for (const peer& known : peers_.peers()) {
     if (peers_.IsSameProcess(known.id)) {
--- a/src/packets/flow_router.cc
+++ b/src/packets/flow_router.cc
@@ -41,6 +41,12 @@
     Log(packet, decision);
     return decision;
   }
+  if (!has_view_) {
+    ++stats_.dropped;
+    decision.rule = "no_view";
+    Log(packet, decision);
+    return decision;
+  }
   const auto found =
       addresses_.find({packet.flow.service, packet.flow.protocol});
   if (found == addresses_.end()) {
--- a/src/packets/flow_router_impl.h
+++ b/src/packets/flow_router_impl.h
@@ -74,7 +74,7 @@
   std::vector<flow_outgoing> Tick(time_point now);
 
   bool handed_over() const;
-  bool synchronized() const { return !refreshing_; }
+  bool synchronized() const { return has_view_ && !refreshing_; }
   flow_router_stats stats() const;
 
  private:
@@ -253,6 +253,7 @@
     std::vector<bool> parts;
     bool complete = false;
   };
+  bool has_view_ = false;
   bool refreshing_ = false;
   bool refreshed_once_ = false;
   bool paused_ = false;  // the refresh follows a pause of the process
