--- /dev/null
+++ b/src/daemon/instance.cc
@@ -0,0 +1,390 @@
+#include "daemon/instance.h"
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "adapters/admin_server.h"
+#include "adapters/control_task.h"
+#include "adapters/event_loop.h"
+#include "adapters/json_log.h"
+#include "adapters/platform_directory.h"
+#include "adapters/platform_http.h"
+#include "adapters/target_prober.h"
+#include "daemon/packet_plane.h"
+#include "daemon/request_plane.h"
+#include "daemon/status_json.h"
+#include "rosemaryreach/config_json.h"
+#include "rosemaryreach/metrics.h"
+#include "rosemaryreach/ownership.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr duration kLifecycleInterval = std::chrono::milliseconds(100);
+constexpr duration kConfirmInterval = std::chrono::milliseconds(500);
+
+// Sequences of the authenticators start above those of an earlier run.
+std::uint64_t FirstSequence() {
+  const std::chrono::system_clock::duration since_epoch =
+      std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+          .count());
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+std::unique_ptr<platform_source> MakePlatform(event_loop& loop,
+                                              const platform_settings& platform,
+                                              std::uint64_t seed) {
+  if (!platform.http) {
+    return std::make_unique<platform_directory>(
+        loop, platform.directory, std::chrono::milliseconds(platform.poll_ms));
+  }
+  platform_http_options options;
+  options.server = *platform.http;
+  options.reads_per_minute = platform.reads_per_minute;
+  return std::make_unique<platform_http>(loop, options, seed);
+}
+
+// Blocks the signals that end or reload a daemon and returns a descriptor that
+// reads them.
+int OpenSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+}
+
+class signal_descriptor {
+ public:
+  signal_descriptor() : fd_(OpenSignals()) {}
+  ~signal_descriptor() { close(fd_); }
+  signal_descriptor(const signal_descriptor&) = delete;
+  signal_descriptor& operator=(const signal_descriptor&) = delete;
+
+  int fd() const { return fd_; }
+
+  // Returns the next signal, or 0 if there is none.
+  int Read() const {
+    signalfd_siginfo info{};
+    const ssize_t bytes = read(fd_, &info, sizeof(info));
+    return bytes == sizeof(info) ? static_cast<int>(info.ssi_signo) : 0;
+  }
+
+ private:
+  int fd_;
+};
+
+class instance {
+ public:
+  instance(const settings& settings, const peer_keys& keys, std::string token);
+
+  result<void> Start();
+  void Run() { loop_.Run(); }
+
+ private:
+  control_hooks ControlHooks();
+  admin_hooks AdminHooks();
+  void OnConfiguration(const accepted_change& change);
+  void OnView(const fleet_view& view, bool trusted);
+  void OnCondition(std::string_view service,
+                   std::string_view target,
+                   target_condition condition);
+  void OnSignal();
+  void BeginStop();
+  void OnLifecycle();
+  void OnConfirm();
+  void Finish(std::string_view why);
+  bool IsAlone() const;
+  bool ServesAll() const;
+  readiness Readiness() const;
+  nlohmann::json Status() const;
+  nlohmann::json Configuration() const;
+  nlohmann::json Targets() const;
+
+  settings settings_;
+  // Before all threads are made, so that they inherit the mask.
+  signal_descriptor signals_;
+  background_writer writer_;
+  json_log log_;
+  std::unique_ptr<metrics_registry> metrics_;
+  event_loop loop_;
+  std::unique_ptr<platform_source> platform_;
+  control_task control_;
+  packet_plane packets_;
+  request_plane requests_;
+  target_prober prober_;
+  admin_server admin_;
+  descriptor_watch signal_watch_;
+  loop_timer lifecycle_;
+  loop_timer confirm_;
+  std::optional<time_point> stop_deadline_;
+};
+
+instance::instance(const settings& settings,
+                   const peer_keys& keys,
+                   std::string token)
+    : settings_(settings),
+      writer_(MakeStdoutWriter()),
+      log_(settings.log,
+           settings.instance,
+           [this](std::string line) { writer_.Write(std::move(line)); }),
+      metrics_(MakeMetricsRegistry()),
+      platform_(MakePlatform(loop_, settings.platform, RandomSeed())),
+      control_(loop_, settings_, keys, *platform_, log_, ControlHooks()),
+      packets_(loop_,
+               settings_,
+               keys,
+               FirstSequence(),
+               log_,
+               *metrics_,
+               [this](instance_id to, const std::string& payload) {
+                 const result<void> sent = control_.SendFlowState(to, payload);
+                 if (!sent) {
+                   log_.Write(log_level::kDebug, "flow_state_unsent",
+                              FormatError(sent.error()));
+                 }
+               }),
+      requests_(loop_,
+                settings_,
+                keys,
+                RandomSeed(),
+                log_,
+                *metrics_,
+                [this](instance_id to, const std::string& payload) {
+                  const result<void> sent =
+                      control_.SendRequestState(to, payload);
+                  if (!sent) {
+                    log_.Write(log_level::kDebug, "request_state_unsent",
+                               FormatError(sent.error()));
+                  }
+                }),
+      prober_(loop_,
+              settings_.probes,
+              RandomSeed(),
+              [this](std::string_view service,
+                     std::string_view target,
+                     target_condition condition) {
+                OnCondition(service, target, condition);
+              }),
+      admin_(loop_, std::move(token), AdminHooks()),
+      signal_watch_(loop_,
+                    signals_.fd(),
+                    watch_for::kRead,
+                    [this] { OnSignal(); }),
+      lifecycle_(loop_, [this] { OnLifecycle(); }),
+      confirm_(loop_, [this] { OnConfirm(); }) {}
+
+result<void> instance::Start() {
+  BOOST_OUTCOME_TRYV(packets_.Start());
+  BOOST_OUTCOME_TRYV(requests_.Start());
+  if (settings_.listeners.admin.port != 0) {
+    BOOST_OUTCOME_TRYV(admin_.Listen(settings_.listeners.admin));
+  }
+  BOOST_OUTCOME_TRYV(control_.Start());
+  lifecycle_.StartEvery(kLifecycleInterval);
+  confirm_.StartEvery(kConfirmInterval);
+  log_.Write(log_level::kInfo, "started", settings_.instance);
+  return success();
+}
+
+control_hooks instance::ControlHooks() {
+  control_hooks hooks;
+  hooks.on_configuration = [this](const accepted_change& change) {
+    OnConfiguration(change);
+  };
+  hooks.on_view = [this](const fleet_view& view, bool trusted) {
+    OnView(view, trusted);
+  };
+  hooks.on_flow_state = [this](instance_id from, std::string_view payload) {
+    packets_.OnFlowState(from, payload);
+  };
+  hooks.on_request_state = [this](instance_id from, std::string_view payload) {
+    requests_.OnState(from, payload);
+  };
+  return hooks;
+}
+
+admin_hooks instance::AdminHooks() {
+  admin_hooks hooks;
+  hooks.ready = [this] { return Readiness(); };
+  hooks.metrics = [this] { return metrics_->PrometheusText(); };
+  hooks.status = [this] { return Status(); };
+  hooks.configuration = [this] { return Configuration(); };
+  hooks.verdicts = [this] {
+    return VerdictsToJson(control_.Status().verdicts);
+  };
+  hooks.targets = [this] { return Targets(); };
+  return hooks;
+}
+
+void instance::OnConfiguration(const accepted_change& change) {
+  log_.Write(log_level::kInfo, "configuration_accepted",
+             std::to_string(change.current->number));
+  packets_.ApplyConfiguration(change.current);
+  requests_.ApplyConfiguration(change.current);
+  prober_.ApplyConfiguration(change.current);
+}
+
+void instance::OnView(const fleet_view& view, bool trusted) {
+  if (!trusted) {
+    log_.Write(log_level::kWarning, "view_untrusted",
+               "waiting to hear from peers");
+    return;
+  }
+  packets_.ApplyView(view);
+  requests_.ApplyView(view);
+  prober_.ApplyView(view);
+}
+
+void instance::OnCondition(std::string_view service,
+                           std::string_view target,
+                           target_condition condition) {
+  log_.Write(log_level::kInfo, "target_condition",
+             std::string(service) + "/" + std::string(target) + " " +
+                 TargetConditionName(condition));
+  packets_.ReportTarget(service, target, condition);
+  requests_.ReportTarget(service, target, condition);
+}
+
+void instance::OnSignal() {
+  for (int signal = signals_.Read(); signal != 0; signal = signals_.Read()) {
+    if (signal == SIGHUP) {
+      log_.Write(log_level::kWarning, "reload_refused",
+                 "the configuration comes from the platform");
+    } else if (stop_deadline_) {
+      Finish("second signal");
+    } else {
+      BeginStop();
+    }
+  }
+}
+
+void instance::BeginStop() {
+  log_.Write(log_level::kInfo, "stopping", settings_.instance);
+  stop_deadline_ =
+      loop_.now() + std::chrono::milliseconds(settings_.stop_timeout_ms);
+  control_.SetState(instance_state::kLeaving);
+  requests_.BeginStop();
+}
+
+void instance::OnLifecycle() {
+  const control_status status = control_.Status();
+  if (!stop_deadline_) {
+    if (status.state == instance_state::kJoining && ServesAll()) {
+      control_.SetState(instance_state::kActive);
+      log_.Write(log_level::kInfo, "active", settings_.instance);
+    }
+    return;
+  }
+  const bool handed_over = packets_.handed_over() || IsAlone();
+  if (handed_over && requests_.drained()) {
+    Finish("drained");
+  } else if (loop_.now() >= *stop_deadline_) {
+    Finish("stop timeout, " +
+           std::to_string(packets_.stats().router.owned_buckets) +
+           " buckets not handed over, " +
+           std::to_string(requests_.stats().requests) + " requests open");
+  }
+}
+
+void instance::OnConfirm() {
+  if (control_.trusted()) {
+    requests_.ConfirmView();
+  }
+}
+
+void instance::Finish(std::string_view why) {
+  log_.Write(log_level::kInfo, "stopped", why);
+  control_.Leave();
+  loop_.Stop();
+}
+
+// Whether no other instance could take over what this one owns.
+bool instance::IsAlone() const {
+  const owner_ranking others(control_.view(), settings_.region);
+  return others.candidates().empty();
+}
+
+bool instance::ServesAll() const {
+  return control_.trusted() && control_.current() != nullptr &&
+         packets_.synchronized();
+}
+
+readiness instance::Readiness() const {
+  const control_status status = control_.Status();
+  if (stop_deadline_) {
+    return {false, "the graceful stop"};
+  }
+  if (!status.ready) {
+    return {false, status.waiting_for};
+  }
+  if (!ServesAll()) {
+    return {false, "the state of open buckets from peers"};
+  }
+  return {status.state == instance_state::kActive, "activation"};
+}
+
+nlohmann::json instance::Status() const {
+  nlohmann::json status = FleetStatusToJson(control_.Status());
+  status["instance"] = settings_.instance;
+  status["data_centre"] = settings_.data_centre;
+  status["packets"] = PacketStatsToJson(packets_.stats());
+  status["requests"] = RequestStatsToJson(requests_.stats());
+  return status;
+}
+
+nlohmann::json instance::Configuration() const {
+  const std::shared_ptr<const configuration> current = control_.current();
+  return current ? ConfigurationToJson(*current) : nlohmann::json();
+}
+
+nlohmann::json instance::Targets() const {
+  const std::shared_ptr<const configuration> current = control_.current();
+  return current ? TargetsToJson(*current) : nlohmann::json::array();
+}
+
+result<peer_keys> ReadKeys(const settings& settings) {
+  peer_keys keys;
+  for (const std::string& file : settings.key_files) {
+    BOOST_OUTCOME_TRY(key, ReadSecret(file));
+    keys.push_back(key);
+  }
+  if (keys.empty()) {
+    return Fail(errc::kRuleViolation,
+                "expected one key file at least, got none", "/key_files");
+  }
+  return keys;
+}
+
+}  // namespace
+
+result<void> RunUntilStopped(const settings& settings) {
+  BOOST_OUTCOME_TRY(keys, ReadKeys(settings));
+  std::string token;
+  if (!settings.listeners.admin_token_file.empty()) {
+    BOOST_OUTCOME_TRY(secret, ReadSecret(settings.listeners.admin_token_file));
+    token = secret;
+  }
+  instance running(settings, keys, std::move(token));
+  BOOST_OUTCOME_TRYV(running.Start());
+  running.Run();
+  return success();
+}
+
+}  // namespace rosemaryreach
