--- a/include/rosemaryreach/patch_log.h
+++ b/include/rosemaryreach/patch_log.h
@@ -147,17 +147,24 @@
     std::size_t bytes = 0;
   };
 
+  // A whole snapshot whose digest was checked.
+  struct snapshot {
+    configuration value;
+    std::uint64_t digest = 0;
+  };
+
   entry_outcome Judge(const log_entry& entry);
   entry_outcome JudgeKnown(const log_entry& entry) const;
   entry_outcome JudgePatch(const log_entry& entry, const nlohmann::json& body);
   entry_outcome JudgePart(const log_entry& entry, const nlohmann::json& body);
   entry_outcome JudgeSnapshot(const partial_snapshot& whole);
-  entry_outcome JudgeNext(const partial_snapshot& whole, configuration next);
-  entry_outcome JudgeJump(std::uint64_t sequence, configuration next);
+  bool IsInForce(const snapshot& whole) const;
+  entry_outcome JudgeNext(const partial_snapshot& whole, snapshot next);
+  entry_outcome JudgeJump(std::uint64_t sequence, snapshot next);
   bool FitsPartial(const log_entry& entry, const nlohmann::json& frame) const;
   void AdvanceBy(const log_entry& entry);
   void JumpTo(std::uint64_t sequence);
-  void Accept(configuration next, std::uint64_t sequence);
+  void Accept(configuration next, std::uint64_t digest, std::uint64_t sequence);
   void Remember(const entry_outcome& outcome);
   void TrimRetained();
   void ServeState(const log_position& after,
--- a/src/config/patch_log.cc
+++ b/src/config/patch_log.cc
@@ -132,7 +132,9 @@
   result<configuration> next =
       ApplyPatch(current_ == nullptr ? empty : *current_, parsed.value());
   if (next) {
-    Accept(std::move(next.value()), entry.sequence);
+    const std::uint64_t digest =
+        digest_ + DigestChange(*current_, next.value());
+    Accept(std::move(next.value()), digest, entry.sequence);
   }
   entry_outcome outcome =
       next ? Outcome(entry.sequence, entry_verdict::kAccepted)
@@ -180,36 +182,40 @@
   if (!check.ok()) {
     return Outcome(sequence, entry_verdict::kCorrupt, check.errors.front());
   }
-  const std::string digest = FormatHex(ConfigurationDigest(check.value));
-  if (whole.frame.at("digest") != digest) {
+  const std::uint64_t digest = ConfigurationDigest(check.value);
+  if (whole.frame.at("digest") != FormatHex(digest)) {
     return Outcome(sequence, entry_verdict::kCorrupt,
                    {errc::kInvalidJson, "/digest",
                     "got " + ShowValue(whole.frame.at("digest")) +
-                        ", expected " + digest});
+                        ", expected " + FormatHex(digest)});
   }
   check.value.number = whole.frame.at("number").get<std::uint64_t>();
   const bool published = whole.frame.at("kind") == "snapshot";
   return published && sequence == sequence_ + 1
-             ? JudgeNext(whole, std::move(check.value))
-             : JudgeJump(sequence, std::move(check.value));
+             ? JudgeNext(whole, {std::move(check.value), digest})
+             : JudgeJump(sequence, {std::move(check.value), digest});
+}
+
+bool patch_log::IsInForce(const snapshot& whole) const {
+  return whole.value.number == Head().number && whole.digest == digest_;
 }
 
 // A published snapshot right after what was judged so far.
 entry_outcome patch_log::JudgeNext(const partial_snapshot& whole,
-                                   configuration next) {
+                                   snapshot next) {
   for (const log_entry& entry : whole.entries) {
     AdvanceBy(entry);
   }
   const std::uint64_t sequence = sequence_;
-  const std::vector<error> errors = CheckRules(next);
+  const std::vector<error> errors = CheckRules(next.value);
   if (!errors.empty()) {
     return Outcome(sequence, entry_verdict::kRefused, errors.front());
   }
   if (current_ == nullptr) {
-    Accept(std::move(next), sequence);
+    Accept(std::move(next.value), next.digest, sequence);
     return Outcome(sequence, entry_verdict::kAccepted);
   }
-  if (next.number == current_->number && ConfigurationDigest(next) == digest_) {
+  if (IsInForce(next)) {
     return Outcome(sequence, entry_verdict::kConfirmed);
   }
   return Outcome(
@@ -219,23 +225,22 @@
 }
 
 // A snapshot that stands for entries which were not seen.
-entry_outcome patch_log::JudgeJump(std::uint64_t sequence, configuration next) {
+entry_outcome patch_log::JudgeJump(std::uint64_t sequence, snapshot next) {
   const std::uint64_t number = Head().number;
-  const bool same =
-      next.number == number && ConfigurationDigest(next) == digest_;
-  if (next.number <= number && !same) {
+  const bool same = IsInForce(next);
+  if (next.value.number <= number && !same) {
     return Outcome(sequence, entry_verdict::kStale,
                    {errc::kStale, "/number",
-                    "got " + std::to_string(next.number) + " while " +
+                    "got " + std::to_string(next.value.number) + " while " +
                         std::to_string(number) + " is in force"});
   }
-  const std::vector<error> errors = CheckRules(next);
+  const std::vector<error> errors = CheckRules(next.value);
   if (!errors.empty()) {
     return Outcome(sequence, entry_verdict::kCorrupt, errors.front());
   }
   JumpTo(sequence);
   if (!same) {
-    Accept(std::move(next), sequence);
+    Accept(std::move(next.value), next.digest, sequence);
   }
   return Outcome(sequence,
                  same ? entry_verdict::kConfirmed : entry_verdict::kAccepted);
@@ -274,11 +279,12 @@
   }
 }
 
-void patch_log::Accept(configuration next, std::uint64_t sequence) {
+void patch_log::Accept(configuration next,
+                       std::uint64_t digest,
+                       std::uint64_t sequence) {
   std::shared_ptr<const configuration> previous = std::move(current_);
   current_ = std::make_shared<const configuration>(std::move(next));
-  digest_ = previous == nullptr ? ConfigurationDigest(*current_)
-                                : digest_ + DigestChange(*previous, *current_);
+  digest_ = digest;
   if (on_accepted_) {
     on_accepted_({previous, current_, sequence});
   }
