Stop the smaller part of a split fleet by remembered instances

The router trusted the caller of ConfirmView() to have heard a majority, but membership trusts a view while any peer answers: two halves would both have dispatched. Targets of a data centre whose instances all vanished have no owner meanwhile. New cases: two instances die at once, messages between instances are lost, a data centre is cut off, and 5 % of the bookings are sent twice at once. The bench counts an answer of key-in-progress on its own: the other call with the key ends the booking.

--- a/bench/bench_requests.cc
+++ b/bench/bench_requests.cc
@@ -276,6 +276,63 @@
   });
 }
 
+// The owner of some keys and its successor go at once.
+void TwoDie(std::uint64_t seed, bench_report& report) {
+  ForEachAgency(seed, kNormalLoad, [&](request_scene& scene) {
+    const time_point begin = scene.queue().now();
+    scene.world().Kill(*scene.world().nodes()[seed % 8]);
+    scene.queue().RunFor(milliseconds(100));
+    scene.world().Kill(*scene.world().nodes()[(seed + 3) % 8]);
+    scene.queue().RunFor(seconds(14));
+    const time_point end = scene.queue().now();
+    scene.Settle();
+    ShowErrors(scene, report, scene.Summary(kInteractiveService, begin, end));
+    scene.CheckPromises(report);
+    scene.CheckEnds(report);
+  });
+}
+
+// Messages between instances are lost and repeated while one dies.
+void MessagesLost(std::uint64_t seed, bench_report& report) {
+  ForEachAgency(seed, kNormalLoad, [&](request_scene& scene) {
+    const time_point begin = scene.queue().now();
+    scene.world().SetMessageLoss(0.1);
+    scene.queue().RunFor(seconds(3));
+    scene.world().Kill(*scene.world().nodes()[seed % 8]);
+    scene.queue().RunFor(seconds(3));
+    scene.world().Stop(*scene.world().nodes()[(seed + 1) % 8], [] {});
+    scene.queue().RunFor(seconds(10));
+    const time_point end = scene.queue().now();
+    scene.Settle();
+    ShowErrors(scene, report, scene.Summary(kInteractiveService, begin, end));
+    scene.CheckPromises(report);
+    scene.CheckEnds(report);
+  });
+}
+
+// A data centre is cut off from the others and from their targets.
+void DataCentreCutOff(std::uint64_t seed, bench_report& report) {
+  ForEachAgency(seed, kNormalLoad * 2 / 3, [&](request_scene& scene) {
+    const time_point begin = scene.queue().now();
+    scene.world().CutOffCentre("a");
+    scene.queue().RunFor(seconds(4));
+    const time_point settled = scene.queue().now();
+    scene.queue().RunFor(seconds(6));
+    const time_point healed = scene.queue().now();
+    scene.world().Reconnect();
+    scene.queue().RunFor(seconds(10));
+    const time_point end = scene.queue().now();
+    scene.Settle();
+    ShowErrors(scene, report, scene.Summary(kInteractiveService, begin, end));
+    const call_summary split =
+        scene.Summary(kInteractiveService, settled, healed);
+    report.Show(scene.Name("split_whole_share"),
+                Share(split.whole, split.sent));
+    scene.CheckPromises(report);
+    scene.CheckEnds(report);
+  });
+}
+
 void CheckNothingCut(request_scene& scene,
                      bench_report& report,
                      time_point begin,
@@ -359,7 +416,8 @@
     report.AtMost(scene.Name("return_p99_ms"), Milliseconds(after.p99),
                   2 * Milliseconds(before.p99));
     const std::uint64_t sent = during.sent + after.sent;
-    const std::uint64_t errors = sent - during.whole - after.whole;
+    const std::uint64_t errors = sent - during.whole - after.whole -
+                                 during.in_progress - after.in_progress;
     report.AtMost(scene.Name("error_share"), Share(errors, sent), 0.001);
     report.AtMost(scene.Name("sent_there_after_1s"),
                   static_cast<double>(sent_later), 0);
@@ -436,6 +494,9 @@
        {"owner_dies", OwnerDies},
        {"owner_pauses", OwnerPauses},
        {"owner_cut_off", OwnerCutOff},
+       {"two_die", TwoDie},
+       {"messages_lost", MessagesLost},
+       {"data_centre_cut_off", DataCentreCutOff},
        {"planned_stop", PlannedStop},
        {"rolling_replacement", RollingReplacement},
        {"data_centre_out", DataCentreOut},
--- a/bench/requests/request_load.h
+++ b/bench/requests/request_load.h
@@ -35,6 +35,7 @@
   kNotRun,
   kUnknown,
   kKnownDone,
+  kInProgress,  // another call with the key still ran
   kCut,
   kInstanceLost,
 };
@@ -136,6 +137,9 @@
     if (end.run == run_state::kRun) {
       return call_status::kKnownDone;
     }
+    if (end.condition == answer_condition::kKeyInProgress) {
+      return call_status::kInProgress;
+    }
     return end.run == run_state::kNotRun ? call_status::kNotRun
                                          : call_status::kUnknown;
   }
@@ -192,6 +196,9 @@
       request.path = "/bookings";
       // Some callers give no key; their bookings may not repeat either.
       request.key = Chance(0.8) ? random_() | 1U : 0;
+      if (request.key != 0 && Chance(kImpatientShare)) {
+        SendAgainSoon(request);
+      }
     } else {
       request.method = "GET";
       request.path = "/pots/1";
@@ -199,6 +206,13 @@
     SendNew(request, 0);
   }
 
+  // An impatient caller presses the button twice.
+  void SendAgainSoon(const caller_request& request) {
+    const duration pause = Around(std::chrono::milliseconds(100));
+    queue_.After(pause,
+                 [this, request] { SendNew(request, rates_.max_repeats); });
+  }
+
   void SendWatch() {
     caller_request request;
     request.service = kInteractiveService;
@@ -255,6 +269,8 @@
                  [this, request, repeats] { SendNew(request, repeats); });
   }
 
+  static constexpr double kImpatientShare = 0.05;
+
   fakes::event_queue& queue_;
   std::mt19937_64 random_;
   request_world* world_ = nullptr;
@@ -272,6 +288,7 @@
   std::uint64_t not_run = 0;
   std::uint64_t unknown = 0;
   std::uint64_t cut = 0;
+  std::uint64_t in_progress = 0;
   duration p99{};
   duration booking_p99{};
 };
@@ -328,6 +345,9 @@
       case call_status::kKnownDone:
         ++sum.whole;
         break;
+      case call_status::kInProgress:
+        ++sum.in_progress;
+        break;
       case call_status::kNotRun:
         ++sum.not_run;
         break;
--- a/bench/requests/world_types.h
+++ b/bench/requests/world_types.h
@@ -64,6 +64,9 @@
   bool alive = true;
   bool paused = false;
   bool in_rotation = true;
+  // Parts of a split network: among instances, and towards targets.
+  int part = 0;
+  int targets_part = 0;
   std::uint64_t epoch = 0;
   std::uint64_t next_request = 1;
   std::vector<std::function<void()>> held;
@@ -85,6 +88,7 @@
   target_id id;
   std::string data_centre;
   std::unique_ptr<fake_target> fake;
+  int part = 0;
   // When the owner could first see that the target had turned cold.
   std::optional<time_point> signed_at;
   bool watch_for_sign = false;
--- a/include/rosemaryreach/request_router.h
+++ b/include/rosemaryreach/request_router.h
@@ -64,8 +64,9 @@
 
   actions ApplyConfiguration(time_point now, const configuration& config);
   actions ApplyView(time_point now, const fleet_view& view);
-  // Membership has lately heard from a majority of the data centre's or of the
-  // region's instances. An owner dispatches nothing without it.
+  // Membership trusts the view now. An owner dispatches nothing without it,
+  // nor without most of the instances that it remembers in its data centre or
+  // region; keys are granted only with most of the region's.
   actions ConfirmView(time_point now);
   actions OnTargetReport(time_point now, const target_report& report);
   actions OnMessage(time_point now,
--- a/src/requests/handover.cc
+++ b/src/requests/handover.cc
@@ -13,8 +13,10 @@
 
 void handover::Apply(time_point now,
                      const fleet_view& view,
+                     const std::set<std::string>& lost_centres,
                      const std::vector<owned_target>& targets) {
   view_ = view;
+  lost_centres_ = lost_centres;
   ranks_.clear();
   seen_others_ = seen_others_ || view.instances.size() > 1;
   if (const instance_info* own = FindInstance(view, self_)) {
@@ -182,6 +184,9 @@
   if (near.owner && near.successor) {
     return {near.owner, near.owner == self_ ? near.successor : near.owner};
   }
+  if (!near.owner && lost_centres_.contains(target.data_centre)) {
+    return {};
+  }
   const owner_pair far = Ranking(target.region, {}).Owners(target.id.value);
   const instance_id owner = near.owner ? near.owner : far.owner;
   const instance_id other = far.owner == self_ ? far.successor : far.owner;
--- a/src/requests/handover.h
+++ b/src/requests/handover.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,9 +48,11 @@
         cancel_grace_(cancel_grace),
         hooks_(std::move(hooks)) {}
 
-  // Follows the owners of `targets` in `view`.
+  // Follows the owners of `targets` in `view`. Targets of `lost_centres` have
+  // no owner here: their own instances may go on, cut off from this one.
   void Apply(time_point now,
              const fleet_view& view,
+             const std::set<std::string>& lost_centres,
              const std::vector<owned_target>& targets);
 
   // The process stood still for long: nothing it holds is sure any more.
@@ -130,6 +133,7 @@
   duration cancel_grace_;
   handover_hooks hooks_;
   fleet_view view_;
+  std::set<std::string> lost_centres_;
   bool paused_ = false;
   bool was_paused_ = false;
   bool seen_others_ = false;
--- a/src/requests/router_events.cc
+++ b/src/requests/router_events.cc
@@ -111,7 +111,7 @@
                OnKeyDecided(now, id, verdict);
              },
              [this](time_point now) {
-               return keys_confirmed_at_ &&
+               return keys_confirmed_at_ && quorum_.HoldsRegion() &&
                       now - *keys_confirmed_at_ <= options_.view_lease;
              }}) {}
 
@@ -216,6 +216,9 @@
     slow_tick_at_ = now + kSlowTickPeriod;
     CutDataCentresOut(now);
     ForgetCancelled(now);
+    if (quorum_.Expire(now)) {
+      ApplyOwners(now);
+    }
   }
 }
 
@@ -262,6 +265,7 @@
   if (VanishedFrom(before)) {
     keys_confirmed_at_.reset();
   }
+  quorum_.Apply(now, view_);
   keys_.ApplyView(now, view_);
   ApplyOwners(now);
 }
@@ -386,7 +390,7 @@
       targets.push_back(ToOwnedTarget(config_, service, target));
     }
   }
-  handover_.Apply(now, view_, targets);
+  handover_.Apply(now, view_, quorum_.LostDataCentres(), targets);
   RebuildPlaces();
 }
 
@@ -423,7 +427,9 @@
 }
 
 bool request_router::impl::MayDispatch(time_point now) const {
-  return confirmed_at_ && now - *confirmed_at_ <= options_.view_lease;
+  const bool fresh =
+      confirmed_at_ && now - *confirmed_at_ <= options_.view_lease;
+  return fresh && (quorum_.HoldsRegion() || quorum_.HoldsDataCentre());
 }
 
 void request_router::impl::OnKeyDecided(time_point now,
--- a/src/requests/router_impl.h
+++ b/src/requests/router_impl.h
@@ -15,6 +15,7 @@
 
 #include "requests/handover.h"
 #include "requests/key_service.h"
+#include "requests/quorum.h"
 #include "requests/router_state.h"
 #include "rosemaryreach/request_router.h"
 
@@ -156,6 +157,7 @@
   std::optional<time_point> keys_confirmed_at_;
   std::optional<time_point> stop_at_;
   time_point slow_tick_at_;
+  quorum quorum_;
   handover handover_;
   key_service keys_;
 };
