--- a/src/packets/flow_changes.cc
+++ b/src/packets/flow_changes.cc
@@ -150,21 +150,20 @@
     return;
   }
   state.steady[bucket] = kOpenBucket;
-  std::unique_ptr<open_bucket>& slot = state.open[bucket];
-  slot = std::make_unique<open_bucket>();
-  slot->number = number_;
-  slot->opened_at = now;
-  slot->unpinned_seen = now;
-  slot->refreshed_at = now;
+  open_bucket& opened = state.open.Add(bucket, state.steady.size());
+  opened.number = number_;
+  opened.opened_at = now;
+  opened.unpinned_seen = now;
+  opened.refreshed_at = now;
   unannounced_.push_back({service, bucket});
   const std::uint64_t key = OwnerKey(state, bucket);
   // As if the bucket had been open before the view changed, so that the owner
   // by that view hands it over.
   const std::optional<owner_pair> before = peers_.PreviousOwners(key, now);
   if (before) {
-    UpdateOwner(service, bucket, *slot, *before, now);
+    UpdateOwner(service, bucket, opened, *before, now);
   }
-  UpdateOwner(service, bucket, *slot, peers_.Owners(key), now);
+  UpdateOwner(service, bucket, opened, peers_.Owners(key), now);
 }
 
 void flow_router::impl::EndRamps(time_point now) {
--- a/src/packets/flow_ownership.cc
+++ b/src/packets/flow_ownership.cc
@@ -81,9 +81,9 @@
 
 void flow_router::impl::UpdateAllOwners(time_point now) {
   for (std::uint32_t i = 0; i < services_.size(); ++i) {
-    for (auto& [bucket, open] : services_[i]->open) {
-      const std::uint64_t key = OwnerKey(*services_[i], bucket);
-      UpdateOwner(i, bucket, *open, peers_.Owners(key), now);
+    for (open_bucket* open : services_[i]->open.all()) {
+      const std::uint64_t key = OwnerKey(*services_[i], open->bucket);
+      UpdateOwner(i, open->bucket, *open, peers_.Owners(key), now);
     }
   }
 }
@@ -148,17 +148,13 @@
 void flow_router::impl::SweepBuckets(time_point now) {
   for (std::uint32_t i = 0; i < services_.size(); ++i) {
     service_state& service = *services_[i];
-    if (service.open.empty()) {
-      continue;
-    }
-    std::size_t swept = 0;
-    for (std::size_t step = 0;
-         step < service.steady.size() && swept < kMaxSweptBuckets; ++step) {
-      const std::uint32_t bucket = service.sweep_at;
-      service.sweep_at = (bucket + 1) & service.mask();
-      if (service.steady[bucket] == kOpenBucket && IsMine(bucket)) {
+    const std::vector<open_bucket*>& all = service.open.all();
+    const std::size_t count = std::min(all.size(), kMaxSweptBuckets);
+    for (std::size_t step = 0; step < count && !all.empty(); ++step) {
+      service.sweep_at = (service.sweep_at + 1) % all.size();
+      const std::uint32_t bucket = all[service.sweep_at]->bucket;
+      if (IsMine(bucket)) {
         SweepBucket(i, bucket, now);
-        ++swept;
       }
     }
   }
@@ -233,7 +229,7 @@
                                     std::uint32_t bucket) {
   service_state& state = *services_[service];
   stats_.pins -= state.FindOpen(bucket)->pins.size();
-  state.open.erase(bucket);
+  state.open.Erase(bucket);
   state.steady[bucket] = state.floor[bucket];
 }
 
@@ -242,11 +238,9 @@
     for (flow_target& target : service->targets) {
       target.owned_buckets = 0;
     }
-    for (const auto& [bucket, open] : service->open) {
-      const std::uint16_t current = service->current[bucket];
-      const bool decides = open->role == bucket_role::kOwner ||
-                           open->role == bucket_role::kHandingOver;
-      if (decides && current != kNoEntry) {
+    for (const open_bucket* open : service->open.all()) {
+      const std::uint16_t current = service->current[open->bucket];
+      if (open->decides() && current != kNoEntry) {
         ++service->targets[current].owned_buckets;
       }
     }
@@ -255,9 +249,8 @@
 
 bool flow_router::impl::handed_over() const {
   for (const std::unique_ptr<service_state>& service : services_) {
-    for (const auto& [bucket, open] : service->open) {
-      if (open->role == bucket_role::kOwner ||
-          open->role == bucket_role::kHandingOver) {
+    for (const open_bucket* open : service->open.all()) {
+      if (open->decides()) {
         return false;
       }
     }
@@ -268,8 +261,8 @@
 flow_router_stats flow_router::impl::stats() const {
   flow_router_stats stats = stats_;
   for (const std::unique_ptr<service_state>& service : services_) {
-    stats.open_buckets += service->open.size();
-    for (const auto& [bucket, open] : service->open) {
+    stats.open_buckets += service->open.all().size();
+    for (const open_bucket* open : service->open.all()) {
       stats.owned_buckets += open->role == bucket_role::kOwner ? 1 : 0;
     }
   }
--- a/src/packets/flow_sync.cc
+++ b/src/packets/flow_sync.cc
@@ -179,9 +179,7 @@
       OpenBucket(service, record.bucket, now);
     }
     open_bucket& open = *state.FindOpen(record.bucket);
-    const bool decides = open.role == bucket_role::kOwner ||
-                         open.role == bucket_role::kHandingOver;
-    if (decides || open.owner != from) {
+    if (open.decides() || open.owner != from) {
       continue;
     }
     state.floor[record.bucket] = floor;
@@ -322,15 +320,13 @@
   for (std::uint32_t i = 0; i < services_.size(); ++i) {
     const service_state& service = *services_[i];
     flow_message part = MakeMessage(flow_message_kind::kSyncReply, i);
-    for (const auto& [bucket, open] : service.open) {
-      const bool decides = open->role == bucket_role::kOwner ||
-                           open->role == bucket_role::kHandingOver;
+    for (const open_bucket* open : service.open.all()) {
       const bool released = open->released_at != time_point() && last_tick_ &&
                             *last_tick_ - open->released_at < kReleaseTime;
-      if (!decides && !released) {
+      if (!open->decides() && !released) {
         continue;
       }
-      part.buckets.push_back(MakeRecord(service, bucket, open.get()));
+      part.buckets.push_back(MakeRecord(service, open->bucket, open));
       if (EstimateFlowMessage(part) >= kMaxBatchBytes) {
         parts.push_back(
             std::exchange(part, MakeMessage(flow_message_kind::kSyncReply, i)));
@@ -471,7 +467,7 @@
   }
   requests_sent_ = now;
   for (std::uint32_t i = 0; i < services_.size(); ++i) {
-    for (auto& [bucket, open] : services_[i]->open) {
+    for (open_bucket* open : services_[i]->open.all()) {
       if (open->role != bucket_role::kAwaiting) {
         continue;
       }
@@ -481,7 +477,7 @@
       }
       if (HasBudget()) {
         Batch(open->previous, flow_message_kind::kHandoverRequest, i)
-            .buckets.push_back({bucket, 0, 0, true});
+            .buckets.push_back({open->bucket, 0, 0, true});
       }
     }
   }
--- a/src/packets/service_state.cc
+++ b/src/packets/service_state.cc
@@ -99,7 +99,7 @@
   if (first) {
     floor = current;
     steady = current;
-    open.clear();
+    open.Clear();
   }
   std::vector<std::uint32_t> changed;
   for (std::uint32_t bucket = 0; bucket < current.size(); ++bucket) {
@@ -153,8 +153,7 @@
 }
 
 open_bucket* service_state::FindOpen(std::uint32_t bucket) {
-  const auto found = open.find(bucket);
-  return found == open.end() ? nullptr : found->second.get();
+  return open.Find(bucket);
 }
 
 }  // namespace rosemaryreach
--- a/src/packets/service_state.h
+++ b/src/packets/service_state.h
@@ -54,6 +54,13 @@
 
 // A bucket whose packets all pass through its owner.
 struct open_bucket {
+  // Returns whether this router decides about the bucket's packets.
+  bool decides() const {
+    return role == bucket_role::kOwner || role == bucket_role::kHandingOver;
+  }
+
+  pin_table pins;
+  std::uint32_t bucket = 0;
   bucket_role role = bucket_role::kRemote;
   bool announced = false;   // all peers know that the bucket is open
   bool replicated = false;  // the successor has been sent all pins
@@ -67,7 +74,47 @@
   time_point unpinned_seen;  // last packet of a flow that the floor serves
   time_point released_at;    // handed over to the owner
   time_point refreshed_at;   // pins streamed to the successor
-  pin_table pins;
+  std::size_t position = 0;  // in open_buckets::all()
+};
+
+// The open buckets of a service, found by number in one step.
+class open_buckets {
+ public:
+  // Returns the open bucket, or nullptr.
+  open_bucket* Find(std::uint32_t bucket) {
+    return slots_.empty() ? nullptr : slots_[bucket].get();
+  }
+
+  // Opens `bucket` of `buckets`; it must not be open.
+  open_bucket& Add(std::uint32_t bucket, std::size_t buckets) {
+    slots_.resize(buckets);
+    slots_[bucket] = std::make_unique<open_bucket>();
+    open_bucket& added = *slots_[bucket];
+    added.bucket = bucket;
+    added.position = all_.size();
+    all_.push_back(&added);
+    return added;
+  }
+
+  void Erase(std::uint32_t bucket) {
+    const std::size_t position = slots_[bucket]->position;
+    all_[position] = all_.back();
+    all_[position]->position = position;
+    all_.pop_back();
+    slots_[bucket].reset();
+  }
+
+  void Clear() {
+    all_.clear();
+    slots_.clear();
+  }
+
+  // Returns all open buckets, in no particular order.
+  const std::vector<open_bucket*>& all() const { return all_; }
+
+ private:
+  std::vector<std::unique_ptr<open_bucket>> slots_;
+  std::vector<open_bucket*> all_;
 };
 
 // Steady table value of a bucket that is open.
@@ -113,8 +160,8 @@
   std::vector<std::uint16_t> current;  // by the configuration in force
   std::vector<std::uint16_t> floor;    // of flows without a pin
   std::vector<std::uint16_t> steady;   // floor, or kOpenBucket
-  absl::flat_hash_map<std::uint32_t, std::unique_ptr<open_bucket>> open;
-  std::uint32_t sweep_at = 0;  // next bucket to look for expired pins
+  open_buckets open;
+  std::size_t sweep_at = 0;  // next of open.all() to look for expired pins
 
  private:
   void TakeTargets(const configuration& config, const service_config& service);
