--- a/bench/bench_cost.cc
+++ b/bench/bench_cost.cc
@@ -141,13 +141,13 @@
   }
 }
 
-void BM_RouteSteady(benchmark::State& state) {
+void RouteSteady(benchmark::State& state) {
   router_under_test test(false);
   const std::uint32_t flows = static_cast<std::uint32_t>(state.range(0));
   RouteAll(state, test, MakePackets(flows, true), flow_action::kTarget);
 }
 
-void BM_RoutePinned(benchmark::State& state) {
+void RoutePinned(benchmark::State& state) {
   router_under_test test(true);
   const std::uint32_t flows = static_cast<std::uint32_t>(state.range(0));
   test.Open(flows);
@@ -155,14 +155,14 @@
   state.counters["pins"] = static_cast<double>(test.router->stats().pins);
 }
 
-void BM_RouteUnknown(benchmark::State& state) {
+void RouteUnknown(benchmark::State& state) {
   router_under_test test(true);
   const std::uint32_t flows = static_cast<std::uint32_t>(state.range(0));
   test.Open(flows);
   RouteAll(state, test, MakePackets(flows, false), flow_action::kTarget);
 }
 
-void BM_RouteDetoured(benchmark::State& state) {
+void RouteDetoured(benchmark::State& state) {
   router_under_test test(true, 8);
   const std::uint32_t flows = static_cast<std::uint32_t>(state.range(0));
   std::vector<packet_info> packets;
@@ -178,7 +178,7 @@
   RouteAll(state, test, packets, flow_action::kDetour);
 }
 
-void BM_ParsePacket(benchmark::State& state) {
+void ParseTcpPacket(benchmark::State& state) {
   std::vector<std::uint8_t> packet(1'400);
   packet[0] = 0x45;
   packet[2] = 1'400 >> 8;
@@ -192,7 +192,7 @@
   }
 }
 
-void BM_BytesOfAPin(benchmark::State& state) {
+void BytesOfAPin(benchmark::State& state) {
   const std::uint32_t flows = static_cast<std::uint32_t>(state.range(0));
   double bytes = 0;
   for (auto step : state) {
@@ -210,7 +210,7 @@
   }
 }
 
-void BM_BuildTable(benchmark::State& state) {
+void BuildTable(benchmark::State& state) {
   std::vector<bucket_entry> entries;
   for (std::int64_t i = 0; i < state.range(0); ++i) {
     entries.push_back({HashPair(i, 17), 100});
@@ -220,17 +220,17 @@
   }
 }
 
-BENCHMARK(BM_ParsePacket);
-BENCHMARK(BM_RouteSteady)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
-BENCHMARK(BM_RoutePinned)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
-BENCHMARK(BM_RouteUnknown)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
-BENCHMARK(BM_RouteDetoured)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
-BENCHMARK(BM_BytesOfAPin)
+BENCHMARK(ParseTcpPacket);
+BENCHMARK(RouteSteady)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
+BENCHMARK(RoutePinned)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
+BENCHMARK(RouteUnknown)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
+BENCHMARK(RouteDetoured)->Arg(10'000)->Arg(1'000'000)->Arg(5'000'000);
+BENCHMARK(BytesOfAPin)
     ->Arg(1'000'000)
     ->Arg(5'000'000)
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_BuildTable)
+BENCHMARK(BuildTable)
     ->Arg(15)
     ->Arg(1'000)
     ->Arg(12'000)
