Give the router tests a view of the fleet

Since a router without a view drops packets, the search for a flow of one target never ended. The fixture now has a view, the search an end, and a new case checks the drop.

--- a/tests/flow_router_test.cc
+++ b/tests/flow_router_test.cc
@@ -70,6 +70,7 @@
                           flow_router_options options = {})
       : router(options, log) {
     Apply(config);
+    router.ApplyView(View({config.number}), now);
   }
 
   void Apply(const configuration& config) {
@@ -103,12 +104,17 @@
 
   // Returns the first flow from `from` on that goes to `target`.
   std::uint16_t FlowTo(const std::string& target, std::uint16_t from = 1) {
-    while (Route(from, false).target != target) {
-      ++from;
+    for (std::uint16_t flow = from; flow < from + kMaxTries; ++flow) {
+      if (Route(flow, false).target == target) {
+        return flow;
+      }
     }
-    return from;
+    FAIL("no flow goes to " << target);
+    return 0;
   }
 
+  static constexpr int kMaxTries = 1'000;
+
   null_log log;
   flow_router router;
   std::vector<flow_outgoing> sent;
@@ -135,6 +141,17 @@
         Address(8, 8));
 }
 
+TEST_CASE("without a view of the fleet nothing is forwarded") {
+  null_log log;
+  flow_router router({}, log);
+  const router_fixture fixture;
+  router.ApplyConfiguration(std::make_shared<configuration>(Config(1)),
+                            fixture.now);
+  CHECK(router.Route(fixture.Packet(1, true), nullptr, fixture.now).rule ==
+        "no_view");
+  CHECK_FALSE(router.synchronized());
+}
+
 TEST_CASE("a service is known by address, port and protocol") {
   router_fixture fixture;
   fixture.protocol = transport_protocol::kUdp;
