Hold callers to limits and test faults of targets

Cause: frames that stop in mid-header went unnoticed when their first fields were wrong, since nghttp2 tells of these before the frame has ended. Change: the frame timeout goes on then; requests from before the headers ended are closed in time. Tests drive cancels, deadlines, cuts, silent targets, a graceful stop, floods and hostile frames over loopback.

--- a/src/adapters/h2_session.cc
+++ b/src/adapters/h2_session.cc
@@ -60,7 +60,9 @@
                         const nghttp2_frame_hd* header,
                         void* user) {
     h2_connection& self = Self(user);
-    if (header->type != NGHTTP2_DATA && !self.frame_started_) {
+    if (header->type == NGHTTP2_DATA) {
+      self.frame_started_.reset();
+    } else if (header->type != NGHTTP2_CONTINUATION) {
       self.frame_started_ = self.loop_.now();
     }
     return self.WithinControlLimit(*header) ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
@@ -99,9 +101,12 @@
 
   static int InvalidFrame(nghttp2_session* /*session*/,
                           const nghttp2_frame* /*frame*/,
-                          int /*code*/,
+                          int code,
                           void* user) {
-    Self(user).frame_started_.reset();
+    // Wrong fields are told of while the rest of their frame is still to come.
+    if (code != NGHTTP2_ERR_HTTP_HEADER) {
+      Self(user).frame_started_.reset();
+    }
     return 0;
   }
 
--- a/src/adapters/request_task.cc
+++ b/src/adapters/request_task.cc
@@ -299,6 +299,9 @@
   request_task_stats now = counters;
   now.caller_connections = server_connections_.size();
   now.requests = exchanges_.size();
+  for (const std::unique_ptr<h2_connection>& connection : server_connections_) {
+    now.output_bytes += connection->output_bytes();
+  }
   for (const auto& [remote, list] : upstreams_) {
     now.upstream_connections += list.size();
   }
--- a/src/adapters/request_task.h
+++ b/src/adapters/request_task.h
@@ -23,11 +23,11 @@
 
 struct request_task_settings {
   // Endpoints for callers; port 0 takes any free port.
-  std::vector<endpoint> callers;
+  std::vector<endpoint> callers{};
   // Endpoint for requests that peers forward.
-  endpoint peers;
-  router_options router;
-  h2_limits caller_limits;
+  endpoint peers{};
+  router_options router{};
+  h2_limits caller_limits{};
   h2_limits peer_limits{.max_streams = 4'096};
   h2_limits upstream_limits{.stream_window_bytes = 128 * 1'024,
                             .idle_timeout = std::chrono::minutes(1),
@@ -63,6 +63,8 @@
   std::uint64_t cut_total = 0;
   std::size_t buffered_bytes = 0;
   std::size_t peak_buffered_bytes = 0;
+  // Waiting for callers' and peers' sockets.
+  std::size_t output_bytes = 0;
 };
 
 // All calls are made on the loop's thread; others use event_loop::Post().
--- /dev/null
+++ b/tests/h2_connection_test.cc
@@ -0,0 +1,210 @@
+// Limits of a connection towards callers that break or abuse HTTP/2.
+#include "adapters/h2_connection.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "raw_caller.h"
+#include "request_plane.h"
+
+namespace rosemaryreach {
+namespace {
+
+using standins::h2_call;
+using standins::h2_client;
+
+using call_ptr = std::shared_ptr<h2_call>;
+
+constexpr std::uint8_t kPriority = 2;
+constexpr std::uint8_t kSettings = 4;
+constexpr std::uint8_t kPing = 6;
+constexpr std::uint8_t kWindowUpdate = 8;
+constexpr std::uint8_t kContinuation = 9;
+constexpr std::uint8_t kHeaders = 1;
+constexpr std::uint8_t kReset = 3;
+// :method GET, :scheme http, :path /, :authority pots.
+constexpr std::string_view kRequestFields = "\x82\x86\x84\x41\x04pots";
+
+request_plane& SharedPlane() {
+  static request_plane plane(
+      {.task = {.caller_limits = {
+                    .preface_timeout = std::chrono::milliseconds(300),
+                    .frame_timeout = std::chrono::milliseconds(300),
+                    .idle_timeout = std::chrono::seconds(1),
+                }}});
+  return plane;
+}
+
+endpoint CallerEndpoint(const request_plane& plane) {
+  return plane.tasks[0]->caller_endpoints().front();
+}
+
+std::string Opening() {
+  return std::string(kPreface) + RawFrame(kSettings, 0, 0, "");
+}
+
+std::string Repeat(const std::string& frame, int count) {
+  std::string all;
+  for (int i = 0; i < count; ++i) {
+    all += frame;
+  }
+  return all;
+}
+
+// Sends `bytes` and serves until the connection closes.
+void ExpectClosed(const std::string& bytes) {
+  request_plane& plane = SharedPlane();
+  raw_caller caller(CallerEndpoint(plane));
+  REQUIRE(caller.connected());
+  caller.Send(bytes);
+  plane.RunUntil([&] { return caller.Closed(); });
+  const std::unique_ptr<h2_client> other = plane.Caller();
+  CHECK(plane.Call(*other, {.path = "/bytes/1"})->Succeeded());
+}
+
+TEST_CASE("a caller that sends nothing is closed") {
+  ExpectClosed("");
+}
+
+TEST_CASE("a caller that isn't HTTP/2 is closed") {
+  ExpectClosed("GET / HTTP/1.1\r\nhost: pots\r\n\r\n");
+}
+
+TEST_CASE("a caller that stops in mid-header is closed") {
+  const std::string headers = RawFrame(kHeaders, 0, 1, std::string(64, '\x82'));
+  ExpectClosed(Opening() + headers.substr(0, 20));
+}
+
+TEST_CASE("a caller that stops between header frames is closed") {
+  request_plane plane(
+      {.task = {.caller_limits = {.frame_timeout =
+                                      std::chrono::milliseconds(200)}}});
+  raw_caller caller(CallerEndpoint(plane));
+  caller.Send(Opening() + RawFrame(kHeaders, 0, 1, kRequestFields));
+  plane.RunUntil([&] { return caller.Closed(); });
+}
+
+TEST_CASE("a caller without requests is closed after a while") {
+  ExpectClosed(Opening());
+}
+
+TEST_CASE("a flood of pings closes its connection") {
+  ExpectClosed(Opening() + Repeat(RawFrame(kPing, 0, 0, "12345678"), 1'000));
+}
+
+TEST_CASE("a flood of settings closes its connection") {
+  ExpectClosed(Opening() + Repeat(RawFrame(kSettings, 0, 0, ""), 1'000));
+}
+
+TEST_CASE("a flood of priorities closes its connection") {
+  ExpectClosed(Opening() +
+               Repeat(RawFrame(kPriority, 0, 1, {"\0\0\0\3\1", 5}), 1'000));
+}
+
+TEST_CASE("a flood of continuations closes its connection") {
+  ExpectClosed(Opening() + RawFrame(kHeaders, 0, 1, "\x82") +
+               Repeat(RawFrame(kContinuation, 0, 1, ""), 1'000));
+}
+
+TEST_CASE("a flood of resets closes its connection") {
+  std::string flood = Opening();
+  for (std::uint32_t stream = 1; stream < 4'000; stream += 2) {
+    flood += RawFrame(kHeaders, 5, stream, kRequestFields);
+    flood += RawFrame(kReset, 0, stream, {"\0\0\0\x8", 4});
+  }
+  ExpectClosed(flood);
+  CHECK(SharedPlane().targets[0]->stats().started < 2'000);
+}
+
+TEST_CASE("too long a header list is refused") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      plane.Call(*caller, {.headers = {{"x-long", std::string(20'000, 'x')}}});
+  CHECK(call->Header(":status") == "431");
+  CHECK(call->Header("rosemaryreach-run") == "not-run");
+  CHECK(plane.Call(*caller, {.path = "/bytes/1"})->Succeeded());
+}
+
+TEST_CASE("streams above the limit wait for no target") {
+  request_plane plane({.task = {.caller_limits = {.max_streams = 4}}});
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  plane.Call(*caller, {.path = "/bytes/1"});
+  std::vector<call_ptr> calls;
+  calls.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    calls.push_back(caller->Start({.method = "POST", .path = "/never"}));
+  }
+  plane.RunFor(std::chrono::milliseconds(50));
+  CHECK(plane.tasks[0]->stats().requests == 4);
+}
+
+TEST_CASE("a caller that opens its windows and reads nothing costs little") {
+  constexpr std::size_t kMaxOutputBytes = 128 * 1'024;
+  request_plane plane;
+  raw_caller caller(CallerEndpoint(plane));
+  // SETTINGS_INITIAL_WINDOW_SIZE and the connection's window, near 2^31.
+  caller.Send(std::string(kPreface) +
+              RawFrame(kSettings, 0, 0, {"\0\4\x7f\xff\xff\xff", 6}) +
+              RawFrame(kWindowUpdate, 0, 0, {"\x7f\xf0\0\0", 4}) +
+              RawFrame(kHeaders, 5, 1, "\x82\x86\x41\x04pots\x44\x08/endless"));
+  plane.RunUntil([&] { return plane.targets[0]->stats().running == 1; });
+  const std::unique_ptr<h2_client> other = plane.Caller();
+  CHECK(plane.Call(*other, {.path = "/bytes/50000000"})->Succeeded());
+  const request_task_stats stats = plane.tasks[0]->stats();
+  CHECK(stats.output_bytes > 0);
+  CHECK(stats.output_bytes <= kMaxOutputBytes);
+  CHECK(stats.peak_buffered_bytes <=
+        2 * request_task_settings().upstream_limits.stream_window_bytes);
+}
+
+// A frame of any type, sound in its length only.
+std::string AnyFrame() {
+  const std::uint8_t type = *rc::gen::inRange<std::uint8_t>(0, 12);
+  const std::uint8_t flags = *rc::gen::arbitrary<std::uint8_t>();
+  const std::uint32_t stream = *rc::gen::inRange<std::uint32_t>(0, 8);
+  const std::string payload = *rc::gen::container<std::string>(
+      *rc::gen::inRange<std::size_t>(0, 64), rc::gen::arbitrary<char>());
+  return RawFrame(type, flags, stream, payload);
+}
+
+TEST_CASE("hostile frames harm no other connection") {
+  request_plane& plane = SharedPlane();
+  const std::unique_ptr<h2_client> bystander = plane.Caller();
+  const bool held = rc::check("frames of any kind", [&] {
+    raw_caller hostile(CallerEndpoint(plane));
+    std::string bytes = Opening();
+    const int frames = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < frames; ++i) {
+      bytes += AnyFrame();
+    }
+    hostile.Send(bytes);
+    RC_ASSERT(plane.Call(*bystander, {.path = "/bytes/1"})->Succeeded());
+  });
+  CHECK(held);
+}
+
+TEST_CASE("mutated requests harm no other connection") {
+  request_plane& plane = SharedPlane();
+  const std::unique_ptr<h2_client> bystander = plane.Caller();
+  const std::string request = Opening() +
+                              RawFrame(kHeaders, 4, 1, kRequestFields) +
+                              RawFrame(0, 1, 1, "body");
+  const bool held = rc::check("octets changed at random", [&] {
+    raw_caller hostile(CallerEndpoint(plane));
+    std::string bytes = request;
+    const int changes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < changes; ++i) {
+      const std::size_t at = *rc::gen::inRange(kPreface.size(), bytes.size());
+      bytes[at] = *rc::gen::arbitrary<char>();
+    }
+    hostile.Send(bytes);
+    RC_ASSERT(plane.Call(*bystander, {.path = "/bytes/1"})->Succeeded());
+  });
+  CHECK(held);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- a/tests/request_plane.h
+++ b/tests/request_plane.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "adapters/request_task.h"
+#include "adapters/request_task_headers.h"
 #include "standins/h2_client.h"
 #include "standins/target_server.h"
 
@@ -26,9 +27,9 @@
   std::size_t instances = 1;
   std::size_t targets = 1;
   std::uint32_t slots = 64;
-  standins::target_options target;
-  request_task_settings task;
-  request_rules rules;
+  standins::target_options target{};
+  request_task_settings task{};
+  request_rules rules{};
 };
 
 inline endpoint Loopback() {
@@ -50,7 +51,7 @@
     Configure();
     confirm_.StartEvery(std::chrono::milliseconds(100));
     // Instances take their targets over once no other may hold them.
-    RunFor(std::chrono::milliseconds(50));
+    RunFor(std::chrono::milliseconds(400));
   }
 
   // Serves events until `done`; fails the test after a generous time.
@@ -84,6 +85,21 @@
     return call;
   }
 
+  // Makes `count` calls, which earn retries.
+  void WarmUp(std::size_t count) {
+    const std::unique_ptr<standins::h2_client> caller = Caller();
+    for (std::size_t i = 0; i < count; ++i) {
+      REQUIRE(Call(*caller, {.path = "/bytes/1"})->Succeeded());
+    }
+  }
+
+  // Announces that the instance leaves, and begins its stop.
+  void Stop(std::size_t instance) {
+    infos_[instance].state = instance_state::kLeaving;
+    Configure();
+    tasks[instance]->BeginStop();
+  }
+
   void Configure() {
     config.number += 1;
     config.data_centres = {{"dc", "region", data_centre_state::kIn}};
--- /dev/null
+++ b/tests/request_task_faults_test.cc
@@ -0,0 +1,153 @@
+// Targets that refuse, die, fall silent or drain under request_task.
+#include <catch2/catch.hpp>
+#include <list>
+
+#include "adapters/request_task.h"
+#include "request_plane.h"
+
+namespace rosemaryreach {
+namespace {
+
+using standins::h2_call;
+using standins::h2_client;
+
+using call_ptr = std::shared_ptr<h2_call>;
+
+TEST_CASE("an answer cut by a reset is passed on as a reset") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call = plane.Call(*caller, {.path = "/cut/100000"});
+  CHECK_FALSE(call->ended);
+  CHECK(call->close->code == NGHTTP2_INTERNAL_ERROR);
+}
+
+TEST_CASE("an answer cut by a dying target is passed on as a reset") {
+  request_plane plane({.targets = 2});
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call = plane.Call(*caller, {.path = "/die/100000"});
+  CHECK_FALSE(call->ended);
+  CHECK(call->close->code == NGHTTP2_INTERNAL_ERROR);
+  CHECK(plane.Call(*caller, {.path = "/bytes/1"})->Succeeded());
+}
+
+TEST_CASE("a refusal by the only target is told as not run") {
+  request_plane plane;
+  plane.targets[0]->Shed(true);
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      plane.Call(*caller, {.method = "POST",
+                           .path = "/bytes/1",
+                           .headers = {{"rosemaryreach-timeout-ms", "500"}}});
+  CHECK(call->Header(":status") == "503");
+  CHECK(call->Header("rosemaryreach-run") == "not-run");
+  CHECK(plane.targets[0]->stats().started == 0);
+}
+
+TEST_CASE("a non-repeatable request lost at its target is not repeated") {
+  request_plane plane({.targets = 2});
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call = caller->Start(
+      {.method = "POST", .path = "/never", .headers = {{"x-request-id", "b"}}});
+  const auto runs = [&] {
+    return plane.targets[0]->RunsOf("b") + plane.targets[1]->RunsOf("b");
+  };
+  plane.RunUntil([&] { return runs() == 1; });
+  const std::size_t ran = plane.targets[0]->RunsOf("b") == 1 ? 0 : 1;
+  plane.targets[ran]->Die();
+  plane.RunUntil([&] { return call->close.has_value(); });
+  CHECK(call->Header(":status") == "502");
+  CHECK(call->Header("rosemaryreach-run") == "unknown");
+  CHECK(runs() == 1);
+}
+
+TEST_CASE("an idempotent request lost at its target runs at another") {
+  request_plane plane({.targets = 2});
+  plane.WarmUp(20);
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      caller->Start({.path = "/slow/300", .headers = {{"x-request-id", "g"}}});
+  plane.RunUntil([&] {
+    return plane.targets[0]->RunsOf("g") + plane.targets[1]->RunsOf("g") == 1;
+  });
+  const std::size_t ran = plane.targets[0]->RunsOf("g") == 1 ? 0 : 1;
+  plane.targets[ran]->Die();
+  plane.RunUntil([&] { return call->close.has_value(); });
+  CHECK(call->Succeeded());
+  CHECK(plane.targets[1 - ran]->RunsOf("g") == 1);
+}
+
+TEST_CASE("a draining target finishes what it has and gets a new connection") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr running =
+      caller->Start({.method = "POST", .path = "/slow/1500"});
+  plane.RunUntil([&] { return plane.targets[0]->stats().running == 1; });
+  plane.targets[0]->Drain();
+  plane.RunFor(std::chrono::milliseconds(700));
+  CHECK(
+      plane.Call(*caller, {.method = "POST", .path = "/bytes/1"})->Succeeded());
+  plane.RunUntil([&] { return running->close.has_value(); });
+  CHECK(running->Succeeded());
+}
+
+TEST_CASE("a silent target is found out and its work settled") {
+  request_plane plane;
+  // Accepts connections and never reads or writes.
+  std::list<int> held;
+  result<std::unique_ptr<h2_listener>> silent = h2_listener::Listen(
+      plane.loop, Loopback(),
+      [&held](int descriptor) { held.push_back(descriptor); });
+  REQUIRE(silent);
+  plane.config.services[0].targets[0].address = silent.value()->local();
+  plane.config.number += 1;
+  plane.tasks[0]->ApplyConfiguration(
+      std::make_shared<configuration>(plane.config));
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      plane.Call(*caller, {.method = "POST",
+                           .path = "/bytes/1",
+                           .headers = {{"rosemaryreach-timeout-ms", "30000"}}});
+  CHECK(call->Header(":status") == "502");
+  CHECK(call->Header("rosemaryreach-run") == "unknown");
+  for (const int descriptor : held) {
+    close(descriptor);
+  }
+}
+
+TEST_CASE("an unreachable target is told as not run") {
+  request_plane plane;
+  plane.targets[0]->Die();
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      plane.Call(*caller, {.method = "POST",
+                           .path = "/bytes/1",
+                           .headers = {{"rosemaryreach-timeout-ms", "1000"}}});
+  CHECK(call->Header("rosemaryreach-run") == "not-run");
+}
+
+TEST_CASE("requests pass through the owner of the target") {
+  request_plane plane({.instances = 3, .targets = 1});
+  for (std::size_t i = 0; i < 3; ++i) {
+    const std::unique_ptr<h2_client> caller = plane.Caller(i);
+    const call_ptr call =
+        plane.Call(*caller, {.method = "POST", .upload_bytes = 200'000});
+    CHECK(call->Succeeded());
+    CHECK(call->body_bytes == 200'000);
+    CHECK(call->Header("rosemaryreach-load").empty());
+  }
+}
+
+TEST_CASE("a cancel passes through the owner of the target") {
+  request_plane plane({.instances = 3, .targets = 1});
+  for (std::size_t i = 0; i < 3; ++i) {
+    const std::unique_ptr<h2_client> caller = plane.Caller(i);
+    const call_ptr call = caller->Start({.method = "POST", .path = "/never"});
+    plane.RunUntil([&] { return plane.targets[0]->stats().running == 1; });
+    caller->Cancel(*call);
+    plane.RunUntil(
+        [&] { return plane.targets[0]->stats().cancelled == i + 1; });
+  }
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/request_task_headers_test.cc
@@ -0,0 +1,88 @@
+#include "adapters/request_task_headers.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("grpc-timeout is read in all its units") {
+  CHECK(ParseGrpcTimeout("1H") == duration(std::chrono::hours(1)));
+  CHECK(ParseGrpcTimeout("2M") == duration(std::chrono::minutes(2)));
+  CHECK(ParseGrpcTimeout("3S") == duration(seconds(3)));
+  CHECK(ParseGrpcTimeout("4m") == duration(milliseconds(4)));
+  CHECK(ParseGrpcTimeout("5u") == duration(5));
+  CHECK(ParseGrpcTimeout("1500n") == duration(2));
+}
+
+TEST_CASE("a wrong grpc-timeout is no timeout") {
+  for (const char* const text :
+       {"", "S", "1", "-1S", "1x", "1.5S", "123456789S", "+1S", " 1S"}) {
+    CHECK_FALSE(ParseGrpcTimeout(text));
+  }
+}
+
+TEST_CASE("a long grpc-timeout does not overflow") {
+  CHECK(ParseGrpcTimeout("99999999H") == duration(std::chrono::hours(24)));
+}
+
+TEST_CASE("a formatted grpc-timeout is never longer than what is left") {
+  CHECK(rc::check("round trip", [] {
+    const duration left(*rc::gen::inRange<std::int64_t>(1, 86'400'000'000));
+    const std::string text = FormatGrpcTimeout(left);
+    const std::optional<duration> read = ParseGrpcTimeout(text);
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(*read <= left);
+    RC_ASSERT(left - *read < duration(milliseconds(1)));
+  }));
+}
+
+TEST_CASE("the shorter timeout counts") {
+  CHECK(TimeoutOf(
+            {{"grpc-timeout", "1S"}, {"rosemaryreach-timeout-ms", "300"}}) ==
+        duration(milliseconds(300)));
+  CHECK(TimeoutOf({}) == duration::zero());
+  CHECK(TimeoutOf({{"rosemaryreach-timeout-ms", "0"}}) == duration(1));
+}
+
+TEST_CASE("only an answer that says not-run invites a repeat") {
+  for (int i = 0; i <= static_cast<int>(answer_condition::kStopping); ++i) {
+    const answer_condition condition = static_cast<answer_condition>(i);
+    const own_answer unknown =
+        AnswerTo({{}, condition, run_state::kUnknown, true, {}});
+    CHECK(unknown.grpc_status != 14);
+    const own_answer not_run =
+        AnswerTo({{}, condition, run_state::kNotRun, false, seconds(2)});
+    const h2_headers headers = AnswerHeaders(not_run, false);
+    CHECK(FindHeader(headers, "rosemaryreach-run") == "not-run");
+    CHECK(FindHeader(headers, "retry-after") == "2");
+  }
+}
+
+TEST_CASE("what a peer refuses is told apart by how far it came") {
+  const own_answer refused =
+      AnswerTo({{}, answer_condition::kOverloaded, run_state::kNotRun, {}, {}});
+  h2_headers headers = AnswerHeaders(refused, true);
+  CHECK(EndFromPeer(headers) == attempt_end::kUnsent);
+  headers.push_back({"rosemaryreach-reached", "1"});
+  CHECK(EndFromPeer(headers) == attempt_end::kRefused);
+  const own_answer unknown = AnswerTo(
+      {{}, answer_condition::kTargetFailed, run_state::kUnknown, true, {}});
+  CHECK(EndFromPeer(AnswerHeaders(unknown, false)) == attempt_end::kReset);
+  CHECK_FALSE(EndFromPeer({{":status", "503"}}));
+}
+
+TEST_CASE("a load header survives its round trip and nothing else is one") {
+  const peer_load load{7, 3, 12};
+  CHECK(ParseLoad(FormatLoad(load)) == load);
+  for (const char* const text : {"", "1,2", "1,2,3,", "1,2,x", "1;2;3"}) {
+    CHECK_FALSE(ParseLoad(text));
+  }
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- a/tests/request_task_test.cc
+++ b/tests/request_task_test.cc
@@ -1,6 +1,7 @@
 #include "adapters/request_task.h"
 
 #include <catch2/catch.hpp>
+#include <random>
 
 #include "request_plane.h"
 
@@ -18,7 +19,7 @@
   const call_ptr call = plane.Call(*caller, {.method = "POST",
                                              .headers = {{"x-request-id", "7"}},
                                              .upload_bytes = 300'000});
-  CHECK(call->whole());
+  CHECK(call->Succeeded());
   CHECK(call->Header(":status") == "200");
   CHECK(call->Header("x-request-id") == "7");
   CHECK(call->Header("rosemaryreach-run") == "run");
@@ -29,9 +30,186 @@
   request_plane plane;
   const std::unique_ptr<h2_client> caller = plane.Caller();
   const call_ptr call = plane.Call(*caller, {.path = "/trailers"});
-  CHECK(call->whole());
+  CHECK(call->Succeeded());
   CHECK(FindHeader(call->trailers, "x-checksum") == "abc");
 }
 
+TEST_CASE("a caller's cancel reaches the target and frees its slot") {
+  request_plane plane({.slots = 1});
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call = caller->Start({.method = "POST", .path = "/never"});
+  plane.RunUntil([&] { return plane.targets[0]->stats().running == 1; });
+  caller->Cancel(*call);
+  plane.RunUntil([&] { return plane.targets[0]->stats().cancelled == 1; });
+  const call_ptr next = plane.Call(*caller, {.path = "/bytes/1"});
+  CHECK(next->Succeeded());
+  CHECK(plane.targets[0]->stats().peak_running == 1);
+}
+
+TEST_CASE("a passed deadline is answered and cancelled at the target") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      plane.Call(*caller, {.method = "POST",
+                           .path = "/never",
+                           .headers = {{"rosemaryreach-timeout-ms", "100"}}});
+  CHECK(call->Header(":status") == "504");
+  CHECK(call->Header("rosemaryreach-run") == "unknown");
+  plane.RunUntil([&] { return plane.targets[0]->stats().cancelled == 1; });
+}
+
+TEST_CASE("targets get what is left of the deadline") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  plane.Call(*caller, {.method = "POST",
+                       .path = "/bytes/1",
+                       .headers = {{"grpc-timeout", "3S"},
+                                   {"content-type", "application/grpc"}}});
+  const h2_headers& seen = plane.targets[0]->last_headers();
+  const std::optional<duration> left =
+      ParseGrpcTimeout(FindHeader(seen, "grpc-timeout"));
+  REQUIRE(left);
+  CHECK(*left <= std::chrono::seconds(3));
+  CHECK(*left > std::chrono::seconds(1));
+  CHECK(TimeoutOf(seen) <= std::chrono::seconds(3));
+}
+
+TEST_CASE("gRPC callers get errors as trailers only") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      plane.Call(*caller, {.method = "POST",
+                           .path = "/never",
+                           .headers = {{"content-type", "application/grpc"},
+                                       {"grpc-timeout", "50m"}}});
+  CHECK(call->Header(":status") == "200");
+  CHECK(call->Header("grpc-status") == "4");
+  CHECK(call->Header("rosemaryreach-run") == "unknown");
+  CHECK(call->body_bytes == 0);
+}
+
+TEST_CASE("a download of 1 GiB passes with bounded buffers") {
+  constexpr std::uint64_t kGibibyte = 1'024ULL * 1'024 * 1'024;
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call =
+      plane.Call(*caller, {.path = "/bytes/" + std::to_string(kGibibyte)});
+  CHECK(call->Succeeded());
+  CHECK(call->body_bytes == kGibibyte);
+  const request_task_settings settings;
+  CHECK(plane.tasks[0]->stats().peak_buffered_bytes <=
+        settings.upstream_limits.stream_window_bytes);
+  CHECK(plane.tasks[0]->stats().buffered_bytes == 0);
+}
+
+TEST_CASE("an upload of 64 MiB passes with bounded buffers") {
+  constexpr std::uint64_t kUpload = 64ULL * 1'024 * 1'024;
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr call = plane.Call(
+      *caller,
+      {.method = "POST", .path = "/slow/500", .upload_bytes = kUpload});
+  CHECK(call->Succeeded());
+  const request_task_settings settings;
+  CHECK(plane.tasks[0]->stats().peak_buffered_bytes <=
+        settings.replay_bytes + settings.caller_limits.stream_window_bytes);
+}
+
+TEST_CASE("a stalled download holds neither memory nor its neighbours") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr stalled = caller->Start({.path = "/endless", .paused = true});
+  plane.RunUntil([&] { return stalled->body_bytes > 0; });
+  for (int i = 0; i < 20; ++i) {
+    CHECK(plane.Call(*caller, {.path = "/bytes/1000000"})->Succeeded());
+  }
+  const request_task_settings settings;
+  CHECK(plane.tasks[0]->stats().peak_buffered_bytes <=
+        2 * settings.upstream_limits.stream_window_bytes);
+  CHECK_FALSE(stalled->close);
+  stalled->Resume();
+  const std::uint64_t before = stalled->body_bytes;
+  plane.RunUntil([&] { return stalled->body_bytes > before + 1'000'000; });
+}
+
+TEST_CASE("each of many interleaved callers gets its own answer") {
+  request_plane plane({.instances = 2, .targets = 4});
+  std::vector<std::unique_ptr<h2_client>> callers;
+  std::vector<std::pair<std::string, call_ptr>> calls;
+  std::mt19937 random(1);
+  callers.reserve(8);
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(plane.Caller(i % 2));
+  }
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = std::to_string(i);
+    calls.emplace_back(id,
+                       callers[i % callers.size()]->Start(
+                           {.path = "/slow/" + std::to_string(random() % 50),
+                            .headers = {{"x-request-id", id}}}));
+  }
+  plane.RunUntil([&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& one) {
+      return one.second->close.has_value();
+    });
+  });
+  for (const auto& [id, call] : calls) {
+    CHECK(call->Succeeded());
+    CHECK(call->Header("x-request-id") == id);
+  }
+}
+
+TEST_CASE("a graceful stop lets a download finish and takes no new work") {
+  request_plane plane({.instances = 2, .targets = 2});
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  const call_ptr download =
+      caller->Start({.path = "/bytes/50000000", .paused = true});
+  plane.RunUntil([&] { return download->body_bytes > 0; });
+  plane.Stop(0);
+  plane.RunUntil([&] { return caller->draining(); });
+  const call_ptr late = plane.Call(*caller, {.path = "/bytes/1"});
+  CHECK(late->close->code == NGHTTP2_REFUSED_STREAM);
+  CHECK(plane.stopped == 0);
+  download->Resume();
+  plane.RunUntil([&] { return plane.stopped == 1; });
+  CHECK(download->Succeeded());
+  CHECK(download->body_bytes == 50'000'000);
+}
+
+TEST_CASE("a service is found by its address or its name alone") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  plane.config.services[0].addresses.clear();
+  plane.config.number += 1;
+  plane.tasks[0]->ApplyConfiguration(
+      std::make_shared<configuration>(plane.config));
+  const call_ptr named =
+      plane.Call(*caller, {.path = "/bytes/1", .authority = "pots:80"});
+  CHECK(named->Header(":status") == "200");
+  const call_ptr other = plane.Call(*caller, {.authority = "statements"});
+  CHECK(other->Header(":status") == "404");
+  CHECK(other->Header("rosemaryreach-run") == "not-run");
+}
+
+TEST_CASE("the peer listener takes no request without an authenticator") {
+  request_plane plane;
+  h2_client forger(plane.loop, plane.tasks[0]->peer_endpoint());
+  const call_ptr call =
+      plane.Call(forger, {.headers = {{"rosemaryreach-hop", "1"},
+                                      {"rosemaryreach-service", "pots"},
+                                      {"rosemaryreach-authenticator", "1"}}});
+  CHECK(call->Header(":status") == "403");
+  CHECK(plane.targets[0]->stats().started == 0);
+}
+
+TEST_CASE("callers cannot set the headers of a hop") {
+  request_plane plane;
+  const std::unique_ptr<h2_client> caller = plane.Caller();
+  plane.Call(*caller,
+             {.path = "/bytes/1", .headers = {{"rosemaryreach-hop", "1"}}});
+  CHECK(FindHeader(plane.targets[0]->last_headers(), "rosemaryreach-hop")
+            .empty());
+}
+
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/standins/h2_client.h
+++ b/tests/standins/h2_client.h
@@ -56,6 +56,7 @@
     return FindHeader(headers, name);
   }
   // Returns whether the answer came whole.
+  bool Succeeded() const { return whole() && Header(":status") == "200"; }
   bool whole() const { return ended && close && close->code == 0; }
 
   h2_connection* connection = nullptr;
