--- a/include/rosemaryreach/control_messages.h
+++ b/include/rosemaryreach/control_messages.h
@@ -113,6 +113,8 @@
 // Asks a contact of another data centre whether it is there.
 struct link_ping {
   std::uint32_t sequence = 0;
+  // Version of the receiver's summary that the sender holds, or 0.
+  std::uint64_t known = 0;
 };
 
 struct link_ack {
--- a/include/rosemaryreach/peer_auth.h
+++ b/include/rosemaryreach/peer_auth.h
@@ -28,8 +28,8 @@
 // The payload of a datagram whose authenticator held.
 struct opened_datagram {
   instance_id from;
-  // Whether it was sealed for this receiver alone.
-  bool bound = false;
+  // Whether it was sealed for this id, rather than for this address.
+  bool by_id = false;
   std::string_view payload;
 };
 
@@ -44,11 +44,18 @@
 
   // `first_sequence` must exceed what this instance used before a restart:
   // microseconds of the wall clock do.
-  peer_auth(instance_id self, peer_keys keys, std::uint64_t first_sequence);
+  // `address` is where datagrams come in that are sealed for an address.
+  peer_auth(instance_id self,
+            peer_keys keys,
+            std::uint64_t first_sequence,
+            const endpoint& address = {});
 
-  // Returns `payload` sealed for `to`, or for any receiver if `to` is zero.
+  // Returns `payload` sealed for the receiver `to`, which alone can open it.
   std::string Seal(instance_id to, std::string_view payload);
 
+  // The same for a receiver of which only the address is known.
+  std::string SealByAddress(const endpoint& to, std::string_view payload);
+
   // Returns the payload if its authenticator holds and its sequence is new;
   // otherwise errc::kTruncated, kUnauthenticated or, for a replay, kStale.
   // The view points into `datagram`.
@@ -83,9 +90,13 @@
     std::bitset<kWindow> seen;
   };
 
+  std::string SealFor(std::uint64_t to,
+                      std::uint8_t version,
+                      std::string_view payload);
   bool Accept(instance_id from, std::uint64_t sequence);
 
   instance_id self_;
+  std::uint64_t address_key_;
   peer_keys keys_;
   std::uint64_t next_sequence_;
   std::unordered_map<std::uint64_t, replay_window> windows_;
--- a/src/fleet/control_messages.cc
+++ b/src/fleet/control_messages.cc
@@ -193,8 +193,9 @@
             request.set_parts(b.after.parts);
           },
           [&](const log_reply& b) {
+            wire::LogReply& reply = *out.mutable_log_reply();
             for (const log_entry& entry : b.entries) {
-              wire::LogEntry& packed = *out.mutable_log_reply()->add_entries();
+              wire::LogEntry& packed = *reply.add_entries();
               packed.set_sequence(entry.sequence);
               packed.set_part(entry.part);
               packed.set_parts(entry.parts);
@@ -203,6 +204,7 @@
           },
           [&](const link_ping& b) {
             out.mutable_link_ping()->set_sequence(b.sequence);
+            out.mutable_link_ping()->set_known(b.known);
           },
           [&](const link_ack& b) {
             out.mutable_link_ack()->set_sequence(b.sequence);
@@ -279,7 +281,7 @@
       body = UnpackEntries(in.log_reply());
       return true;
     case wire::Datagram::kLinkPing:
-      body = link_ping{in.link_ping().sequence()};
+      body = link_ping{in.link_ping().sequence(), in.link_ping().known()};
       return true;
     case wire::Datagram::kLinkAck:
       body = link_ack{in.link_ack().sequence()};
--- a/src/fleet/control_plane.cc
+++ b/src/fleet/control_plane.cc
@@ -12,9 +12,9 @@
 
 constexpr std::size_t kMaxPendingAsks = 16;
 
-// Returns whether `body` may come from an instance that doesn't know this
-// one's id yet.
-bool MayBeUnbound(const control_body& body) {
+// Returns whether `body` may come from an instance that knows only this one's
+// address.
+bool MayGoByAddress(const control_body& body) {
   return std::holds_alternative<ping>(body);
 }
 
@@ -48,7 +48,10 @@
                              accepted_handler on_accepted)
     : options_(options),
       self_(self),
-      auth_(self.id, std::move(keys), first_sequence),
+      auth_(self.id,
+            std::move(keys),
+            first_sequence,
+            {self.address, self.control_port}),
       queue_(options.queue),
       log_(std::move(on_accepted), options.log),
       membership_(options.membership, self, seeds, seed),
@@ -88,7 +91,7 @@
       DecodeMessage(datagram.from, datagram.payload);
   if (!message) {
     ++counters_.undecodable;
-  } else if ((!datagram.bound && !MayBeUnbound(message.value().body)) ||
+  } else if ((!datagram.by_id && !MayGoByAddress(message.value().body)) ||
              IsForAsking(message.value().body)) {
     ++counters_.misplaced;
   } else {
@@ -175,7 +178,7 @@
     return answer.error();
   }
   BOOST_OUTCOME_TRY(opened, auth_.Open(answer.value()));
-  if (opened.from != ask.peer.id || !opened.bound) {
+  if (opened.from != ask.peer.id || !opened.by_id) {
     return Fail(errc::kUnauthenticated, "the answer of another instance");
   }
   return DecodeMessage(opened.from, opened.payload);
@@ -184,8 +187,8 @@
 result<std::string> control_plane::OnAsk(time_point now,
                                          std::string_view bytes) {
   BOOST_OUTCOME_TRY(opened, auth_.Open(bytes));
-  if (!opened.bound) {
-    return Fail(errc::kUnauthenticated, "a request for any receiver");
+  if (!opened.by_id) {
+    return Fail(errc::kUnauthenticated, "a request for an address");
   }
   BOOST_OUTCOME_TRY(request, DecodeMessage(opened.from, opened.payload));
   if (std::holds_alternative<sync_request>(request.body)) {
@@ -318,7 +321,9 @@
                          instance_id to,
                          const endpoint& address,
                          const control_message& message) {
-  std::string bytes = auth_.Seal(to, EncodeMessage(message));
+  const std::string encoded = EncodeMessage(message);
+  std::string bytes =
+      to ? auth_.Seal(to, encoded) : auth_.SealByAddress(address, encoded);
   if (bytes.size() > kMaxControlDatagramBytes) {
     ++counters_.oversized;
     return;
--- a/src/fleet/peer_auth.cc
+++ b/src/fleet/peer_auth.cc
@@ -12,8 +12,8 @@
 
 // version, key id, sender, sequence, payload, tag.
 constexpr std::uint8_t kVersion = 1;
-// Set in the version octet if the datagram is bound to no receiver.
-constexpr std::uint8_t kUnbound = 0x80;
+// Set in the version octet if the datagram is bound to an address.
+constexpr std::uint8_t kByAddress = 0x80;
 constexpr std::size_t kWordBytes = 8;
 constexpr std::size_t kHeaderBytes = 2 + 2 * kWordBytes;
 constexpr std::size_t kTagBytes = 16;
@@ -24,6 +24,8 @@
 // Stands for the receiver in the authenticators of Sign().
 constexpr std::uint64_t kTextDomain = ~std::uint64_t{0};
 
+constexpr std::uint64_t kAddressDomain = 1;
+
 using tag = std::array<std::uint8_t, kTagBytes>;
 
 std::uint8_t KeyId(const std::string& key) {
@@ -44,6 +46,11 @@
   return word;
 }
 
+// Stands for the receiver at `address` whose id isn't known.
+std::uint64_t AddressKey(const endpoint& address) {
+  return HashBytes(FormatEndpoint(address), kAddressDomain);
+}
+
 // Returns the authenticator of `text` for the receiver `to`.
 tag Authenticate(const std::string& key,
                  std::uint64_t to,
@@ -83,19 +90,34 @@
 
 peer_auth::peer_auth(instance_id self,
                      peer_keys keys,
-                     std::uint64_t first_sequence)
-    : self_(self), keys_(std::move(keys)), next_sequence_(first_sequence) {}
+                     std::uint64_t first_sequence,
+                     const endpoint& address)
+    : self_(self),
+      address_key_(AddressKey(address)),
+      keys_(std::move(keys)),
+      next_sequence_(first_sequence) {}
 
 std::string peer_auth::Seal(instance_id to, std::string_view payload) {
+  return SealFor(to.value, kVersion, payload);
+}
+
+std::string peer_auth::SealByAddress(const endpoint& to,
+                                     std::string_view payload) {
+  return SealFor(AddressKey(to), kVersion | kByAddress, payload);
+}
+
+std::string peer_auth::SealFor(std::uint64_t to,
+                               std::uint8_t version,
+                               std::string_view payload) {
   const std::string& key = keys_.front();
   std::string out;
   out.reserve(payload.size() + kSealBytes);
-  out.push_back(static_cast<char>(to ? kVersion : kVersion | kUnbound));
+  out.push_back(static_cast<char>(version));
   out.push_back(static_cast<char>(KeyId(key)));
   AppendWord(out, self_.value);
   AppendWord(out, next_sequence_++);
   out += payload;
-  const tag authenticator = Authenticate(key, to.value, out);
+  const tag authenticator = Authenticate(key, to, out);
   out.append(authenticator.begin(), authenticator.end());
   return out;
 }
@@ -110,9 +132,10 @@
   const std::uint8_t version = static_cast<std::uint8_t>(text[0]);
   const std::uint8_t key_id = static_cast<std::uint8_t>(text[1]);
   const instance_id from{ReadWord(text.substr(2))};
-  const std::uint64_t to = (version & kUnbound) != 0 ? 0 : self_.value;
+  const bool by_address = (version & kByAddress) != 0;
+  const std::uint64_t to = by_address ? address_key_ : self_.value;
   const bool authentic =
-      (version & ~kUnbound) == kVersion && from && from != self_ &&
+      (version & ~kByAddress) == kVersion && from && from != self_ &&
       std::any_of(keys_.begin(), keys_.end(), [&](const std::string& key) {
         return KeyId(key) == key_id &&
                SameTag(Authenticate(key, to, text), received);
@@ -126,7 +149,7 @@
     return Fail(errc::kStale, "sequence seen before");
   }
   ++counters_.accepted;
-  return opened_datagram{from, to != 0, text.substr(kHeaderBytes)};
+  return opened_datagram{from, !by_address, text.substr(kHeaderBytes)};
 }
 
 bool peer_auth::Accept(instance_id from, std::uint64_t sequence) {
