Spread news in time and rejoin after pauses

Joins of a mass start still filled the pace of gossip; news older than 1.5 s is dropped (tables are compared anyway), suspicions are told to the suspect alone, and members that don't answer widen the ring watched.

--- a/include/rosemaryreach/config_sync.h
+++ b/include/rosemaryreach/config_sync.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -133,18 +134,20 @@
 
   using actions = std::vector<config_sync_action>;
 
-  std::size_t Rank() const;
+  std::size_t RankOf(instance_id id) const;
+  std::size_t Rank() const { return RankOf(self_); }
   bool ShouldWatch(time_point now) const;
   void StartRead(time_point now, duration wait, actions& out);
   void StartPull(time_point now, actions& out);
   void MaybePull(time_point now, actions& out);
   void Heartbeat(time_point now, actions& out);
-  bool Offer(std::span<const log_entry> entries, actions& out);
-  void PushDigest(actions& out);
+  bool Offer(time_point now, std::span<const log_entry> entries, actions& out);
+  void PushDigest(time_point now, actions& out);
+  bool WatchAnswered(time_point now) const;
   void ReadFailed(time_point now, const error& error);
   void PullFailed(time_point now, const error& error);
   void ForgetPeer(instance_id id);
-  configuration_digest Digest() const;
+  configuration_digest Digest(time_point now) const;
   duration Backoff(std::uint32_t failures);
 
   config_sync_options options_;
@@ -168,7 +171,7 @@
   time_point started_{};
   time_point watcher_heard_{};
   bool started_up_ = false;
-  bool watch_answered_ = false;
+  std::optional<time_point> answered_;
   std::uint32_t read_failures_ = 0;
   std::uint32_t pull_failures_ = 0;
   config_sync_status status_;
--- a/include/rosemaryreach/membership.h
+++ b/include/rosemaryreach/membership.h
@@ -22,12 +22,16 @@
   std::uint32_t ack_timeout_ms = 250;
   std::uint32_t indirect_timeout_ms = 350;
   std::uint32_t suspicion_ms = 1'500;
+  std::uint32_t gossip_interval_ms = 100;
   std::uint32_t link_interval_ms = 500;
-  std::uint32_t remote_link_interval_ms = 1'000;
+  std::uint32_t remote_link_interval_ms = 1'500;
   std::uint32_t link_timeout_ms = 2'000;
   std::uint32_t join_retry_ms = 300;
   std::uint32_t alone_ms = 2'500;
+  // A pause after which the table is asked for anew, and one after which
+  // others may hold this instance dead.
   std::uint32_t pause_gap_ms = 1'000;
+  std::uint32_t rejoin_gap_ms = 2'000;
   std::uint32_t tombstone_ms = 900'000;
   // Members.
   std::uint32_t ring_successors = 3;
@@ -37,7 +41,7 @@
   std::uint32_t contacts = 3;
   // Octets of gossip.
   std::uint32_t gossip_bytes_per_s = 1'500;
-  std::uint32_t gossip_burst_bytes = 8'000;
+  std::uint32_t gossip_burst_bytes = 10'000;
 };
 
 // A message to send. `to` is zero if the receiver's id is not known yet.
--- a/src/fleet/config_sync.cc
+++ b/src/fleet/config_sync.cc
@@ -80,8 +80,8 @@
 }
 
 // Returns the place among those that watch; past the end if there is none.
-std::size_t config_sync::Rank() const {
-  const auto found = std::find(ranked_.begin(), ranked_.end(), self_);
+std::size_t config_sync::RankOf(instance_id id) const {
+  const auto found = std::find(ranked_.begin(), ranked_.end(), id);
   return found == ranked_.end()
              ? kNoRank
              : static_cast<std::size_t>(found - ranked_.begin());
@@ -123,12 +123,12 @@
     return out;
   }
   // An answer after the deadline is as good as any.
-  const bool advanced = Offer(page.value().entries, out);
+  const bool advanced = Offer(now, page.value().entries, out);
   status_.platform_sequence = page.value().head_sequence;
   if (token == read_token_) {
     read_token_ = 0;
     read_failures_ = 0;
-    watch_answered_ = true;
+    answered_ = now;
     status_.platform_error.clear();
     // Entries that bring nothing are not asked for in a tight loop.
     const bool stuck = !advanced && !page.value().entries.empty();
@@ -139,7 +139,6 @@
 
 void config_sync::ReadFailed(time_point now, const error& error) {
   read_token_ = 0;
-  watch_answered_ = false;
   ++status_.platform_errors;
   status_.platform_error = FormatError(error);
   next_read_ = now + Backoff(read_failures_++);
@@ -151,7 +150,7 @@
     const configuration_digest& digest) {
   actions out;
   const log_head head = log_.Head();
-  if (digest.watch_answered) {
+  if (digest.watch_answered && RankOf(peer.id) < Rank()) {
     watcher_heard_ = now;
   }
   if (digest.content != 0 && digest.number == head.number &&
@@ -204,7 +203,7 @@
     }
     return out;
   }
-  const bool advanced = Offer(entries.value(), out);
+  const bool advanced = Offer(now, entries.value(), out);
   if (token != pull_token_) {
     return out;
   }
@@ -228,7 +227,9 @@
 }
 
 // Offers the entries to the log. Returns whether the position advanced.
-bool config_sync::Offer(std::span<const log_entry> entries, actions& out) {
+bool config_sync::Offer(time_point now,
+                        std::span<const log_entry> entries,
+                        actions& out) {
   const log_position before = log_.Position();
   for (const log_entry& entry : entries) {
     entry_outcome outcome = log_.Offer(entry);
@@ -239,14 +240,14 @@
   }
   const log_position after = log_.Position();
   if (after.sequence > before.sequence) {
-    PushDigest(out);
+    PushDigest(now, out);
   }
   return !(after == before);
 }
 
 // Tells some peers, who pull and tell others in turn.
-void config_sync::PushDigest(actions& out) {
-  const configuration_digest digest = Digest();
+void config_sync::PushDigest(time_point now, actions& out) {
+  const configuration_digest digest = Digest(now);
   std::vector<contact> told;
   std::sample(local_.begin(), local_.end(), std::back_inserter(told),
               options_.push_fanout, random_);
@@ -256,9 +257,15 @@
   }
 }
 
+// Returns whether the platform has answered this instance of late.
+bool config_sync::WatchAnswered(time_point now) const {
+  return answered_ &&
+         now - *answered_ <= milliseconds(options_.watch_deadline_ms);
+}
+
 // A watcher whose watch is answered tells those that would take over.
 void config_sync::Heartbeat(time_point now, actions& out) {
-  if (!watch_answered_ || now < next_heartbeat_) {
+  if (!WatchAnswered(now) || now < next_heartbeat_) {
     return;
   }
   next_heartbeat_ = now + milliseconds(options_.heartbeat_ms);
@@ -269,14 +276,14 @@
         local_.begin(), local_.end(),
         [&](const contact& one) { return one.id == ranked_[rank]; });
     if (peer != local_.end()) {
-      out.emplace_back(push_digest{*peer, Digest()});
+      out.emplace_back(push_digest{*peer, Digest(now)});
     }
   }
 }
 
-configuration_digest config_sync::Digest() const {
+configuration_digest config_sync::Digest(time_point now) const {
   const log_head head = log_.Head();
-  return {head.number, head.sequence, head.digest, watch_answered_};
+  return {head.number, head.sequence, head.digest, WatchAnswered(now)};
 }
 
 // Returns a delay that doubles with each failure, half of it at random.
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -54,7 +54,7 @@
       return merge_outcome::kUnknown;
     }
     members_.emplace(record.info.id.value,
-                     member_entry{record, now, now, {}, true});
+                     member_entry{record, now, now, {}, {}, true});
     digests_[TableBucket(record.info.id)] += RecordDigest(record);
     return merge_outcome::kNewer;
   }
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -16,10 +16,12 @@
 
 struct member_entry {
   member_record record;
-  // When the record last changed, was heard of directly and was probed.
+  // When the record last changed, the member was heard, probed, and told that
+  // it is suspected.
   time_point changed{};
   time_point heard{};
   time_point probed{};
+  time_point told{};
   // Whether the last full exchange named the member.
   bool confirmed = false;
 };
--- a/src/fleet/membership.cc
+++ b/src/fleet/membership.cc
@@ -116,6 +116,9 @@
     ++counters_.pauses;
     BeginJoin(now);
   }
+  if (gap >= milliseconds(options_.rejoin_gap_ms)) {
+    NewIncarnation(now);
+  }
 }
 
 void membership::impl::Start(time_point now) {
@@ -247,19 +250,27 @@
   RefreshLocals();
 }
 
-// Starts afresh with a new incarnation after others have given this one up.
-void membership::impl::Rejoin(time_point now,
-                              const endpoint& source,
-                              instance_id from) {
+// Leaves ownership until the state is fresh: others may have given the old
+// incarnation up.
+void membership::impl::NewIncarnation(time_point now) {
   ++counters_.rejoins;
   member_record record = Self();
-  table_ = {};
   ++record.info.incarnation;
   record.revision = 0;
   record.health = liveness::kAlive;
   if (record.info.state == instance_state::kActive) {
     record.info.state = instance_state::kJoining;
   }
+  UpdateSelf(now, record);
+}
+
+// Starts afresh after others have given this instance up.
+void membership::impl::Rejoin(time_point now,
+                              const endpoint& source,
+                              instance_id from) {
+  NewIncarnation(now);
+  const member_record record = Self();
+  table_ = {};
   table_.Merge(now, record);
   probes_.clear();
   links_.clear();
@@ -349,7 +360,11 @@
     }
   }
   for (const endpoint& seed : seeds_) {
-    if (!known.contains(seed)) {
+    const auto place = seed_centres_.find(seed);
+    const bool linked = place != seed_centres_.end() &&
+                        place->second != data_centre_ &&
+                        table_.centres().contains(place->second);
+    if (!linked && !known.contains(seed)) {
       absent.push_back({{}, seed});
     }
   }
--- a/src/fleet/membership_gossip.cc
+++ b/src/fleet/membership_gossip.cc
@@ -21,6 +21,9 @@
 // More new records than this in one reply are not worth telling on.
 constexpr std::size_t kMaxRetoldPerReply = 4;
 constexpr std::size_t kMaxQueuedMembers = 24;
+constexpr std::uint32_t kNewsAgeMs = 1'500;
+// Time without changes after which a member that isn't known is gone.
+constexpr std::uint32_t kForgetMs = 5'000;
 constexpr std::uint32_t kSettleMs = 500;
 constexpr std::uint32_t kSyncMs = 1'000;
 // Claims of death from a side of a split that is smaller by this factor are
@@ -45,9 +48,10 @@
   return kFixedVoteBytes + vote.data_centre.size();
 }
 
-// Takes one telling off `left`; returns whether that was the last.
-bool SpendOne(std::uint32_t& left) {
-  return --left == 0;
+// Takes one telling off `news`; returns whether that was the last.
+template <typename News>
+bool SpendOne(News& news) {
+  return --news.rounds == 0;
 }
 
 }  // namespace
@@ -110,7 +114,8 @@
 bool membership::impl::IsForgotten(const member_record& record,
                                    const control_message& message) const {
   const member_entry* sender = table_.Find(message.from);
-  return !joining_ && !record.compact && IsLocal(record.info) &&
+  const bool settled = last_call_ - table_changed_ >= milliseconds(kForgetMs);
+  return settled && !joining_ && !record.compact && IsLocal(record.info) &&
          IsLive(record) && record.info.state != instance_state::kJoining &&
          record.info.id != message.from && sender != nullptr &&
          !IsLocal(sender->record.info) &&
@@ -129,6 +134,10 @@
   const bool reply = std::holds_alternative<sync_reply>(message.body);
   std::vector<instance_id> fresh;
   for (const member_record& record : message.members) {
+    if (record.info.id == message.from && !record.compact &&
+        std::find(seeds_.begin(), seeds_.end(), source) != seeds_.end()) {
+      seed_centres_[source] = record.info.data_centre;
+    }
     if (record.info.id == self_) {
       DefendSelf(now, source, record, message);
       continue;
@@ -156,7 +165,7 @@
   }
   for (const centre_summary& summary : message.centres) {
     if (table_.Merge(summary)) {
-      gossip_.centres[summary.data_centre] = options_.gossip_rounds;
+      gossip_.centres[summary.data_centre] = News();
       table_changed_ = now;
       view_stale_ = true;
     }
@@ -166,26 +175,28 @@
                                  vote.voter) != contacts_.end();
     if (voter && vote.data_centre != data_centre_ && vote.voter != self_ &&
         table_.Merge(vote)) {
-      gossip_.votes[{vote.data_centre, vote.voter.value}] =
-          options_.gossip_rounds;
+      gossip_.votes[{vote.data_centre, vote.voter.value}] = News();
       table_changed_ = now;
     }
   }
 }
 
 // Tells peers about a member, unless so many wait that peers do better to
-// compare tables.
+// compare tables. Suspicions are told to the suspect alone.
 void membership::impl::QueueMember(instance_id id) {
-  if (gossip_.members.size() >= kMaxQueuedMembers && id != self_) {
+  const member_entry* entry = table_.Find(id);
+  const bool many = gossip_.members.size() >= kMaxQueuedMembers;
+  if (entry == nullptr || entry->record.health == liveness::kSuspect ||
+      (many && id != self_)) {
     return;
   }
-  gossip_.members[id.value] = options_.gossip_rounds;
+  gossip_.members[id.value] = News();
 }
 
 // Returns the record as it is told on: in full only while it is new.
 member_record membership::impl::Brief(const member_record& record) const {
   member_record brief = record;
-  if (record.revision > kFullRevisions) {
+  if (record.revision > kFullRevisions || record.health != liveness::kAlive) {
     brief.info = {};
     brief.info.id = record.info.id;
     brief.info.incarnation = record.info.incarnation;
@@ -240,6 +251,16 @@
   return used;
 }
 
+// Peers learn by comparing tables what waited too long to be told.
+void membership::impl::DropOldNews(time_point now) {
+  const auto is_old = [now](const auto& item) {
+    return now - item.second.since > milliseconds(kNewsAgeMs);
+  };
+  std::erase_if(gossip_.members, is_old);
+  std::erase_if(gossip_.centres, is_old);
+  std::erase_if(gossip_.votes, is_old);
+}
+
 // Tells some members what is new, as far as the pace allows: what waits is
 // merged with what comes.
 void membership::impl::FlushGossip(time_point now) {
@@ -249,9 +270,12 @@
   gossip_allowance_ = std::min<double>(
       options_.gossip_burst_bytes,
       gossip_allowance_ + elapsed_s * options_.gossip_bytes_per_s);
-  if (gossip_.empty() || locals_.empty() || gossip_allowance_ < 0) {
+  DropOldNews(now);
+  if (gossip_.empty() || locals_.empty() || gossip_allowance_ < 0 ||
+      now < next_gossip_) {
     return;
   }
+  next_gossip_ = now + milliseconds(options_.gossip_interval_ms);
   control_message message = Stamp(gossip{});
   const std::size_t bytes = FillGossip(message, gossip_) + kHeaderBytes;
   for (const member_entry* entry :
--- a/src/fleet/membership_impl.h
+++ b/src/fleet/membership_impl.h
@@ -70,14 +70,23 @@
     time_point answered{};
     std::uint32_t sequence = 0;
     std::uint32_t attempts = 0;
+    // Versions of the own summary last sent and known to have arrived.
+    std::uint64_t sent_version = 0;
+    std::uint64_t told_version = 0;
     bool ever_answered = false;
   };
 
-  // What of the table still has to be told, and how many more times.
+  // One piece of news: how many more times it is told, and since when.
+  struct news {
+    std::uint32_t rounds = 0;
+    time_point since;
+  };
+
+  // What of the table still has to be told.
   struct gossip_queue {
-    std::map<std::uint64_t, std::uint32_t> members;
-    std::map<std::string, std::uint32_t, std::less<>> centres;
-    std::map<std::pair<std::string, std::uint64_t>, std::uint32_t> votes;
+    std::map<std::uint64_t, news> members;
+    std::map<std::string, news, std::less<>> centres;
+    std::map<std::pair<std::string, std::uint64_t>, news> votes;
 
     bool empty() const {
       return members.empty() && centres.empty() && votes.empty();
@@ -93,6 +102,7 @@
   void SendHello(const address& to);
   void OnSyncReply(time_point now, const control_message& message);
   void FinishJoin(time_point now);
+  void NewIncarnation(time_point now);
   void Rejoin(time_point now, const endpoint& source, instance_id from);
   void DefendSelf(time_point now,
                   const endpoint& source,
@@ -114,6 +124,7 @@
   void CheckIsolation(time_point now);
   void Probe(time_point now, member_entry& entry);
   void Suspect(time_point now, member_entry& entry);
+  void TellSuspect(time_point now, member_entry& entry);
   void SetHealth(time_point now, member_entry& entry, liveness health);
   void OnPing(const endpoint& source, const control_message& message);
   void OnAck(time_point now, const control_message& message);
@@ -134,6 +145,8 @@
                    const control_message& message) const;
   bool IsBehind(const member_record& record) const;
   void QueueMember(instance_id id);
+  void DropOldNews(time_point now);
+  news News() const { return {options_.gossip_rounds, last_call_}; }
   void FlushGossip(time_point now);
   std::size_t FillGossip(control_message& message, gossip_queue& queue) const;
   void ForwardToLinks(const control_message& message);
@@ -143,6 +156,7 @@
 
   // Links between data centres.
   void RunLinks(time_point now);
+  std::map<std::string, std::string> OtherCentres() const;
   void PingLink(time_point now, const std::string& name, link& link);
   std::vector<address> LinkTargets(const std::string& name) const;
   void Vote(time_point now, const std::string& name, const link& link);
@@ -170,6 +184,8 @@
   std::string data_centre_;
   std::string region_;
   std::vector<endpoint> seeds_;
+  // Data centres of the seeds that have answered.
+  std::map<endpoint, std::string> seed_centres_;
   std::vector<instance_info> hints_;
   std::mt19937_64 random_;
   member_table table_;
@@ -209,6 +225,7 @@
   gossip_queue gossip_;
   time_point gossip_paced_{};
   double gossip_allowance_ = 0;
+  time_point next_gossip_{};
   bool differs_ = false;
   time_point differs_since_{};
 
--- a/src/fleet/membership_links.cc
+++ b/src/fleet/membership_links.cc
@@ -7,7 +7,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t kPublishMs = 100;
+// Least time between summaries, by what has changed.
+constexpr std::uint32_t kPublishNumbersMs = 100;
+constexpr std::uint32_t kPublishMembersMs = 1'000;
 constexpr std::uint32_t kReportMs = 1'000;
 // Pings without an answer after which others than the contacts are asked.
 constexpr std::uint32_t kContactAttempts = 2;
@@ -24,6 +26,20 @@
   return found == table_.centres().end() ? nullptr : &found->second;
 }
 
+// Returns the other data centres, known by summary or by a member, with their
+// regions.
+std::map<std::string, std::string> membership::impl::OtherCentres() const {
+  std::map<std::string, std::string> regions;
+  for (const auto& [name, summary] : table_.centres()) {
+    regions[name] = summary.region;
+  }
+  for (const auto& [id, entry] : table_.members()) {
+    regions[entry.record.info.data_centre] = entry.record.info.region;
+  }
+  regions.erase(data_centre_);
+  return regions;
+}
+
 // Keeps the links of a contact: each other data centre is pinged, more often
 // within the region.
 void membership::impl::RunLinks(time_point now) {
@@ -31,15 +47,12 @@
     links_.clear();
     return;
   }
-  for (const auto& [name, summary] : table_.centres()) {
-    if (name == data_centre_) {
-      continue;
-    }
+  for (const auto& [name, region] : OtherCentres()) {
     link& link = links_.try_emplace(name).first->second;
     if (link.created == time_point{}) {
       link.created = now;
     }
-    const std::uint32_t period_ms = summary.region == region_
+    const std::uint32_t period_ms = region == region_
                                         ? options_.link_interval_ms
                                         : options_.remote_link_interval_ms;
     if (link.sent == time_point{} ||
@@ -59,9 +72,14 @@
   }
   link.sent = now;
   link.sequence = next_sequence_++;
-  control_message message = Stamp(link_ping{link.sequence});
-  if (const centre_summary* own = OwnSummary()) {
+  const auto theirs = table_.centres().find(name);
+  const std::uint64_t known =
+      theirs == table_.centres().end() ? 0 : theirs->second.version;
+  control_message message = Stamp(link_ping{link.sequence, known});
+  const centre_summary* own = OwnSummary();
+  if (own != nullptr && own->version != link.told_version) {
     message.centres.push_back(*own);
+    link.sent_version = own->version;
   }
   if (!link.ever_answered) {
     message.members.push_back(Self());
@@ -98,6 +116,11 @@
       targets.push_back({info.id, ControlEndpoint(info)});
     }
   }
+  for (const auto& [seed, place] : seed_centres_) {
+    if (place == name) {
+      targets.push_back({{}, seed});
+    }
+  }
   for (const instance_info& hint : hints_) {
     if (hint.data_centre == name) {
       targets.push_back({hint.id, ControlEndpoint(hint)});
@@ -122,15 +145,16 @@
   }
   const std::uint64_t last = told ? known->second.version : 0;
   table_.Merge(link_vote{self_, name, std::max(last + 1, incarnation()), up});
-  gossip_.votes[{name, self_.value}] = options_.gossip_rounds;
+  gossip_.votes[{name, self_.value}] = News();
   table_changed_ = now;
 }
 
 void membership::impl::OnLinkPing(const endpoint& source,
                                   const control_message& message) {
-  control_message answer =
-      Stamp(link_ack{std::get<link_ping>(message.body).sequence});
-  if (const centre_summary* own = OwnSummary()) {
+  const link_ping& body = std::get<link_ping>(message.body);
+  control_message answer = Stamp(link_ack{body.sequence});
+  const centre_summary* own = OwnSummary();
+  if (own != nullptr && own->version != body.known) {
     answer.centres.push_back(*own);
   }
   if (!message.members.empty()) {
@@ -147,6 +171,7 @@
       link.answered = now;
       link.ever_answered = true;
       link.attempts = 0;
+      link.told_version = link.sent_version;
       Vote(now, name, link);
       return;
     }
@@ -230,24 +255,30 @@
 
 // The first contact tells all data centres what has changed in its own.
 void membership::impl::PublishSummary(time_point now) {
-  if (contacts_.empty() || contacts_.front() != self_ ||
-      now - published_ < milliseconds(kPublishMs)) {
+  if (contacts_.empty() || contacts_.front() != self_) {
     return;
   }
   centre_summary summary = MakeSummary();
   const centre_summary* known = OwnSummary();
+  std::uint32_t period_ms = kPublishNumbersMs;
   if (known != nullptr) {
     summary.version = known->version;
     if (summary == *known) {
       return;
     }
+    const bool numbers = summary.minimum_number > known->minimum_number ||
+                         summary.highest_number > known->highest_number;
+    period_ms = numbers ? kPublishNumbersMs : kPublishMembersMs;
+  }
+  if (now - published_ < milliseconds(period_ms)) {
+    return;
   }
   summary.version = std::max(summary.version + 1, incarnation());
   published_ = now;
   table_.Merge(summary);
   table_changed_ = now;
   view_stale_ = true;
-  gossip_.centres[data_centre_] = options_.gossip_rounds;
+  gossip_.centres[data_centre_] = News();
 }
 
 membership_actions membership::impl::SetConfiguration(time_point now,
--- a/src/fleet/membership_probe.cc
+++ b/src/fleet/membership_probe.cc
@@ -6,13 +6,31 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr std::uint32_t kMaxWatched = 20;
+
+}  // namespace
+
 // Probes the next members on the ring, each once a period, and one at random.
 // Suspects are passed over, so that those behind them stay watched.
 void membership::impl::RunProbes(time_point now) {
   const duration period = milliseconds(options_.probe_ms);
+  const auto suspects = std::count_if(
+      locals_.begin(), locals_.end(), [](const member_entry* entry) {
+        return entry->record.health == liveness::kSuspect;
+      });
+  const auto late =
+      std::count_if(probes_.begin(), probes_.end(),
+                    [](const auto& item) { return item.second.indirect; });
+  // Many without an answer point to a split: look further at once.
+  const auto wanted = std::min<std::uint32_t>(
+      options_.ring_successors *
+          static_cast<std::uint32_t>(1 + suspects + late),
+      kMaxWatched);
   std::uint32_t watched = 0;
   for (member_entry* entry : locals_) {
-    if (watched == options_.ring_successors) {
+    if (watched == wanted) {
       break;
     }
     if (entry->record.health != liveness::kAlive) {
@@ -75,9 +93,18 @@
   }
   ++counters_.suspicions;
   SetHealth(now, entry, liveness::kSuspect);
+  entry.told = {};
+}
+
+// Gives the suspect the chance to refute.
+void membership::impl::TellSuspect(time_point now, member_entry& entry) {
+  if (now - entry.told < milliseconds(options_.ack_timeout_ms)) {
+    return;
+  }
+  entry.told = now;
   control_message message = Stamp(gossip{});
   message.members.push_back(Brief(entry.record));
-  Send(entry.record, std::move(message));
+  Send(entry.record, message);
 }
 
 void membership::impl::SetHealth(time_point now,
@@ -94,8 +121,11 @@
 void membership::impl::CheckSuspects(time_point now) {
   const duration limit = milliseconds(options_.suspicion_ms);
   for (member_entry* entry : locals_) {
-    if (entry->record.health != liveness::kSuspect ||
-        now - entry->changed < limit) {
+    if (entry->record.health != liveness::kSuspect) {
+      continue;
+    }
+    if (now - entry->changed < limit) {
+      TellSuspect(now, *entry);
       continue;
     }
     if (entry->heard > entry->changed) {
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,415 @@
+#include "rosemaryreach/membership.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+instance_info MakeInfo(const std::string& name, const char* data_centre = "d") {
+  instance_info info;
+  info.name = name;
+  info.id = MakeInstanceId(name);
+  info.data_centre = data_centre;
+  info.region = "r";
+  info.address = ParseIp("10.0.0.1").value();
+  info.address.bytes[15] = static_cast<std::uint8_t>(name.back());
+  info.control_port = 1;
+  info.grpc_port = 2;
+  info.incarnation = 100;
+  info.state = instance_state::kActive;
+  return info;
+}
+
+member_record MakeRecord(const std::string& name,
+                         const char* data_centre = "d") {
+  return {MakeInfo(name, data_centre), 1, liveness::kAlive, false};
+}
+
+endpoint AddressOf(const std::string& name) {
+  return {MakeInfo(name).address, 1};
+}
+
+// One member, whose peers the test plays.
+class fixture {
+ public:
+  fixture() : self({}, MakeInfo("self"), {}, 1) { self.Tick(now); }
+
+  // Lets the member hear `peers` until it trusts its view.
+  void Join(const std::vector<std::string>& peers) {
+    control_message reply = From(peers[0], sync_reply{true});
+    for (const std::string& name : peers) {
+      reply.members.push_back(MakeRecord(name));
+    }
+    Hear(From(peers[0], gossip{}, {MakeRecord(peers[0])}));
+    Hear(reply);
+    REQUIRE(self.trusted());
+  }
+
+  static control_message From(const std::string& name,
+                              control_body body,
+                              std::vector<member_record> members = {}) {
+    control_message message;
+    message.from = MakeInstanceId(name);
+    message.incarnation = 100;
+    message.live_count = 3;
+    message.body = std::move(body);
+    message.members = std::move(members);
+    return message;
+  }
+
+  membership_actions Hear(const control_message& message) {
+    return self.OnMessage(now, {}, message);
+  }
+
+  // Ticks for `span`; peers in `answering` answer their pings.
+  std::vector<outgoing_message> Run(
+      duration span,
+      const std::vector<std::string>& answering = {}) {
+    std::vector<outgoing_message> sent;
+    const time_point end = now + span;
+    while (now < end) {
+      now += milliseconds(50);
+      for (const outgoing_message& one : self.Tick(now).send) {
+        sent.push_back(one);
+        const ping* asked = std::get_if<ping>(&one.message.body);
+        for (const std::string& name : answering) {
+          if (asked != nullptr && MakeInstanceId(name) == one.to) {
+            Hear(From(name, ack{asked->sequence, one.to}));
+          }
+        }
+      }
+    }
+    return sent;
+  }
+
+  bool Sees(const std::string& name) const {
+    return FindInstance(self.view(), MakeInstanceId(name)) != nullptr;
+  }
+
+  member_record Claim(std::uint32_t revision, liveness health) const {
+    member_record claim{MakeInfo("self"), revision, health, false};
+    claim.info.incarnation = self.incarnation();
+    return claim;
+  }
+
+  time_point now = time_point(seconds(1'000));
+  membership self;
+};
+
+TEST_CASE("a newcomer trusts its view once a member that does has answered") {
+  fixture one;
+  CHECK_FALSE(one.self.trusted());
+  one.Hear(fixture::From("a", gossip{}, {MakeRecord("a")}));
+  one.Hear(fixture::From("a", sync_reply{false}));
+  CHECK_FALSE(one.self.trusted());
+  one.Hear(fixture::From("a", sync_reply{true}));
+  CHECK(one.self.trusted());
+  CHECK(one.Sees("a"));
+}
+
+TEST_CASE("without any peer the instance trusts itself after a while") {
+  fixture one;
+  one.Run(milliseconds(membership_options{}.alone_ms - 100));
+  CHECK_FALSE(one.self.trusted());
+  one.Run(milliseconds(100));
+  CHECK(one.self.trusted());
+  CHECK(one.self.view().instances.size() == 1);
+}
+
+TEST_CASE("a silent member is suspected, told so, and held dead in time") {
+  fixture one;
+  one.Join({"a", "b"});
+  const std::vector<outgoing_message> sent = one.Run(seconds(2), {"b"});
+  CHECK(one.self.counters().suspicions == 1);
+  CHECK(one.Sees("a"));
+  std::size_t told = 0;
+  std::size_t helped = 0;
+  for (const outgoing_message& message : sent) {
+    const auto& members = message.message.members;
+    told += message.to == MakeInstanceId("a") && !members.empty() &&
+                    members[0].health == liveness::kSuspect
+                ? 1
+                : 0;
+    helped += std::holds_alternative<ping_request>(message.message.body);
+  }
+  CHECK(told > 0);
+  CHECK(helped > 0);
+  one.Run(milliseconds(1'500), {"b"});
+  CHECK_FALSE(one.Sees("a"));
+  CHECK(one.Sees("b"));
+}
+
+TEST_CASE("an indirect answer keeps a member alive") {
+  fixture one;
+  one.Join({"a", "b"});
+  for (int tick = 0; tick < 200; ++tick) {
+    one.now += milliseconds(50);
+    for (const outgoing_message& sent : one.self.Tick(one.now).send) {
+      const auto& body = sent.message.body;
+      if (const ping* asked = std::get_if<ping>(&body);
+          asked != nullptr && sent.to == MakeInstanceId("b")) {
+        one.Hear(fixture::From("b", ack{asked->sequence, sent.to}));
+      }
+      if (const auto* helped = std::get_if<ping_request>(&body)) {
+        one.Hear(fixture::From("b", ack{helped->sequence, helped->subject}));
+      }
+    }
+  }
+  CHECK(one.Sees("a"));
+  CHECK(one.self.counters().suspicions == 0);
+}
+
+TEST_CASE("a suspicion of oneself is refuted with a higher revision") {
+  fixture one;
+  one.Join({"a", "b"});
+  one.Hear(fixture::From("a", gossip{}, {one.Claim(5, liveness::kSuspect)}));
+  CHECK(one.self.counters().refutations == 1);
+  CHECK(one.self.incarnation() == 100);
+  bool refuted = false;
+  for (const outgoing_message& sent : one.Run(milliseconds(200))) {
+    for (const member_record& record : sent.message.members) {
+      refuted = refuted || (record.info.id == MakeInstanceId("self") &&
+                            record.revision == 6);
+    }
+  }
+  CHECK(refuted);
+}
+
+TEST_CASE("held dead by a live peer, it rejoins with a new incarnation") {
+  fixture one;
+  one.Join({"a", "b"});
+  one.Hear(fixture::From("a", gossip{}, {one.Claim(5, liveness::kDead)}));
+  CHECK(one.self.incarnation() == 101);
+  CHECK(one.self.state() == instance_state::kJoining);
+  CHECK_FALSE(one.self.trusted());
+}
+
+TEST_CASE("of two sides of a split, the smaller one rejoins") {
+  for (const std::uint32_t others : {2, 9}) {
+    fixture one;
+    one.Join({"a", "b", "c"});
+    one.Run(seconds(5), {"b", "c"});
+    REQUIRE_FALSE(one.Sees("a"));
+    control_message claim =
+        fixture::From("a", gossip{}, {one.Claim(5, liveness::kDead)});
+    claim.live_count = others;
+    one.Hear(claim);
+    const bool rejoined = one.self.incarnation() == 101;
+    CHECK(rejoined == (others == 9));
+    CHECK((one.self.state() == instance_state::kActive) == !rejoined);
+  }
+}
+
+TEST_CASE("a much smaller side can't hold members of the larger one dead") {
+  fixture one;
+  one.Join({"a", "b", "c", "e"});
+  member_record dead = MakeRecord("b");
+  dead.health = liveness::kDead;
+  control_message claim = fixture::From("a", gossip{}, {dead});
+  claim.live_count = 1;
+  one.Hear(claim);
+  CHECK(one.Sees("b"));
+  claim.live_count = 5;
+  one.Hear(claim);
+  CHECK_FALSE(one.Sees("b"));
+}
+
+TEST_CASE("after a pause nothing is trusted until a peer has answered") {
+  fixture one;
+  one.Join({"a", "b"});
+  one.now += seconds(60);
+  SECTION("whether a tick or a message comes first") {
+    one.Hear(fixture::From("a", ping{1}));
+  }
+  SECTION("or a tick") {
+    one.self.Tick(one.now);
+  }
+  CHECK_FALSE(one.self.trusted());
+  CHECK(one.self.state() == instance_state::kJoining);
+  CHECK(one.self.incarnation() == 101);
+  control_message reply = fixture::From("a", sync_reply{true});
+  reply.members = {MakeRecord("a")};
+  one.Hear(reply);
+  CHECK(one.self.trusted());
+  CHECK(one.Sees("a"));
+  CHECK_FALSE(one.Sees("b"));
+}
+
+TEST_CASE("a short delay voids probes but not the view") {
+  fixture one;
+  one.Join({"a", "b"});
+  one.Run(milliseconds(100));
+  one.now += milliseconds(900);
+  one.self.Tick(one.now);
+  CHECK(one.self.trusted());
+  CHECK(one.self.counters().suspicions == 0);
+}
+
+TEST_CASE("cut off from all, it holds all others dead and trusts that") {
+  fixture one;
+  one.Join({"a", "b", "c"});
+  one.Run(milliseconds(membership_options{}.alone_ms + 100));
+  CHECK(one.self.view().instances.size() == 1);
+  CHECK(one.self.trusted());
+}
+
+TEST_CASE("a restart that lags behind its predecessor is told and goes past") {
+  fixture one;
+  member_record former{MakeInfo("self"), 0, liveness::kDead, false};
+  former.info.incarnation = 5'000;
+  one.Hear(fixture::From("a", gossip{}, {MakeRecord("a")}));
+  one.Hear(fixture::From("a", gossip{}, {former}));
+  CHECK(one.self.incarnation() == 5'001);
+}
+
+TEST_CASE("a newer incarnation replaces the older; the older changes nothing") {
+  fixture one;
+  one.Join({"a"});
+  member_record restarted = MakeRecord("a");
+  restarted.info.incarnation = 200;
+  restarted.info.state = instance_state::kJoining;
+  one.Hear(fixture::From("a", gossip{}, {restarted}));
+  one.Hear(fixture::From("a", gossip{}, {MakeRecord("a")}));
+  const instance_info* seen =
+      FindInstance(one.self.view(), MakeInstanceId("a"));
+  REQUIRE(seen != nullptr);
+  CHECK(seen->incarnation == 200);
+  CHECK(seen->state == instance_state::kJoining);
+}
+
+TEST_CASE("a planned leave ends membership at once, and is announced") {
+  fixture one;
+  one.Join({"a", "b"});
+  member_record left = MakeRecord("a");
+  ++left.revision;
+  left.health = liveness::kLeft;
+  one.Hear(fixture::From("a", gossip{}, {left}));
+  CHECK_FALSE(one.Sees("a"));
+  const membership_actions actions = one.self.Leave();
+  REQUIRE_FALSE(actions.send.empty());
+  CHECK(actions.send[0].message.members.at(0).health == liveness::kLeft);
+  CHECK(one.Run(seconds(5)).empty());
+}
+
+TEST_CASE("another data centre can't speak for members of this one") {
+  fixture one;
+  one.Join({"a", "b"});
+  one.Hear(fixture::From("x", gossip{}, {MakeRecord("x", "other")}));
+  member_record dead = MakeRecord("b");
+  dead.health = liveness::kDead;
+  one.Hear(fixture::From("x", gossip{}, {dead}));
+  CHECK(one.Sees("b"));
+}
+
+TEST_CASE("another data centre is in the view while a contact reaches it") {
+  fixture one;
+  one.Join({"a", "b"});
+  one.Hear(fixture::From("x", gossip{}, {MakeRecord("x", "other")}));
+  CHECK_FALSE(one.Sees("x"));
+  const auto vote = [&](bool up, std::uint64_t version) {
+    control_message message = fixture::From("a", gossip{});
+    message.votes = {{MakeInstanceId("a"), "other", version, up}};
+    one.Hear(message);
+    one.Run(milliseconds(50), {"a", "b"});
+  };
+  vote(true, 1);
+  CHECK(one.Sees("x"));
+  vote(false, 2);
+  CHECK_FALSE(one.Sees("x"));
+  vote(true, 1);
+  CHECK_FALSE(one.Sees("x"));
+}
+
+TEST_CASE("a summary counts only for the members that it was made of") {
+  fixture one;
+  one.Join({"a", "b"});
+  one.self.SetConfiguration(one.now, 7, 7);
+  const auto number_of = [&](const char* name) {
+    return FindInstance(one.self.view(), MakeInstanceId(name))
+        ->configuration_number;
+  };
+  centre_summary summary;
+  summary.data_centre = "d";
+  summary.region = "r";
+  summary.version = 1'000;
+  summary.minimum_number = 7;
+  summary.members_digest = 1;
+  control_message message = fixture::From("a", gossip{});
+  message.centres = {summary};
+  one.Hear(message);
+  CHECK(number_of("b") == 0);
+  summary.version = 1'001;
+  summary.members_digest = 0;
+  for (const char* name : {"a", "b", "self"}) {
+    summary.members_digest += HashPair(MakeInstanceId(name).value, 100);
+  }
+  message.centres = {summary};
+  one.Hear(message);
+  CHECK(number_of("b") == 7);
+}
+
+// Any message that could be decoded, with ids that mean something or not.
+rc::Gen<member_record> AnyRecord() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange(0, 5), rc::gen::inRange(98, 103),
+                     rc::gen::inRange(0, 4), rc::gen::inRange(0, 4),
+                     rc::gen::inRange(0, 3), rc::gen::arbitrary<bool>()),
+      [](const std::tuple<int, int, int, int, int, bool>& any) {
+        const auto& [name, incarnation, revision, health, state, compact] = any;
+        const std::vector<std::string> names = {"self", "a", "b", "c", "x"};
+        member_record record =
+            MakeRecord(names[name], name == 4 ? "other" : "d");
+        record.info.incarnation = incarnation;
+        record.info.state = instance_state(state);
+        record.revision = revision;
+        record.health = liveness(health);
+        record.compact = compact;
+        return record;
+      });
+}
+
+TEST_CASE("whatever authentic peers say, the view holds this instance once") {
+  CHECK(rc::check("random messages and delays", [] {
+    fixture one;
+    one.Join({"a", "b", "c"});
+    std::uint64_t incarnation = one.self.incarnation();
+    const std::vector<control_body> bodies = {
+        ping{1},         ack{1, MakeInstanceId("a")},
+        gossip{},        link_ping{1, 1},
+        link_ack{1},     ping_request{1, MakeInstanceId("b")},
+        sync_reply{true}};
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int step = 0; step < steps; ++step) {
+      const std::vector<std::string> senders = {"a", "b", "x", "z"};
+      control_message message = fixture::From(
+          senders[*rc::gen::inRange(0, 4)],
+          bodies[*rc::gen::inRange<std::size_t>(0, bodies.size())]);
+      message.members =
+          *rc::gen::container<std::vector<member_record>>(AnyRecord());
+      message.live_count = *rc::gen::inRange(0, 10);
+      message.incarnation = *rc::gen::inRange(98, 103);
+      one.Hear(message);
+      one.now += milliseconds(*rc::gen::inRange(0, 3'000));
+      one.self.Tick(one.now);
+      const auto& instances = one.self.view().instances;
+      RC_ASSERT(std::count_if(instances.begin(), instances.end(),
+                              [](const instance_info& info) {
+                                return info.name == "self";
+                              }) == 1);
+      RC_ASSERT(
+          std::is_sorted(instances.begin(), instances.end(),
+                         [](const instance_info& a, const instance_info& b) {
+                           return a.id < b.id;
+                         }));
+      RC_ASSERT(one.self.incarnation() >= incarnation);
+      incarnation = one.self.incarnation();
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace rosemaryreach
