Test configuration sync on its own

Change: tests of its decisions alone: who watches, whom it pulls from, what it does when reads fail. Conclusion: a change of these rules shows in a test of its own.

--- /dev/null
+++ b/tests/config_sync_test.cc
@@ -0,0 +1,230 @@
+#include "rosemaryreach/config_sync.h"
+
+#include <catch2/catch.hpp>
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+template <typename Action>
+std::vector<Action> Only(const std::vector<config_sync_action>& actions) {
+  std::vector<Action> found;
+  for (const config_sync_action& action : actions) {
+    if (const Action* one = std::get_if<Action>(&action)) {
+      found.push_back(*one);
+    }
+  }
+  return found;
+}
+
+configuration MakeConfiguration(std::uint64_t number) {
+  configuration config;
+  config.number = number;
+  config.data_centres = {{"d", "r"}};
+  return config;
+}
+
+std::vector<log_entry> Snapshot(std::uint64_t number) {
+  return MakeSnapshot(MakeConfiguration(number), snapshot_kind::kPublished,
+                      number, 500'000);
+}
+
+contact Peer(const std::string& name) {
+  return {MakeInstanceId(name), {}, 1};
+}
+
+// One instance among `count` active ones of its data centre.
+class fixture {
+ public:
+  explicit fixture(int count = 1) {
+    for (int i = 0; i < count; ++i) {
+      instance_info info;
+      info.name = "i" + std::to_string(i);
+      info.id = MakeInstanceId(info.name);
+      info.data_centre = "d";
+      info.region = "r";
+      info.grpc_port = 1;
+      info.state = instance_state::kActive;
+      view.instances.push_back(info);
+    }
+    for (int i = 0; i < count; ++i) {
+      logs.push_back(std::make_unique<patch_log>(nullptr));
+      syncs.push_back(std::make_unique<config_sync>(
+          config_sync_options{}, *logs.back(), view.instances[i].id, "d", 1));
+      syncs.back()->OnView(view, {});
+    }
+  }
+
+  // Returns the instances in the order in which they watch.
+  std::vector<config_sync*> Ranked() {
+    std::vector<config_sync*> watching;
+    std::vector<config_sync*> others;
+    for (const std::unique_ptr<config_sync>& sync : syncs) {
+      (sync->IsWatcher() ? watching : others).push_back(sync.get());
+    }
+    watching.insert(watching.end(), others.begin(), others.end());
+    return watching;
+  }
+
+  fleet_view view;
+  std::vector<std::unique_ptr<patch_log>> logs;
+  std::vector<std::unique_ptr<config_sync>> syncs;
+  time_point now{};
+};
+
+TEST_CASE("two of many watch, and only they read at once") {
+  fixture fleet(20);
+  std::size_t reads = 0;
+  for (const std::unique_ptr<config_sync>& sync : fleet.syncs) {
+    reads += Only<read_platform>(sync->Tick(fleet.now)).size();
+  }
+  CHECK(reads == 2);
+}
+
+TEST_CASE("a silent watch is given up at its deadline and read again") {
+  fixture fleet;
+  config_sync& sync = *fleet.syncs[0];
+  const config_sync_options options;
+  REQUIRE(Only<read_platform>(sync.Tick(fleet.now)).size() == 1);
+  fleet.now += milliseconds(options.watch_deadline_ms - 1);
+  CHECK(sync.Tick(fleet.now).empty());
+  fleet.now += milliseconds(1);
+  sync.Tick(fleet.now);
+  CHECK(sync.status().platform_errors == 1);
+  CHECK_FALSE(sync.status().platform_error.empty());
+  fleet.now += milliseconds(options.backoff_max_ms);
+  CHECK(Only<read_platform>(sync.Tick(fleet.now)).size() == 1);
+}
+
+TEST_CASE("standbys take over from silent watchers and stop when heard") {
+  fixture fleet(20);
+  std::vector<config_sync*> standbys;
+  for (const std::unique_ptr<config_sync>& sync : fleet.syncs) {
+    if (!sync->IsWatcher()) {
+      sync->Tick(fleet.now);
+    }
+  }
+  const config_sync_options options;
+  fleet.now += milliseconds(options.watcher_silence_ms);
+  for (const std::unique_ptr<config_sync>& sync : fleet.syncs) {
+    if (!sync->IsWatcher() &&
+        !Only<read_platform>(sync->Tick(fleet.now)).empty()) {
+      standbys.push_back(sync.get());
+    }
+  }
+  // Without a configuration, everyone asks; with one, only the standbys do.
+  CHECK(standbys.size() >= options.standbys);
+}
+
+TEST_CASE("an accepted entry is told to peers") {
+  fixture fleet(20);
+  config_sync& watcher = *fleet.Ranked()[0];
+  const std::uint64_t token =
+      Only<read_platform>(watcher.Tick(fleet.now)).at(0).token;
+  const std::vector<config_sync_action> actions =
+      watcher.OnPlatformPage(fleet.now, token, platform_page{Snapshot(5), 5});
+  const std::vector<push_digest> pushed = Only<push_digest>(actions);
+  REQUIRE(pushed.size() == config_sync_options{}.push_fanout);
+  CHECK(pushed[0].digest.number == 5);
+  CHECK(watcher.ready());
+}
+
+TEST_CASE("a platform that falls back or repeats itself changes nothing") {
+  fixture fleet;
+  config_sync& sync = *fleet.syncs[0];
+  const auto read = [&] {
+    fleet.now += seconds(5);
+    return Only<read_platform>(sync.Tick(fleet.now)).at(0).token;
+  };
+  sync.OnPlatformPage(fleet.now, read(), platform_page{Snapshot(5), 5});
+  const log_head head = sync.status().head;
+  sync.OnPlatformPage(fleet.now, read(), platform_page{Snapshot(3), 3});
+  sync.OnPlatformPage(fleet.now, read(), platform_page{{}, 0});
+  sync.OnPlatformPage(fleet.now, read(), platform_page{Snapshot(5), 5});
+  CHECK(sync.status().head == head);
+}
+
+TEST_CASE("corrupt and oversized values are counted and told, not taken") {
+  fixture fleet;
+  config_sync& sync = *fleet.syncs[0];
+  const std::uint64_t token =
+      Only<read_platform>(sync.Tick(fleet.now)).at(0).token;
+  const platform_page page{
+      {{1, 0, 0, "garbage"}, {1, 0, 0, std::string(1'100'000, 'x')}}, 1};
+  const std::vector<config_sync_action> actions =
+      sync.OnPlatformPage(fleet.now, token, page);
+  CHECK(Only<entry_judged>(actions).size() == 2);
+  CHECK_FALSE(sync.ready());
+  // It isn't asked for again in a tight loop.
+  CHECK(Only<read_platform>(sync.Tick(fleet.now)).empty());
+}
+
+TEST_CASE("a peer that is ahead is asked; if it fails, the next one is") {
+  fixture fleet(20);
+  config_sync& sync = *fleet.Ranked().back();
+  CHECK(sync.OnPeerDigest(fleet.now, Peer("x"), {0, 0, 0, false}).empty());
+  const std::vector<pull_from_peer> first = Only<pull_from_peer>(
+      sync.OnPeerDigest(fleet.now, Peer("x"), {5, 5, 0, false}));
+  REQUIRE(first.size() == 1);
+  CHECK(Only<pull_from_peer>(
+            sync.OnPeerDigest(fleet.now, Peer("y"), {5, 5, 0, false}))
+            .empty());
+  fleet.now += milliseconds(config_sync_options{}.pull_timeout_ms);
+  const std::vector<pull_from_peer> second =
+      Only<pull_from_peer>(sync.Tick(fleet.now));
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].peer.id == MakeInstanceId("y"));
+  sync.OnPulled(fleet.now, second[0].token, Snapshot(5));
+  CHECK(sync.ready());
+  CHECK(Only<pull_from_peer>(
+            sync.OnPeerDigest(fleet.now, Peer("z"), {5, 5, 0, false}))
+            .empty());
+}
+
+TEST_CASE("a peer with other content at the same number is counted") {
+  fixture fleet;
+  config_sync& sync = *fleet.syncs[0];
+  const std::uint64_t token =
+      Only<read_platform>(sync.Tick(fleet.now)).at(0).token;
+  sync.OnPlatformPage(fleet.now, token, platform_page{Snapshot(5), 5});
+  const log_head head = sync.status().head;
+  sync.OnPeerDigest(fleet.now, Peer("x"), {5, 5, head.digest, false});
+  CHECK(sync.status().forks == 0);
+  sync.OnPeerDigest(fleet.now, Peer("x"), {5, 5, head.digest + 1, false});
+  CHECK(sync.status().forks == 1);
+  CHECK(sync.status().head == head);
+}
+
+TEST_CASE("without platform and peers it waits and says why") {
+  fixture fleet;
+  config_sync& sync = *fleet.syncs[0];
+  const std::uint64_t token =
+      Only<read_platform>(sync.Tick(fleet.now)).at(0).token;
+  sync.OnPlatformPage(fleet.now, token, Fail(errc::kUnavailable, "refused"));
+  CHECK_FALSE(sync.ready());
+  CHECK(sync.WaitingFor().find("refused") != std::string::npos);
+  CHECK(sync.WaitingFor().find("none known") != std::string::npos);
+}
+
+TEST_CASE("failing reads are spaced out") {
+  fixture fleet;
+  config_sync& sync = *fleet.syncs[0];
+  std::size_t reads = 0;
+  for (int tick = 0; tick < 2'000; ++tick) {
+    fleet.now += milliseconds(50);
+    for (const read_platform& read :
+         Only<read_platform>(sync.Tick(fleet.now))) {
+      ++reads;
+      sync.OnPlatformPage(fleet.now, read.token,
+                          Fail(errc::kUnavailable, "refused"));
+    }
+  }
+  // A hundred seconds at no more than one read in half the longest wait.
+  CHECK(reads <= 100 + 10);
+  CHECK(reads >= 40);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
