--- a/bench/fleet_configuration_cases.h
+++ b/bench/fleet_configuration_cases.h
@@ -161,22 +161,27 @@
   world.StartAll();
   PublishAndWait(world);
   const std::uint64_t last_good = world.published();
-  const std::vector<log_entry> good = world.source().entries();
-  const std::vector<std::string> bad = {
-      "", "not json", "{}", std::string(1'100'000, 'x'),
-      good.back().text.substr(0, good.back().text.size() / 2)};
-  for (const std::string& text : bad) {
+  // What is no entry at all can be repaired in its place.
+  std::vector<log_entry> good = world.source().entries();
+  const std::string& last = good.back().text;
+  const std::vector<std::string> corrupt = {"", "not json",
+                                            std::string(1'100'000, 'x'),
+                                            last.substr(0, last.size() / 2)};
+  for (const std::string& text : corrupt) {
     world.source().Replace(good);
     world.source().Publish(text);
     world.Run(seconds(10));
     report.AtMost("lost_last_good", world.AllHave(last_good) ? 0 : 1, 0);
   }
-  // A hole: the entry after the next one comes first.
+  // What is an entry but breaks the rules keeps its place and is refused.
   world.source().Replace(good);
+  world.source().Publish(std::string("{}"));
+  world.Run(seconds(10));
+  report.AtMost("lost_last_good", world.AllHave(last_good) ? 0 : 1, 0);
+  // A hole: the entry after the next one comes first.
   world.PublishChange();
-  const log_entry skipped = world.source().entries().back();
   world.PublishChange();
-  std::vector<log_entry> whole = world.source().entries();
+  const std::vector<log_entry> whole = world.source().entries();
   std::vector<log_entry> holed = whole;
   holed.erase(holed.end() - 2);
   world.source().Replace(holed);
--- a/bench/fleet_world.h
+++ b/bench/fleet_world.h
@@ -309,6 +309,8 @@
   static constexpr duration kTick = std::chrono::milliseconds(50);
   static constexpr std::uint64_t kWallStartMs = 1'700'000'000'000;
   static constexpr std::size_t kSeedsPerCentre = 3;
+  // Names of one length sort as numbers do.
+  static constexpr int kFirstTarget = 10'000;
 
   void Add(const centre_shape& centre, int number) {
     auto one = std::make_unique<instance>();
@@ -338,7 +340,7 @@
           ParseEndpoint("192.0.2." + std::to_string(s + 1) + ":443").value()};
       for (int t = 0; t < options_.targets; ++t) {
         target_config target;
-        target.name = "t" + std::to_string(t);
+        target.name = "t" + std::to_string(kFirstTarget + t);
         target.address = ParseEndpoint("10.1." + std::to_string(s) + "." +
                                        std::to_string(t + 1) + ":443")
                              .value();
