Trust no view before the region's other data centres are decided

Cause: an instance alone in its data centre trusted a view of itself 50 ms before its contacts had voted on the others, and a restarted one waited 2.5 s for peers that don't exist.

--- a/src/adapters/control_task.cc
+++ b/src/adapters/control_task.cc
@@ -245,7 +245,10 @@
                      " instances, " +
                      (logged_trusted_ ? "trusted" : "not trusted"));
     }
-    if (hooks_.on_view) {
+    // A view that may not be acted on is told once.
+    const bool told = hooked_ && !*hooked_ && !members.trusted();
+    hooked_ = members.trusted();
+    if (hooks_.on_view && !told) {
       hooks_.on_view(members.view(), members.trusted());
     }
   }
@@ -267,6 +270,8 @@
   control_plane plane_;
   std::uint64_t logged_version_ = 0;
   bool logged_trusted_ = false;
+  // The trust of the view that the hook was last called with.
+  std::optional<bool> hooked_;
   std::optional<udp_socket> socket_;
   receive_batch receiver_;
   std::optional<send_batch> sender_;
--- a/src/fleet/membership.cc
+++ b/src/fleet/membership.cc
@@ -52,6 +52,7 @@
     RefreshLocals();
     RunLinks(now);
     CountVotes(now);
+    CheckRegion(now);
     PublishSummary(now);
     Knock(now);
   }
@@ -88,6 +89,7 @@
     OnLinkAck(now, message);
   }
   CompareDigests(now, message);
+  CheckRegion(now);
   return Take();
 }
 
@@ -130,6 +132,10 @@
 void membership::impl::BeginJoin(time_point now) {
   joining_ = true;
   trusted_ = false;
+  region_settled_ = false;
+  links_.clear();
+  reachable_.clear();
+  table_.KeepVotesOf({});
   view_stale_ = true;
   join_started_ = now;
   next_join_ = now;
@@ -224,16 +230,29 @@
       entry->confirmed = true;
     }
   }
-  if (std::get<sync_reply>(message.body).trusted &&
-      IsLocal(sender->record.info)) {
+  const bool complete = IsLocal(sender->record.info) || IsOnlyOne(*sender);
+  if (std::get<sync_reply>(message.body).trusted && complete) {
     FinishJoin(now);
   }
 }
 
+// Returns whether `sender`, of another data centre of the region, would know
+// of live members of this one, and there is none but this instance.
+bool membership::impl::IsOnlyOne(const member_entry& sender) const {
+  return sender.record.info.region == region_ &&
+         std::none_of(table_.members().begin(), table_.members().end(),
+                      [this](const auto& member) {
+                        const member_record& record = member.second.record;
+                        return record.info.id != self_ &&
+                               IsLocal(record.info) && IsLive(record);
+                      });
+}
+
 // Trusts the table: what peers didn't name and hasn't spoken is not there.
 void membership::impl::FinishJoin(time_point now) {
   joining_ = false;
   trusted_ = true;
+  joined_ = now;
   view_stale_ = true;
   heard_local_ = now;
   next_random_probe_ = now;
--- a/src/fleet/membership_impl.h
+++ b/src/fleet/membership_impl.h
@@ -42,7 +42,7 @@
   instance_state state() const { return Self().info.state; }
   std::uint64_t incarnation() const { return Self().info.incarnation; }
   const fleet_view& view() const { return view_; }
-  bool trusted() const { return trusted_; }
+  bool trusted() const { return trusted_ && region_settled_; }
   const membership_counters& counters() const { return counters_; }
 
  private:
@@ -163,6 +163,8 @@
   void OnLinkPing(const endpoint& source, const control_message& message);
   void OnLinkAck(time_point now, const control_message& message);
   void CountVotes(time_point now);
+  void CheckRegion(time_point now);
+  bool IsOnlyOne(const member_entry& sender) const;
   void PublishSummary(time_point now);
   centre_summary MakeSummary() const;
   void ReportNumber(time_point now);
@@ -205,7 +207,11 @@
 
   bool started_ = false;
   bool stopped_ = false;
+  // Whether the table of the own data centre may be acted on, and whether it
+  // is known which others of the region are within reach.
   bool trusted_ = false;
+  bool region_settled_ = false;
+  time_point joined_{};
   bool joining_ = true;
   time_point last_call_{};
   time_point table_changed_{};
--- a/src/fleet/membership_links.cc
+++ b/src/fleet/membership_links.cc
@@ -10,6 +10,8 @@
 // Least time between summaries, by what has changed.
 constexpr std::uint32_t kPublishNumbersMs = 100;
 constexpr std::uint32_t kPublishMembersMs = 1'000;
+// Time that a vote takes to reach all members.
+constexpr std::uint32_t kVoteSpreadMs = 500;
 constexpr std::uint32_t kReportMs = 1'000;
 // Pings without an answer after which others than the contacts are asked.
 constexpr std::uint32_t kContactAttempts = 2;
@@ -215,6 +217,23 @@
   }
 }
 
+// Waits for a word on each data centre of the region, which the contacts'
+// votes bring, before the view is trusted for the first time.
+void membership::impl::CheckRegion(time_point now) {
+  if (!trusted_ || region_settled_) {
+    return;
+  }
+  const duration limit = milliseconds(options_.link_timeout_ms + kVoteSpreadMs);
+  bool settled = true;
+  for (const auto& [name, region] : OtherCentres()) {
+    settled = settled && (region != region_ || reachable_.contains(name));
+  }
+  if (settled || now - joined_ >= limit) {
+    region_settled_ = true;
+    view_stale_ = true;
+  }
+}
+
 std::uint64_t membership::impl::MembersDigest(
     const std::string& data_centre) const {
   std::uint64_t digest = 0;
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -120,6 +120,46 @@
   CHECK(one.self.view().instances.size() == 1);
 }
 
+TEST_CASE("a view waits for word of the region's other data centres") {
+  fixture one;
+  one.Hear(fixture::From("a", gossip{}, {MakeRecord("a")}));
+  control_message reply = fixture::From("a", sync_reply{true});
+  reply.members = {MakeRecord("a"), MakeRecord("x", "other")};
+  one.Hear(reply);
+  CHECK_FALSE(one.self.trusted());
+  SECTION("until a contact has told") {
+    control_message told = fixture::From("a", gossip{});
+    told.votes = {{MakeInstanceId("a"), "other", 1, true}};
+    one.Hear(told);
+    one.Run(milliseconds(50), {"a"});
+    CHECK(one.self.trusted());
+    CHECK(one.Sees("x"));
+  }
+  SECTION("or the link has been silent for its timeout") {
+    one.Run(milliseconds(membership_options{}.link_timeout_ms + 600), {"a"});
+    CHECK(one.self.trusted());
+    CHECK_FALSE(one.Sees("x"));
+  }
+}
+
+TEST_CASE("the only one of its data centre is told so by another") {
+  fixture one;
+  one.Hear(fixture::From("x", gossip{}, {MakeRecord("x", "other")}));
+  one.Hear(fixture::From("x", sync_reply{true}));
+  const std::vector<outgoing_message> sent = one.Run(milliseconds(50));
+  bool linked = false;
+  for (const outgoing_message& message : sent) {
+    if (const auto* asked = std::get_if<link_ping>(&message.message.body)) {
+      one.Hear(fixture::From("x", link_ack{asked->sequence}));
+      linked = true;
+    }
+  }
+  CHECK(linked);
+  one.Run(milliseconds(50));
+  CHECK(one.self.trusted());
+  CHECK(one.Sees("x"));
+}
+
 TEST_CASE("a silent member is suspected, told so, and held dead in time") {
   fixture one;
   one.Join({"a", "b"});
--- a/tests/packet_fixture.h
+++ b/tests/packet_fixture.h
@@ -53,6 +53,11 @@
   }
 
   const peer_keys& keys() const { return keys_; }
+
+  // Returns the id that detoured packets to `instance` are sealed for.
+  instance_id DetourReceiver(int instance) const {
+    return MakeInstanceId(FormatEndpoint(ports_[instance].second));
+  }
   packet_worker_stats stats(int instance) const {
     return workers_[instance]->stats();
   }
--- a/tests/packet_worker_test.cc
+++ b/tests/packet_worker_test.cc
@@ -89,7 +89,7 @@
   EncodeDetour(info, {reinterpret_cast<std::uint8_t*>(frame.data()),
                       kDetourHeaderBytes});
   frame.append(packet.begin(), packet.end());
-  const std::string sealed = sender.Seal({}, frame);
+  const std::string sealed = sender.Seal(fixture.DetourReceiver(0), frame);
   const std::vector<std::uint8_t> bytes(sealed.begin(), sealed.end());
   fixture.SendDetour(0, bytes);
   CHECK(fixture.Receive(1).size() == 1);
