Add a case for a region that starts at once

Cause: instances that started together, each alone in its data centre, trusted a view that held only themselves; no case of the bench started a region at once. Change: bench_fleet's case region-start, which asks that each trusted view is complete and comes in time. Conclusion: the fault that real processes showed is now found in virtual time.

--- a/bench/bench_fleet.cc
+++ b/bench/bench_fleet.cc
@@ -15,6 +15,7 @@
                            {"bad-entries", fakes::BadEntries},
                            {"failures", fakes::Failures},
                            {"rack", fakes::Rack},
+                           {"region-start", fakes::RegionStart},
                            {"rack-cut", fakes::RackCut},
                            {"data-centre-cut", fakes::DataCentreCut},
                            {"regions-cut", fakes::RegionsCut},
--- a/bench/fleet_membership_cases.h
+++ b/bench/fleet_membership_cases.h
@@ -100,6 +100,62 @@
                 0);
 }
 
+// Starts all instances of a region of three data centres at once: no view is
+// trusted that lacks one, and the region is whole within seconds.
+inline void RegionStart(std::uint64_t seed, bench_report& report) {
+  for (const int per_centre : {1, 3}) {
+    world_options options = OneCentre(per_centre, seed);
+    options.centres = {{"a1", "a", per_centre},
+                       {"a2", "a", per_centre},
+                       {"a3", "a", per_centre}};
+    fleet_world world(options);
+    const std::size_t whole = world.size();
+    std::uint64_t partial = 0;
+    bool restarted = false;
+    world.OnEvent([&](const instance& one) {
+      if (restarted && &one != &world.at(0)) {
+        return;
+      }
+      const membership& members = one.plane->members();
+      std::set<std::string> centres;
+      for (const instance_info& info : members.view().instances) {
+        centres.insert(info.data_centre);
+      }
+      partial += members.trusted() && centres.size() < 3 ? 1 : 0;
+    });
+    for (std::size_t i = 0; i < whole; ++i) {
+      world.queue().After(world.Random(milliseconds(200)),
+                          [&world, i] { world.Start(i); });
+    }
+    world.Run(milliseconds(200));
+    report.AtMost(Name("region_whole_s", per_centre),
+                  world.Until(
+                      [&] {
+                        bool seen = true;
+                        world.ForLive([&](instance& one) {
+                          const membership& members = one.plane->members();
+                          seen = seen && members.trusted() &&
+                                 members.view().instances.size() == whole;
+                        });
+                        return seen;
+                      },
+                      seconds(20)),
+                  kJoinS);
+    report.AtMost(Name("trusted_partial_views", per_centre),
+                  static_cast<double>(partial), 0);
+    // One instance starts anew.
+    restarted = true;
+    world.Kill(0);
+    world.Run(seconds(6));
+    world.Start(0);
+    report.AtMost(
+        Name("rejoined_s", per_centre),
+        world.Until([&] { return world.ViewsSettled(); }, seconds(20)), kJoinS);
+    report.AtMost(Name("trusted_partial_views_after_restart", per_centre),
+                  static_cast<double>(partial), 0);
+  }
+}
+
 // A rack that is cut off from the rest of its data centre, and comes back.
 inline void RackCut(std::uint64_t seed, bench_report& report) {
   fleet_world world(OneCentre(40, seed));
