Tell readiness by the view that the workers have applied

Cause: a worker's report of being synchronized could be of an older view than the one just handed to it; a joining instance turned active 5 ms after it had first seen its peers, before it had asked for their open buckets. Change: reports carry the view's version; readiness and handover count only reports of the latest view. KEEP_LOGS copies the logs of the scripts. Conclusion: an instance turns active only once it is synchronized with the peers that it sees now.

--- a/scripts/loopback.sh
+++ b/scripts/loopback.sh
@@ -1,5 +1,6 @@
 # Functions that run the whole path on loopback for scripts that source this
-# file from the root of the tree. Ends what it started when the script exits.
+# file from the root of the tree. Ends what it started when the script exits;
+# KEEP_LOGS=DIR copies settings, logs and accounts there before.
 
 bin=$PWD/build/bin
 work=$(mktemp -d)
@@ -7,6 +8,7 @@
 stop_all() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  [ -z "${KEEP_LOGS:-}" ] || cp -r "$work" "$KEEP_LOGS"
   rm -rf "$work"
 }
 trap stop_all EXIT
--- a/src/adapters/packet_worker.cc
+++ b/src/adapters/packet_worker.cc
@@ -89,6 +89,7 @@
 
 void packet_worker::ApplyView(const fleet_view& view) {
   router_.ApplyView(view, loop_.now());
+  stats_.view_version = view.version;
 }
 
 void packet_worker::OnFlowState(instance_id from, const flow_message& message) {
--- a/src/adapters/packet_worker.h
+++ b/src/adapters/packet_worker.h
@@ -48,6 +48,8 @@
   std::uint64_t truncated = 0;
   std::uint64_t resets_unsent = 0;  // no answer_next_hop, or not TCP
   flow_router_stats router;
+  // Version of the view that the figures below are of.
+  std::uint64_t view_version = 0;
   bool synchronized = false;
   bool handed_over = false;
 };
--- a/src/daemon/packet_plane.cc
+++ b/src/daemon/packet_plane.cc
@@ -137,6 +137,7 @@
 }
 
 void packet_plane::ApplyView(const fleet_view& view) {
+  view_version_ = view.version;
   PostToAll([view](packet_worker& worker) { worker.ApplyView(view); });
 }
 
@@ -164,15 +165,19 @@
 }
 
 bool packet_plane::synchronized() const {
-  return std::all_of(
-      reports_.begin(), reports_.end(),
-      [](const packet_worker_stats& stats) { return stats.synchronized; });
+  return std::all_of(reports_.begin(), reports_.end(),
+                     [this](const packet_worker_stats& stats) {
+                       return stats.synchronized &&
+                              stats.view_version == view_version_;
+                     });
 }
 
 bool packet_plane::handed_over() const {
-  return std::all_of(
-      reports_.begin(), reports_.end(),
-      [](const packet_worker_stats& stats) { return stats.handed_over; });
+  return std::all_of(reports_.begin(), reports_.end(),
+                     [this](const packet_worker_stats& stats) {
+                       return stats.handed_over &&
+                              stats.view_version == view_version_;
+                     });
 }
 
 packet_worker_stats packet_plane::stats() const {
--- a/src/daemon/packet_plane.h
+++ b/src/daemon/packet_plane.h
@@ -46,9 +46,9 @@
                     std::string_view target,
                     target_condition condition);
 
-  // Whether every worker knows all open buckets.
+  // Whether every worker knows all open buckets in the latest view.
   bool synchronized() const;
-  // Whether no worker owns a bucket that it has not handed over.
+  // Whether no worker owns a bucket in the latest view.
   bool handed_over() const;
   // The workers' figures added up, as of their last report.
   packet_worker_stats stats() const;
@@ -64,6 +64,7 @@
   log_sink& log_;
   send_state send_;
   std::unique_ptr<plane_metrics> metrics_;
+  std::uint64_t view_version_ = 0;
   std::vector<packet_worker_stats> reports_;
   std::vector<std::unique_ptr<worker_thread>> threads_;
 };
