--- a/bench/bench_requests.cc
+++ b/bench/bench_requests.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "requests/baseline.h"
 #include "requests/request_scene.h"
 
 namespace rosemaryreach::bench {
@@ -475,6 +476,31 @@
   });
 }
 
+// What simpler rules give under the same load; no bounds.
+void Baselines(std::uint64_t seed, bench_report& report) {
+  struct named_rule {
+    std::string name;
+    baseline_rule rule;
+  };
+  const std::vector<named_rule> rules = {
+      {"random", baseline_rule::kRandom},
+      {"round_robin", baseline_rule::kRoundRobin},
+      {"no_limit", baseline_rule::kNoLimit}};
+  for (const agency& one : Agencies()) {
+    for (const named_rule& rule : rules) {
+      for (const double share : {kNormalLoad, 2.0}) {
+        baseline run(one, rule.rule, seed);
+        const baseline_result result = run.Run(share, seconds(10));
+        const std::string name =
+            one.name + "." + rule.name + (share < 1 ? ".normal" : ".surge_2x");
+        report.Show(name + ".goodput_share_of_capacity", result.goodput_share);
+        report.Show(name + ".error_share", result.error_share);
+        report.Show(name + ".p99_ms", Milliseconds(result.p99));
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace rosemaryreach::bench
 
@@ -501,5 +527,6 @@
        {"rolling_replacement", RollingReplacement},
        {"data_centre_out", DataCentreOut},
        {"total_failure", TotalFailure},
-       {"balance", Balance}});
+       {"balance", Balance},
+       {"baselines", Baselines}});
 }
