--- a/src/requests/router_events.cc
+++ b/src/requests/router_events.cc
@@ -491,7 +491,10 @@
       continue;
     }
     if (request->deadline <= now) {
-      AnswerTruly(now, *request, answer_condition::kDeadline);
+      const bool reserving = request->stage == request_stage::kReserving;
+      AnswerTruly(now, *request,
+                  reserving ? answer_condition::kKeyUnavailable
+                            : answer_condition::kDeadline);
     } else if (request->may_hedge && request->hedge_at <= now) {
       Hedge(now, *request);
     }
