Explain flows and requests

Answers which target a new flow gets by the configuration, by which rule, and which instances own its bucket, with a router that has no peers; and which targets a request may go to, with the instances that dispatch to them.

--- /dev/null
+++ b/tests/admin_explain_test.cc
@@ -0,0 +1,80 @@
+#include "adapters/admin_explain.h"
+
+#include <catch2/catch.hpp>
+
+#include "config_sample.h"
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+
+fleet_view ThreeInstances() {
+  fleet_view view;
+  for (const char* name : {"a1", "a2", "a3"}) {
+    instance_info info;
+    info.name = name;
+    info.id = MakeInstanceId(name);
+    info.data_centre = "almaty-a";
+    info.region = "almaty";
+    info.state = instance_state::kActive;
+    view.instances.push_back(info);
+  }
+  view.self = view.instances[0].id;
+  return view;
+}
+
+flow_question Ask(const std::string& service, const std::string& destination) {
+  return {service, transport_protocol::kTcp,
+          ParseEndpoint("10.0.0.7:40000").value(),
+          ParseEndpoint(destination).value()};
+}
+
+TEST_CASE("A flow is explained the same on every instance") {
+  configuration config = SampleConfiguration();
+  config.services[0].legacy.reset();
+  fleet_view view = ThreeInstances();
+  const flow_question question = Ask("ledger", "10.1.0.1:80");
+  const json first = ExplainFlow(config, view, question).value();
+  CHECK(first.at("action") == "target");
+  CHECK(first.at("rule") == "steady");
+  CHECK(first.at("target").get<std::string>().starts_with("l"));
+  CHECK(first.at("owner").get<std::string>().starts_with("a"));
+  CHECK(first.at("owner") != first.at("successor"));
+  view.self = view.instances[1].id;
+  CHECK(ExplainFlow(config, view, question).value() == first);
+}
+
+TEST_CASE("A flow follows data centres, shares and the default next hop") {
+  configuration config = SampleConfiguration();
+  const fleet_view view = ThreeInstances();
+  config.services[0].legacy->share_percent = 0;
+  const flow_question question = Ask("", "10.1.0.1:80");
+  CHECK(ExplainFlow(config, view, question).value().at("action") == "legacy");
+  config.services[0].legacy.reset();
+  config.data_centres[0].state = data_centre_state::kOut;
+  CHECK(ExplainFlow(config, view, question).value().at("target") == "l2");
+  const flow_question unknown = Ask("", "10.1.0.99:80");
+  CHECK(ExplainFlow(config, view, unknown).value().at("rule") ==
+        "unknown_address");
+  config.default_legacy = ParseEndpoint("10.9.9.9:7000").value();
+  CHECK(ExplainFlow(config, view, unknown).value().at("next_hop") ==
+        "10.9.9.9:7000");
+  CHECK(ExplainFlow(config, view, Ask("x", "10.1.0.1:80")).error().code ==
+        errc::kNotFound);
+}
+
+TEST_CASE("A request is explained by targets and their owners") {
+  const configuration config = SampleConfiguration();
+  const fleet_view view = ThreeInstances();
+  request_question question;
+  question.service = "statements";
+  const json answer = ExplainRequest(config, view, question).value();
+  CHECK(answer.at("targets").at("s1").at("new_work") == true);
+  CHECK(answer.at("targets").at("s1").at("owner") != "");
+  question.service = "ledger";
+  CHECK(ExplainRequest(config, view, question).error().code == errc::kNotFound);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
