Answer explain questions, show verdicts by one function

The daemon's admin interface gets the two explain hooks, and the verdicts as rosemaryreachctl shows them: the reason is an object with error, path and detail. The second copy of the function is gone.

--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -11,6 +11,8 @@
 #include <random>
 #include <utility>
 
+#include "adapters/admin_documents.h"
+#include "adapters/admin_explain.h"
 #include "adapters/admin_server.h"
 #include "adapters/control_task.h"
 #include "adapters/event_loop.h"
@@ -116,6 +118,12 @@
   nlohmann::json Status() const;
   nlohmann::json Configuration() const;
   nlohmann::json Targets() const;
+  template <typename Question>
+  result<nlohmann::json> Explain(
+      result<nlohmann::json> (*explain)(const configuration&,
+                                        const fleet_view&,
+                                        const Question&),
+      const Question& question) const;
 
   settings settings_;
   // Before all threads are made, so that they inherit the mask.
@@ -230,6 +238,12 @@
     return VerdictsToJson(control_.Status().verdicts);
   };
   hooks.targets = [this] { return Targets(); };
+  hooks.explain_flow = [this](const flow_question& question) {
+    return Explain(ExplainFlow, question);
+  };
+  hooks.explain_request = [this](const request_question& question) {
+    return Explain(ExplainRequest, question);
+  };
   return hooks;
 }
 
@@ -359,6 +373,19 @@
   return current ? TargetsToJson(*current) : nlohmann::json::array();
 }
 
+template <typename Question>
+result<nlohmann::json> instance::Explain(
+    result<nlohmann::json> (*explain)(const configuration&,
+                                      const fleet_view&,
+                                      const Question&),
+    const Question& question) const {
+  const std::shared_ptr<const configuration> current = control_.current();
+  if (current == nullptr) {
+    return Fail(errc::kUnavailable, "no configuration is in force");
+  }
+  return explain(*current, control_.view(), question);
+}
+
 result<peer_keys> ReadKeys(const settings& settings) {
   peer_keys keys;
   for (const std::string& file : settings.key_files) {
--- a/src/daemon/status_json.cc
+++ b/src/daemon/status_json.cc
@@ -102,21 +102,6 @@
           {"buffered_bytes", stats.buffered_bytes}};
 }
 
-nlohmann::json VerdictsToJson(std::span<const entry_outcome> verdicts) {
-  nlohmann::json list = nlohmann::json::array();
-  for (const entry_outcome& outcome : verdicts) {
-    nlohmann::json one = {{"sequence", outcome.sequence},
-                          {"verdict", VerdictName(outcome.verdict)},
-                          {"number", outcome.number},
-                          {"author", outcome.author}};
-    if (outcome.reason) {
-      one["reason"] = FormatError(*outcome.reason);
-    }
-    list.push_back(std::move(one));
-  }
-  return list;
-}
-
 nlohmann::json TargetsToJson(const configuration& config) {
   nlohmann::json list = nlohmann::json::array();
   for (const service_config& service : config.services) {
--- a/src/daemon/status_json.h
+++ b/src/daemon/status_json.h
@@ -3,13 +3,11 @@
 #define ROSEMARYREACH_DAEMON_STATUS_JSON_H_
 
 #include <nlohmann/json.hpp>
-#include <span>
 
 #include "adapters/control_task.h"
 #include "adapters/packet_worker.h"
 #include "adapters/request_task.h"
 #include "rosemaryreach/config.h"
-#include "rosemaryreach/patch_log.h"
 
 namespace rosemaryreach {
 
@@ -22,9 +20,6 @@
 // Returns the figures of the request plane.
 nlohmann::json RequestStatsToJson(const request_task_stats& stats);
 
-// Returns one object for each verdict, oldest first.
-nlohmann::json VerdictsToJson(std::span<const entry_outcome> verdicts);
-
 // Returns one object for each target: service, name, address, data centre,
 // state, and whether it gets new work.
 nlohmann::json TargetsToJson(const configuration& config);
