Let failed properties fail their tests

rc::check() returns its verdict and fails nothing by itself: a router without the gate on peers' numbers passed the random sequences. The verdicts are now checked.

--- a/tests/flow_messages_test.cc
+++ b/tests/flow_messages_test.cc
@@ -44,7 +44,7 @@
 
 TEST_CASE("damaged messages are refused or read, never trusted") {
   const std::string encoded = EncodeFlowMessage(MakeFull());
-  rc::check([&encoded] {
+  CHECK(rc::check([&encoded] {
     std::string damaged = encoded;
     const std::size_t at = *rc::gen::inRange<std::size_t>(0, damaged.size());
     damaged[at] = *rc::gen::arbitrary<char>();
@@ -53,7 +53,7 @@
     if (decoded.has_value()) {
       RC_ASSERT(decoded.value().part < decoded.value().parts);
     }
-  });
+  }));
 }
 
 }  // namespace
--- a/tests/packet_fleet_test.cc
+++ b/tests/packet_fleet_test.cc
@@ -142,7 +142,7 @@
 };
 
 TEST_CASE("no sequence of planned changes breaks a connection") {
-  rc::check([](std::uint64_t seed) {
+  CHECK(rc::check([](std::uint64_t seed) {
     small_fleet run(seed);
     const int changes = *rc::gen::inRange(1, 6);
     for (int i = 0; i < changes; ++i) {
@@ -154,11 +154,11 @@
     run.CheckInvariants();
     RC_ASSERT(run.traffic.counts().broken == 0U);
     RC_ASSERT(run.traffic.counts().failed == 0U);
-  });
+  }));
 }
 
 TEST_CASE("faults during changes send no packet to a wrong service") {
-  rc::check([](std::uint64_t seed) {
+  CHECK(rc::check([](std::uint64_t seed) {
     link_options links;
     links.loss = 0.02;
     links.duplication = 0.02;
@@ -174,7 +174,7 @@
     }
     run.Settle();
     run.CheckInvariants();
-  });
+  }));
 }
 
 }  // namespace
--- a/tests/packet_test.cc
+++ b/tests/packet_test.cc
@@ -124,7 +124,7 @@
 }
 
 TEST_CASE("hostile octets are refused or parsed, never read past") {
-  rc::check([](bytes noise, std::uint8_t version) {
+  CHECK(rc::check([](bytes noise, std::uint8_t version) {
     if (!noise.empty()) {
       noise[0] = static_cast<std::uint8_t>(version % 2 == 0 ? 0x45 : 0x60) |
                  (noise[0] & 0x0f);
@@ -133,8 +133,8 @@
     ParsePacket(noise);
     BuildReset(noise, answer);
     DecodeDetour(noise);
-  });
-  rc::check([] {
+  }));
+  CHECK(rc::check([] {
     bytes packet = V6(6, TcpSegment(kAckFlag));
     const std::size_t at = *rc::gen::inRange<std::size_t>(0, packet.size());
     packet[at] = *rc::gen::arbitrary<std::uint8_t>();
@@ -142,7 +142,7 @@
     std::array<std::uint8_t, kMaxResetBytes> answer;
     const std::size_t size = BuildReset(packet, answer);
     RC_ASSERT(size == 0 || info.kind == packet_kind::kFlow);
-  });
+  }));
 }
 
 TEST_CASE("a reset answers an ACK with its acknowledged number") {
