--- a/tests/packet_fleet_test.cc
+++ b/tests/packet_fleet_test.cc
@@ -157,6 +157,18 @@
   }));
 }
 
+TEST_CASE("a single fault without a change breaks no connection") {
+  CHECK(rc::check([](std::uint64_t seed) {
+    small_fleet run(seed);
+    run.Fail();
+    run.queue.RunFor(milliseconds(*rc::gen::inRange(0, 10'000)));
+    run.Settle();
+    run.CheckInvariants();
+    RC_ASSERT(run.traffic.counts().broken == 0U);
+    RC_ASSERT(run.traffic.counts().failed == 0U);
+  }));
+}
+
 TEST_CASE("faults during changes send no packet to a wrong service") {
   CHECK(rc::check([](std::uint64_t seed) {
     link_options links;
