Drop three settings that nothing reads

The wait of a watch is chosen by the control plane, and target health by its own rules; settings that change nothing mislead operators.

--- a/include/rosemaryreach/settings.h
+++ b/include/rosemaryreach/settings.h
@@ -42,7 +42,6 @@
   std::optional<endpoint> http;
   std::string directory;
   std::uint32_t poll_ms = 500;
-  std::uint32_t watch_ms = 30'000;
   std::uint32_t reads_per_minute = 240;
 
   bool operator==(const platform_settings&) const = default;
@@ -67,8 +66,6 @@
 struct probe_settings {
   std::uint32_t interval_ms = 1'000;
   std::uint32_t timeout_ms = 500;
-  std::uint32_t failures_to_suspect = 3;
-  std::uint32_t successes_to_trust = 2;
 
   bool operator==(const probe_settings&) const = default;
 };
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -97,7 +97,6 @@
   }
   reader.Read("directory", out.directory);
   reader.Read("poll_ms", out.poll_ms);
-  reader.Read("watch_ms", out.watch_ms);
   reader.Read("reads_per_minute", out.reads_per_minute);
 }
 
@@ -120,8 +119,6 @@
 void ReadProbes(const json_reader& reader, probe_settings& out) {
   reader.Read("interval_ms", out.interval_ms);
   reader.Read("timeout_ms", out.timeout_ms);
-  reader.Read("failures_to_suspect", out.failures_to_suspect);
-  reader.Read("successes_to_trust", out.successes_to_trust);
 }
 
 // Reads the section `name` if the document has it.
