--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -188,19 +188,26 @@
   }
 }
 
+void CheckSecret(const std::string& secret,
+                 const std::string& place,
+                 std::vector<error>& errors) {
+  const result<std::string> read = ReadSecret(secret);
+  if (!read) {
+    errors.push_back(
+        {read.error().code, place, secret + ": " + read.error().detail});
+  }
+}
+
 void CheckSecrets(const settings& value,
-                  std::string_view file,
+                  const std::string& file,
                   std::vector<error>& errors) {
-  std::vector<std::string> secrets = value.key_files;
-  if (!value.listeners.admin_token_file.empty()) {
-    secrets.push_back(value.listeners.admin_token_file);
+  for (std::size_t i = 0; i < value.key_files.size(); ++i) {
+    CheckSecret(value.key_files[i], file + "#/key_files/" + std::to_string(i),
+                errors);
   }
-  for (const std::string& secret : secrets) {
-    const result<std::string> read = ReadSecret(secret);
-    if (!read) {
-      errors.push_back({read.error().code, std::string(file),
-                        secret + ": " + read.error().detail});
-    }
+  const std::string& token_file = value.listeners.admin_token_file;
+  if (!token_file.empty()) {
+    CheckSecret(token_file, file + "#/listeners/admin_token_file", errors);
   }
 }
 
@@ -248,7 +255,7 @@
   }
   settings_check check = CheckSettings(text.value(), file);
   if (check.ok()) {
-    CheckSecrets(check.value, file + "#/key_files", check.errors);
+    CheckSecrets(check.value, file, check.errors);
   }
   return check;
 }
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <fstream>
 
+#include "temporary_directory.h"
+
 namespace rosemaryreach {
 namespace {
 
@@ -84,6 +86,17 @@
   CHECK(ReadSecret(file).error().code == errc::kIo);
 }
 
+TEST_CASE("LoadSettings names the secret that can't be read") {
+  const temporary_directory directory;
+  const std::string file = directory.path() + "/s.json";
+  CHECK(LoadSettings(file).errors.at(0).code == errc::kIo);
+  directory.Write("s.json", With("\"seeds\"", R"("key_files": ["/nonexistent"],
+      "seeds")"));
+  const settings_check check = LoadSettings(file);
+  REQUIRE(check.errors.size() == 1);
+  CHECK(check.errors[0].path == file + "#/key_files/0");
+}
+
 TEST_CASE("Damaged settings never crash") {
   CHECK(rc::check([] {
     std::string text = kText;
