--- a/tests/h2_connection_test.cc
+++ b/tests/h2_connection_test.cc
@@ -94,6 +94,15 @@
   ExpectClosed(Opening() + Repeat(RawFrame(kPing, 0, 0, "12345678"), 1'000));
 }
 
+TEST_CASE("a flood of pings is told to calm down") {
+  request_plane& plane = SharedPlane();
+  raw_caller caller(CallerEndpoint(plane));
+  caller.Send(Opening() + Repeat(RawFrame(kPing, 0, 0, "12345678"), 300));
+  plane.RunUntil([&] { return caller.Closed(); });
+  const std::string code({0, 0, 0, NGHTTP2_ENHANCE_YOUR_CALM});
+  CHECK(caller.received().ends_with(code));
+}
+
 TEST_CASE("a flood of settings closes its connection") {
   ExpectClosed(Opening() + Repeat(RawFrame(kSettings, 0, 0, ""), 1'000));
 }
