--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -29,9 +29,6 @@
   return {MakeInfo(name, data_centre), 1, liveness::kAlive, false};
 }
 
-endpoint AddressOf(const std::string& name) {
-  return {MakeInfo(name).address, 1};
-}
 
 // One member, whose peers the test plays.
 class fixture {
