Leave open buckets to others while the view is not trusted

Cause: an instance cut off from its peers went on deciding about its open buckets, and soon about all, without the pins of the others. Change: SetTrusted(false) makes it drop what has no pin in an open bucket, for 30 s; callers repeat by way of others. When the view is trusted again it asks its peers before it decides. The bench cuts an instance off in a drain.

--- a/bench/bench_packets.cc
+++ b/bench/bench_packets.cc
@@ -399,6 +399,15 @@
   run.Finish(report, 0);
 }
 
+void RunCutOffInDrain(std::uint64_t seed, bench_report& report) {
+  scenario run(seed);
+  run.Change(DrainOne);
+  run.queue().RunFor(seconds(8));
+  run.fleet().CutOff(4, seconds(30));
+  run.queue().RunFor(seconds(30));
+  run.Finish(report, kMaxBrokenShare * kOpenConnections);
+}
+
 void RunCold(std::uint64_t seed, bench_report& report) {
   scenario run(seed);
   const time_point cold_at = run.queue().now();
@@ -506,6 +515,7 @@
        }},
       {"pause_5_s_in_drain", RunPauseInDrain},
       {"instance_cut_off", RunCutOff},
+      {"instance_cut_off_in_drain", RunCutOffInDrain},
       {"target_cold", RunCold},
       {"data_centre_out", RunDataCentreOut},
   };
--- a/bench/bench_packets_fleet.h
+++ b/bench/bench_packets_fleet.h
@@ -177,17 +177,14 @@
   void CutOff(std::size_t index, duration span) {
     cut_off_ = instances_[index]->info.id;
     LoseSight(index);
-    for (std::size_t i = 0; i < instances_.size(); ++i) {
-      if (i != index) {
-        After(DeathDelay(), [this, i, index] {
-          if (cut_off_ == instances_[index]->info.id) {
-            Forget(index, i);
-          }
-        });
+    After(DeathDelay(), [this, index] {
+      if (cut_off_ == instances_[index]->info.id) {
+        SetTrusted(index, false);
       }
-    }
+    });
     After(span, [this, index] {
       cut_off_ = {};
+      After(NewsDelay(), [this, index] { SetTrusted(index, true); });
       for (std::size_t i = 0; i < instances_.size(); ++i) {
         if (i != index && instances_[i]->alive) {
           After(NewsDelay(), [this, i, index] { See(i, index); });
@@ -390,6 +387,13 @@
     SpreadNews(index);
   }
 
+  // The smaller part of a split fleet keeps its view and does not trust it.
+  void SetTrusted(std::size_t index, bool trusted) {
+    WhenRunning(index, [this, index, trusted] {
+      instances_[index]->router->SetTrusted(trusted, queue_.now());
+    });
+  }
+
   void ApplyView(std::size_t index) {
     virtual_instance& instance = *instances_[index];
     instance.router->ApplyView(instance.view, queue_.now());
--- a/include/rosemaryreach/flow_router.h
+++ b/include/rosemaryreach/flow_router.h
@@ -71,6 +71,11 @@
   // Takes a new view of the fleet; also one in which only numbers changed.
   void ApplyView(const fleet_view& view, time_point now);
 
+  // Takes whether the view may be acted on. While it may not, packets that
+  // another instance may have decided about are dropped for a bounded time, so
+  // that their callers repeat them by way of others.
+  void SetTrusted(bool trusted, time_point now);
+
   // Takes what this instance found out about a target by itself. A condition
   // of kCold repeated restarts the ramp.
   void ReportTarget(std::string_view service,
--- a/src/packets/flow_changes.cc
+++ b/src/packets/flow_changes.cc
@@ -71,6 +71,20 @@
   }
 }
 
+void flow_router::impl::SetTrusted(bool trusted, time_point now) {
+  if (trusted != untrusted_since_.has_value()) {
+    return;
+  }
+  if (!trusted) {
+    untrusted_since_ = now;
+    return;
+  }
+  untrusted_since_.reset();
+  // Others may have decided about this instance's buckets in the meantime.
+  paused_ = true;
+  BeginRefresh(now);
+}
+
 void flow_router::impl::ReportTarget(std::string_view service,
                                      std::string_view target,
                                      target_condition condition,
--- a/src/packets/flow_router.cc
+++ b/src/packets/flow_router.cc
@@ -13,6 +13,8 @@
 // A SYN of a pinned flow that is older opens a new connection.
 constexpr std::chrono::seconds kSynRepeatTime(60);
 constexpr int kMaxTargetProbes = 32;
+// After this time without its peers an instance decides alone.
+constexpr std::chrono::seconds kCutOffTime(30);
 // Share of a cold target's rate that the owners together hand out.
 constexpr double kColdRateShare = 0.8;
 // New flows that the ramp may let pass ahead of the cold rate.
@@ -129,9 +131,19 @@
   return Forward(service, target, packet.info, "pinned_by_owner");
 }
 
+bool flow_router::impl::IsCutOff(time_point now) const {
+  return untrusted_since_ && now - *untrusted_since_ < kCutOffTime;
+}
+
 flow_decision flow_router::impl::RouteOpen(service_state& service,
                                            const routed_packet& packet) {
   open_bucket& open = *service.FindOpen(packet.bucket);
+  if (IsCutOff(packet.now)) {
+    const pin* held = open.pins.Find(packet.info.flow_hash);
+    return held != nullptr && !packet.info.syn
+               ? Forward(service, held->target, packet.info, "pinned")
+               : Drop(service, "cut_off");
+  }
   switch (open.role) {
     case bucket_role::kOwner:
     case bucket_role::kHandingOver:
@@ -446,6 +458,10 @@
   impl_->ApplyView(view, now);
 }
 
+void flow_router::SetTrusted(bool trusted, time_point now) {
+  impl_->SetTrusted(trusted, now);
+}
+
 void flow_router::ReportTarget(std::string_view service,
                                std::string_view target,
                                target_condition condition,
--- a/src/packets/flow_router_impl.h
+++ b/src/packets/flow_router_impl.h
@@ -64,6 +64,7 @@
   void ApplyConfiguration(std::shared_ptr<const configuration> config,
                           time_point now);
   void ApplyView(const fleet_view& view, time_point now);
+  void SetTrusted(bool trusted, time_point now);
   void ReportTarget(std::string_view service,
                     std::string_view target,
                     target_condition condition,
@@ -85,6 +86,7 @@
   flow_decision RoutePinnedByOwner(service_state& service,
                                    const routed_packet& packet);
   flow_decision RouteOpen(service_state& service, const routed_packet& packet);
+  bool IsCutOff(time_point now) const;
   flow_decision RouteRemote(service_state& service,
                             open_bucket& bucket,
                             const routed_packet& packet);
@@ -254,6 +256,7 @@
     bool complete = false;
   };
   bool has_view_ = false;
+  std::optional<time_point> untrusted_since_;
   bool refreshing_ = false;
   bool refreshed_once_ = false;
   bool paused_ = false;  // the refresh follows a pause of the process
--- a/tests/flow_router_test.cc
+++ b/tests/flow_router_test.cc
@@ -308,6 +308,24 @@
   CHECK(fixture.Route(1, false).action == flow_action::kTarget);
 }
 
+TEST_CASE("an instance that is cut off decides about no open bucket") {
+  configuration config = Config(1);
+  config.services[0].flow_idle_timeout_ms = 900'000;
+  router_fixture fixture(config);
+  const std::uint16_t steady = fixture.FlowTo("t1");
+  const std::uint16_t open = fixture.FlowTo("t0");
+  config.number = 2;
+  config.services[0].targets[0].state = target_state::kDraining;
+  fixture.Apply(config);
+  fixture.Pass(milliseconds(500));
+  fixture.router.SetTrusted(false, fixture.now);
+  CHECK(fixture.Route(open, false).rule == "cut_off");
+  CHECK(fixture.Route(open, true).rule == "cut_off");
+  CHECK(fixture.Route(steady, false).rule == "steady");
+  fixture.Pass(seconds(31));
+  CHECK(fixture.Route(open, false).target == "t0");
+}
+
 TEST_CASE("no packet is handed on after two instances") {
   router_fixture fixture;
   fixture.router.ApplyView(View({1, 1, 1}), fixture.now);
