Forget what the smaller part of a split was settled on

A part without the majority is no longer settled and pulls again, and gained keys wait two seconds after a loss, as the lost owner's view may lag. Unknown work bounds only the latest start, not the expected wait, which had refused most of a burst before the first answer. A lost watch no longer stays counted, nor delays a handover.

--- a/include/rosemaryreach/slot_table.h
+++ b/include/rosemaryreach/slot_table.h
@@ -78,7 +78,7 @@
 
   // Returns how many requests count as running on `target`.
   std::uint32_t Running(target_id target) const;
-  // Returns when all that runs on `target` has ended.
+  // Returns when all that takes a slot of `target` has ended.
   time_point EndsBy(time_point now, target_id target) const;
   std::uint32_t WarmPercent(time_point now, target_id target) const;
 
--- a/src/requests/key_service.cc
+++ b/src/requests/key_service.cc
@@ -66,6 +66,19 @@
   }
   past_.push_back({now, ranking_});
   ranking_ = ranking;
+  if (!hooks_.majority()) {
+    // The other part decides meanwhile; nothing known here is current.
+    settled_ranking_ = owner_ranking({}, {});
+  }
+  const bool lost =
+      std::any_of(before.instances.begin(), before.instances.end(),
+                  [this](const instance_info& instance) {
+                    return instance.state == instance_state::kActive &&
+                           FindInstance(view_, instance.id) == nullptr;
+                  });
+  if (lost) {
+    settle_at_ = now + kSettleTime;
+  }
   NoteLosses(now, before);
   StartPull(now);
 }
@@ -194,7 +207,7 @@
   open_pull& pull = found->second;
   pull.parts.insert(message.part);
   pull.complete = pull.parts.size() >= message.parts;
-  CheckPulled();
+  CheckPulled(now);
 }
 
 void key_service::Tick(time_point now) {
@@ -215,6 +228,7 @@
   }
   if (!settled_ && pull_again_at_ <= now) {
     SendPulls(now);
+    CheckPulled(now);
   }
   if (expire_at_ <= now) {
     expire_at_ = now + kExpirePeriod;
@@ -300,7 +314,7 @@
     }
   }
   SendPulls(now);
-  CheckPulled();
+  CheckPulled(now);
 }
 
 void key_service::SendPulls(time_point now) {
@@ -313,11 +327,11 @@
   }
 }
 
-void key_service::CheckPulled() {
+void key_service::CheckPulled(time_point now) {
   const bool complete =
       std::all_of(pulls_.begin(), pulls_.end(),
                   [](const auto& item) { return item.second.complete; });
-  if (complete && !paused_) {
+  if (complete && !paused_ && now >= settle_at_ && hooks_.majority()) {
     settled_ = true;
     settled_ranking_ = ranking_;
   }
--- a/src/requests/key_service.h
+++ b/src/requests/key_service.h
@@ -25,6 +25,8 @@
   std::function<void(time_point now, request_id, key_verdict)> decided;
   // Returns whether the view is confirmed, so that a grant is safe.
   std::function<bool(time_point now)> confirmed;
+  // Returns whether most of the region's remembered instances are in view.
+  std::function<bool()> majority;
 };
 
 class key_service {
@@ -109,7 +111,7 @@
   bool Unaccounted(time_point now, std::uint64_t key) const;
   void StartPull(time_point now);
   void SendPulls(time_point now);
-  void CheckPulled();
+  void CheckPulled(time_point now);
   void NoteLosses(time_point now, const fleet_view& before);
   std::uint64_t CandidatesDigest() const;
 
@@ -124,6 +126,8 @@
   bool paused_ = false;
   std::uint64_t pull_nonce_ = 0;
   time_point pull_again_at_;
+  // No gained key is decided before: a lost owner may still grant until then.
+  time_point settle_at_;
   time_point expire_at_;
   std::map<instance_id, open_pull> pulls_;
   idempotency_table table_;
--- a/src/requests/router_endings.cc
+++ b/src/requests/router_endings.cc
@@ -25,10 +25,11 @@
   const live_attempt attempt = found->second;
   // Until the cancel is proved read, a closed stream may go on at its target.
   const bool closed = end == attempt_end::kLost || end == attempt_end::kReset;
+  attempts_.erase(found);
   if (attempt.cancelled && attempt.target && closed) {
+    attempt.service->slots.End(now, id, attempt_end::kLost);
     return;
   }
-  attempts_.erase(found);
   if (attempt.target) {
     EndAtTarget(now, id, attempt, end);
   } else if (!attempt.cancelled) {
--- a/src/requests/router_events.cc
+++ b/src/requests/router_events.cc
@@ -113,7 +113,8 @@
              [this](time_point now) {
                return keys_confirmed_at_ && quorum_.HoldsRegion() &&
                       now - *keys_confirmed_at_ <= options_.view_lease;
-             }}) {}
+             },
+             [this] { return quorum_.HoldsRegion(); }}) {}
 
 void request_router::impl::Begin(time_point now) {
   actions_.clear();
--- a/src/requests/router_placement.cc
+++ b/src/requests/router_placement.cc
@@ -226,8 +226,7 @@
     return duration::zero();
   }
   const latency_estimate& work = service.slots.Work(request.kind);
-  const duration each =
-      work.samples() == 0 ? ExpectedWork(request) : work.mean();
+  const duration each = work.samples() == 0 ? kDefaultWork : work.mean();
   const double rate = std::max(0.1, service.slots.Throughput(now, each));
   const double seconds = static_cast<double>(ahead + 1) / rate;
   return duration(static_cast<long>(seconds * kMicrosecondsPerSecond));
--- a/src/requests/slot_table.cc
+++ b/src/requests/slot_table.cc
@@ -125,7 +125,8 @@
   if (!found->detached) {
     NoteEnd(now, *state, found->use, end);
   }
-  if (end == attempt_end::kLost) {
+  const bool watch = found->use.kind == request_class::kWatch;
+  if (end == attempt_end::kLost && !watch) {
     found->detached = true;
     return false;
   }
@@ -135,7 +136,7 @@
     return false;
   }
   state->uses.erase(found);
-  return true;
+  return !watch;
 }
 
 void slot_table::Cancel(time_point now, attempt_id attempt) {
@@ -207,7 +208,8 @@
     latest = std::max(latest, state->inherited_until);
   }
   for (const use_state& one : state->uses) {
-    latest = std::max(latest, one.free_at);
+    const bool watch = one.use.kind == request_class::kWatch;
+    latest = watch ? latest : std::max(latest, one.free_at);
   }
   return latest;
 }
