--- a/src/fleet/membership_impl.h
+++ b/src/fleet/membership_impl.h
@@ -1,6 +1,7 @@
-// The state behind membership. Its parts: joining and the own record
-// (membership.cc), probes (membership_probe.cc), spreading of records
-// (membership_gossip.cc) and links between data centres (membership_links.cc).
+// The state behind membership. Its parts: events and the view (membership.cc),
+// joining (membership_join.cc), probes (membership_probe.cc), the spreading of
+// records (membership_gossip.cc) and links between data centres
+// (membership_links.cc).
 #ifndef ROSEMARYREACH_FLEET_MEMBERSHIP_IMPL_H_
 #define ROSEMARYREACH_FLEET_MEMBERSHIP_IMPL_H_
 
--- /dev/null
+++ b/src/fleet/membership_join.cc
@@ -0,0 +1,284 @@
+#include <algorithm>
+
+#include "fleet/membership_impl.h"
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kJoinFanout = 3;
+constexpr std::uint32_t kKnockMs = 1'000;
+
+}  // namespace
+
+void membership::impl::BeginJoin(time_point now) {
+  joining_ = true;
+  trusted_ = false;
+  region_settled_ = false;
+  links_.clear();
+  reachable_.clear();
+  table_.KeepVotesOf({});
+  view_stale_ = true;
+  join_started_ = now;
+  next_join_ = now;
+  heard_local_ = now;
+  next_ask_ = now;
+  gossip_ = {};
+  for (auto& [id, entry] : table_.members()) {
+    entry.confirmed = id == self_.value;
+  }
+  QueueMember(self_);
+}
+
+void membership::impl::RunJoin(time_point now) {
+  if (!joining_) {
+    return;
+  }
+  if (now - join_started_ >= milliseconds(options_.alone_ms)) {
+    DropUnheard(now, join_started_);
+    FinishJoin(now);
+    return;
+  }
+  if (now < next_join_) {
+    return;
+  }
+  next_join_ = now + milliseconds(options_.join_retry_ms);
+  if (!locals_.empty() && join_hints_.empty()) {
+    Ask(now, *locals_[RandomIndex(locals_.size())], true);
+    return;
+  }
+  const std::vector<address> candidates = JoinCandidates();
+  for (std::size_t i = 0; i < std::min(candidates.size(), kJoinFanout); ++i) {
+    SendHello(candidates[i]);
+  }
+}
+
+// Pings an instance that may not know this one yet. Who answers is asked for
+// its table.
+void membership::impl::SendHello(const address& to) {
+  control_message message = Stamp(ping{next_sequence_++});
+  message.members.push_back(Self());
+  if (const centre_summary* own = OwnSummary()) {
+    message.centres.push_back(*own);
+  }
+  Send(to, std::move(message));
+}
+
+// Returns whom to ask for the table: shuffled, own data centre first.
+std::vector<membership::impl::address> membership::impl::JoinCandidates() {
+  std::vector<address> near = join_hints_;
+  join_hints_.clear();
+  const std::size_t hinted = near.size();
+  for (const member_entry* entry : locals_) {
+    near.push_back(
+        {entry->record.info.id, ControlEndpoint(entry->record.info)});
+  }
+  std::shuffle(near.begin() + static_cast<std::ptrdiff_t>(hinted), near.end(),
+               random_);
+  if (near.size() >= kJoinFanout) {
+    return near;
+  }
+  std::vector<address> far;
+  for (const instance_info& hint : hints_) {
+    if (hint.id != self_ && IsLocal(hint)) {
+      far.push_back({hint.id, ControlEndpoint(hint)});
+    }
+  }
+  for (const endpoint& seed : seeds_) {
+    if (seed != ControlEndpoint(Self().info)) {
+      far.push_back({{}, seed});
+    }
+  }
+  if (const centre_summary* own = OwnSummary()) {
+    for (const contact& peer : own->contacts) {
+      if (peer.id != self_) {
+        far.push_back({peer.id, peer.control});
+      }
+    }
+  }
+  std::shuffle(far.begin(), far.end(), random_);
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+void membership::impl::OnSyncReply(time_point now,
+                                   const control_message& message) {
+  const member_entry* sender = table_.Find(message.from);
+  if (!joining_ || sender == nullptr) {
+    return;
+  }
+  for (const member_record& record : message.members) {
+    if (member_entry* entry = table_.Find(record.info.id)) {
+      entry->confirmed = true;
+    }
+  }
+  const bool complete = IsLocal(sender->record.info) || IsOnlyOne(*sender);
+  if (std::get<sync_reply>(message.body).trusted && complete) {
+    FinishJoin(now);
+  }
+}
+
+// Returns whether `sender`, of another data centre of the region, would know
+// of live members of this one, and there is none but this instance. All seeds
+// must have answered, so that no data centre of the region is left out.
+bool membership::impl::IsOnlyOne(const member_entry& sender) const {
+  const bool all_answered =
+      std::all_of(seeds_.begin(), seeds_.end(), [this](const endpoint& seed) {
+        return seed_centres_.contains(seed) ||
+               seed == ControlEndpoint(Self().info);
+      });
+  return all_answered && sender.record.info.region == region_ &&
+         std::none_of(table_.members().begin(), table_.members().end(),
+                      [this](const auto& member) {
+                        const member_record& record = member.second.record;
+                        return record.info.id != self_ &&
+                               IsLocal(record.info) && IsLive(record);
+                      });
+}
+
+// Trusts the table: what peers didn't name and hasn't spoken is not there.
+void membership::impl::FinishJoin(time_point now) {
+  joining_ = false;
+  trusted_ = true;
+  joined_ = now;
+  view_stale_ = true;
+  heard_local_ = now;
+  next_random_probe_ = now;
+  std::vector<instance_id> unknown;
+  for (const auto& [id, entry] : table_.members()) {
+    if (!entry.confirmed && entry.heard < join_started_) {
+      unknown.push_back({id});
+    }
+  }
+  for (const instance_id id : unknown) {
+    table_.Erase(id);
+  }
+  members_changed_ = true;
+  RefreshLocals();
+}
+
+// Leaves ownership until the state is fresh: others may have given the old
+// incarnation up.
+void membership::impl::NewIncarnation(time_point now) {
+  ++counters_.rejoins;
+  member_record record = Self();
+  ++record.info.incarnation;
+  record.revision = 0;
+  record.health = liveness::kAlive;
+  if (record.info.state == instance_state::kActive) {
+    record.info.state = instance_state::kJoining;
+  }
+  UpdateSelf(now, record);
+}
+
+// Starts afresh after others have given this instance up.
+void membership::impl::Rejoin(time_point now,
+                              const endpoint& source,
+                              instance_id from) {
+  NewIncarnation(now);
+  const member_record record = Self();
+  table_ = {};
+  table_.Merge(now, record);
+  probes_.clear();
+  links_.clear();
+  join_hints_ = {{from, source}};
+  members_changed_ = true;
+  RefreshLocals();
+  BeginJoin(now);
+}
+
+// Answers a claim about this instance that overrides its own record.
+void membership::impl::DefendSelf(time_point now,
+                                  const endpoint& source,
+                                  const member_record& claim,
+                                  const control_message& message) {
+  member_record own = Self();
+  if (!IsNewer(claim, own)) {
+    return;
+  }
+  if (claim.info.incarnation > own.info.incarnation) {
+    own.info.incarnation = claim.info.incarnation;
+    UpdateSelf(now, own);
+    Rejoin(now, source, message.from);
+    return;
+  }
+  if (claim.health == liveness::kSuspect) {
+    ++counters_.refutations;
+  } else if (!IsLive(claim)) {
+    const member_entry* sender = table_.Find(message.from);
+    const bool same_side = sender != nullptr && IsLive(sender->record);
+    if (joining_ || same_side || YieldsTo(message)) {
+      Rejoin(now, source, message.from);
+      return;
+    }
+  }
+  own.revision = claim.revision + 1;
+  own.health = liveness::kAlive;
+  UpdateSelf(now, own);
+}
+
+// Returns whether the sender's side of a split is the larger one.
+bool membership::impl::YieldsTo(const control_message& message) const {
+  return std::pair(message.live_count, message.from) >
+         std::pair(live_count_, self_);
+}
+
+// Holds members of the own data centre dead that haven't spoken since `since`.
+void membership::impl::DropUnheard(time_point now, time_point since) {
+  RefreshLocals();
+  for (member_entry* entry : locals_) {
+    if (entry->heard < since || entry->heard == time_point{}) {
+      member_record record = entry->record;
+      record.health = liveness::kDead;
+      table_.Merge(now, record);
+      members_changed_ = true;
+    }
+  }
+  RefreshLocals();
+}
+
+// Asks one instance that should be there but isn't known to be alive.
+void membership::impl::Knock(time_point now) {
+  if (now < next_knock_) {
+    return;
+  }
+  next_knock_ = now + milliseconds(kKnockMs);
+  std::set<endpoint> known;
+  std::vector<address> absent;
+  for (const auto& [id, entry] : table_.members()) {
+    const instance_info& info = entry.record.info;
+    if (IsLive(entry.record)) {
+      known.insert(ControlEndpoint(info));
+    } else if (IsLocal(info) && entry.record.health == liveness::kDead) {
+      absent.push_back({info.id, ControlEndpoint(info)});
+    }
+  }
+  for (const auto& [name, summary] : table_.centres()) {
+    for (const contact& peer : summary.contacts) {
+      known.insert(peer.control);
+    }
+  }
+  for (const endpoint& seed : seeds_) {
+    const auto place = seed_centres_.find(seed);
+    const bool linked = place != seed_centres_.end() &&
+                        place->second != data_centre_ &&
+                        table_.centres().contains(place->second);
+    if (!linked && !known.contains(seed)) {
+      absent.push_back({{}, seed});
+    }
+  }
+  for (const instance_info& hint : hints_) {
+    const bool wanted =
+        IsLocal(hint) || !table_.centres().contains(hint.data_centre);
+    if (wanted && !known.contains(ControlEndpoint(hint))) {
+      absent.push_back({hint.id, ControlEndpoint(hint)});
+    }
+  }
+  if (absent.empty()) {
+    return;
+  }
+  SendHello(absent[RandomIndex(absent.size())]);
+}
+
+}  // namespace rosemaryreach
