Own no bucket before the first view of the fleet

Cause: a router that took configurations before its first view made itself owner of the buckets they opened, since neither an owner nor itself was known yet, and went on deciding about them after the view had come. Ruled out: a refresh that ends too early; the log shows the worker had all replies. Change: without a view, open buckets are remote. Conclusion: a restart during a transition no longer breaks flows in the test.

--- a/src/packets/flow_ownership.cc
+++ b/src/packets/flow_ownership.cc
@@ -30,6 +30,10 @@
                                     open_bucket& open,
                                     owner_pair owners,
                                     time_point now) {
+  if (!has_view_) {
+    open.role = bucket_role::kRemote;
+    return;
+  }
   const instance_id before = open.owner;
   const instance_id successor_before = open.successor;
   open.owner = owners.owner;
--- a/tests/packet_fixture.h
+++ b/tests/packet_fixture.h
@@ -52,6 +52,24 @@
         std::make_shared<configuration>(config_));
   }
 
+  // Adds an instance that takes all configurations so far, then a view in which
+  // it is joining. Returns its number.
+  int Join() {
+    AddInstance(static_cast<int>(workers_.size()));
+    for (const configuration& past : history_) {
+      workers_.back()->ApplyConfiguration(
+          std::make_shared<configuration>(past));
+    }
+    for (instance_info& info : view_.instances) {
+      if (info.id == ids_.back()) {
+        info.state = instance_state::kJoining;
+        info.configuration_number = config_.number;
+      }
+    }
+    ApplyViews();
+    return static_cast<int>(workers_.size()) - 1;
+  }
+
   const peer_keys& keys() const { return keys_; }
 
   // Returns the id that detoured packets to `instance` are sealed for.
@@ -202,10 +220,15 @@
     for (std::unique_ptr<packet_worker>& worker : workers_) {
       worker->ApplyConfiguration(config);
     }
-    ++view_.version;
     for (instance_info& info : view_.instances) {
       info.configuration_number = config_.number;
     }
+    history_.push_back(config_);
+    ApplyViews();
+  }
+
+  void ApplyViews() {
+    ++view_.version;
     for (std::size_t i = 0; i < workers_.size(); ++i) {
       fleet_view own = view_;
       own.self = ids_[i];
@@ -239,6 +262,7 @@
   udp_socket caller_;
   std::vector<udp_socket> targets_;
   configuration config_;
+  std::vector<configuration> history_;
   fleet_view view_;
   std::vector<instance_id> ids_;
   // Packet and detour address of each instance.
--- a/tests/packet_worker_test.cc
+++ b/tests/packet_worker_test.cc
@@ -126,5 +126,28 @@
   }
 }
 
+TEST_CASE("an instance that joins in a drain sends no flow elsewhere") {
+  packet_fixture fixture(2);
+  fixture.Drain("t0");
+  std::map<int, std::string> target_of;
+  for (int flow = 0; flow < 120; ++flow) {
+    fixture.Send(flow % 2, standins::Build(fixture.Segment(flow, kSyn, "")));
+    const std::vector<received_packet> received = fixture.Receive(1);
+    REQUIRE(received.size() == 1);
+    target_of[flow] = received[0].target;
+  }
+  const int joined = fixture.Join();
+  for (const auto& [flow, target] : target_of) {
+    fixture.Send(joined, standins::Build(fixture.Segment(flow, kAck, "")));
+  }
+  std::map<std::string, int> arrived;
+  for (const received_packet& one : fixture.Receive(target_of.size())) {
+    const int flow = standins::Read(one.bytes)->from.port - 1'024;
+    CHECK(one.target == target_of[flow]);
+    ++arrived[one.target];
+  }
+  CHECK_FALSE(arrived.empty());
+}
+
 }  // namespace
 }  // namespace rosemaryreach
