Refuse at once when a service has no target for new work

Cause: a request to a service whose targets all drain, or whose data centres are out, waited in the hope of an owner with room and was refused near its deadline, 5 s later. One property test ignored its verdict. Change: a service without a target for new work is refused on arrival, not-run, with a time to come again; the property of request messages is checked. Conclusion: callers learn at once that they may go elsewhere.

--- a/src/requests/router_impl.h
+++ b/src/requests/router_impl.h
@@ -70,6 +70,7 @@
   void ForgetCancelled(time_point now);
 
   // Placement (router_placement.cc).
+  bool HasTarget(const request_service& service) const;
   void Place(time_point now, live_request& request);
   void Wait(time_point now, live_request& request);
   void RetryWaiting(time_point now, request_service& service);
--- a/src/requests/router_placement.cc
+++ b/src/requests/router_placement.cc
@@ -33,8 +33,21 @@
 
 }  // namespace
 
+// Whether the configuration gives the service a target for new work at all.
+bool request_router::impl::HasTarget(const request_service& service) const {
+  const std::vector<target_config>& targets = service.config.targets;
+  return std::any_of(targets.begin(), targets.end(),
+                     [this](const target_config& target) {
+                       return AcceptsNewWork(config_, target);
+                     });
+}
+
 void request_router::impl::Place(time_point now, live_request& request) {
   request_service& service = *request.service;
+  if (!HasTarget(service)) {
+    AnswerTruly(now, request, answer_condition::kNoTarget);
+    return;
+  }
   if (request.tried.size() < kMaxPlacesTried) {
     request_place* place = ChoosePlace(now, request, false);
     if (place != nullptr && place->instance == self_) {
--- a/tests/request_messages_test.cc
+++ b/tests/request_messages_test.cc
@@ -52,10 +52,10 @@
 }
 
 TEST_CASE("any bytes are read or refused") {
-  rc::check([](const std::string& bytes) {
+  CHECK(rc::check([](const std::string& bytes) {
     const result<request_message> read = DecodeRequestMessage(bytes);
     RC_ASSERT(read || read.error().code == errc::kSchemaViolation);
-  });
+  }));
 }
 
 }  // namespace
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -52,6 +52,17 @@
   CHECK(lone.router.OnAttemptHeaders(lone.now, sent, false).empty());
 }
 
+TEST_CASE("a service without a target for new work refuses at once") {
+  configuration config = MakeRequestConfiguration(1, 1);
+  config.services[0].targets[0].state = target_state::kDraining;
+  lone_router lone(config);
+  const answer_action* answer = First<answer_action>(lone.Arrive(1, "POST"));
+  REQUIRE(answer != nullptr);
+  CHECK(answer->condition == answer_condition::kNoTarget);
+  CHECK(answer->run == run_state::kNotRun);
+  CHECK(answer->retry_after > duration::zero());
+}
+
 TEST_CASE("a lost connection keeps the slot until the work has ended") {
   lone_router lone(MakeRequestConfiguration(1, 1));
   const attempt_id sent =
