Tell packet workers when the view is not trusted

Cause: the router's protection of an instance that is cut off was not wired; the daemon kept the loss of trust to itself. Change: the trust of the view is passed to the workers.

--- a/src/adapters/packet_worker.cc
+++ b/src/adapters/packet_worker.cc
@@ -92,6 +92,10 @@
   stats_.view_version = view.version;
 }
 
+void packet_worker::SetTrusted(bool trusted) {
+  router_.SetTrusted(trusted, loop_.now());
+}
+
 void packet_worker::OnFlowState(instance_id from, const flow_message& message) {
   router_.OnMessage(from, message, loop_.now());
   OnTick();
--- a/src/adapters/packet_worker.h
+++ b/src/adapters/packet_worker.h
@@ -70,6 +70,7 @@
   // All below run on the worker's loop.
   void ApplyConfiguration(std::shared_ptr<const configuration> config);
   void ApplyView(const fleet_view& view);
+  void SetTrusted(bool trusted);
   void OnFlowState(instance_id from, const flow_message& message);
   void ReportTarget(std::string_view service,
                     std::string_view target,
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -256,6 +256,7 @@
 }
 
 void instance::OnView(const fleet_view& view, bool trusted) {
+  packets_.SetTrusted(trusted);
   if (!trusted) {
     log_.Write(log_level::kWarning, "view_untrusted",
                "waiting to hear from peers");
--- a/src/daemon/packet_plane.cc
+++ b/src/daemon/packet_plane.cc
@@ -142,6 +142,10 @@
   PostToAll([view](packet_worker& worker) { worker.ApplyView(view); });
 }
 
+void packet_plane::SetTrusted(bool trusted) {
+  PostToAll([trusted](packet_worker& worker) { worker.SetTrusted(trusted); });
+}
+
 void packet_plane::OnFlowState(instance_id from, std::string_view payload) {
   const result<flow_message> message = DecodeFlowMessage(
       {reinterpret_cast<const std::uint8_t*>(payload.data()), payload.size()});
--- a/src/daemon/packet_plane.h
+++ b/src/daemon/packet_plane.h
@@ -40,6 +40,8 @@
 
   void ApplyConfiguration(std::shared_ptr<const configuration> config);
   void ApplyView(const fleet_view& view);
+  // Whether the latest view may be acted on.
+  void SetTrusted(bool trusted);
   // Drops and counts a payload that is no flow message.
   void OnFlowState(instance_id from, std::string_view payload);
   void ReportTarget(std::string_view service,
