Serve bookings in the quick start, send request state at once

Cause: with requests in the quick start, bookings with idempotency keys were refused as key-unavailable for 90 s after an instance was replaced: reservations waited in the control queue behind flow messages and were dropped, 504 and 542 datagrams at two instances. Change: state of requests passes the queue, as part of serving requests; the quick start books with keys at instances in turn and compares what callers were told with what the targets ran.

--- a/scripts/loopback.sh
+++ b/scripts/loopback.sh
@@ -141,6 +141,85 @@
   [ "$(field "$account" silent)" = 0 ] || fail "connections fell silent"
 }
 
+# start_request_targets: two services with a target in each data centre; sets
+# ledger_pids to those of the pot ledger.
+start_request_targets() {
+  ledger_pids=()
+  for last in 1 2 3 4 5 6; do
+    local port=8081 slots=2
+    [ "$last" -le 3 ] || { port=8082 slots=4; }
+    "$bin/request_target" --slots "$slots" --service-ms 5 \
+      "127.0.2.$last:$port" >"$work/request_target.$last" \
+      2>"$work/request_target.$last.err" &
+    pids+=("$!")
+    [ "$last" -gt 3 ] || ledger_pids+=("$!")
+  done
+}
+
+# book KEY ADDRESS: books once; a refusal that says not-run is repeated with the
+# same key at the same instance. Prints done, unknown or failed.
+book() {
+  local reply run
+  for _ in $(seq 60); do
+    reply=$(curl --silent --http2-prior-knowledge --max-time 10 -i \
+      -H "idempotency-key: $1" --data "$1" "http://$2:8081/echo" || true)
+    run=$(tr -d '\r' <<<"$reply" | sed -n 's/^rosemaryreach-run: //p')
+    case $run in
+      run) [ "$(tail -n 1 <<<"$reply")" = "$1" ] && echo done || echo failed ;;
+      not-run) sleep 0.1 && continue ;;
+      *) echo unknown ;;
+    esac
+    return
+  done
+  echo failed
+}
+
+# start_bookings SECONDS ADDRESS...: books one after the other at the instances
+# in turn, and reads a board; sets bookings_pid.
+start_bookings() {
+  local end=$((SECONDS + $1))
+  shift
+  (
+    trap - EXIT
+    n=0
+    while [ "$SECONDS" -lt "$end" ]; do
+      n=$((n + 1))
+      local which=$((n % $# + 1))
+      address=${!which}
+      book "booking-$n" "$address" >>"$work/bookings"
+      curl --silent --http2-prior-knowledge --max-time 10 -o /dev/null \
+        -w '%{http_code}\n' "http://$address:8082/echo" >>"$work/reads" || true
+    done
+  ) &
+  bookings_pid=$!
+  pids+=("$bookings_pid")
+}
+
+# finish_bookings: waits for them, stops the ledger's targets, and compares what
+# callers were told with what the targets ran.
+finish_bookings() {
+  wait "$bookings_pid" || fail "the bookings did not finish"
+  for pid in "${ledger_pids[@]}"; do
+    kill "$pid"
+    wait "$pid" || fail "a request target did not finish"
+  done
+  local booked unknown failed ran=0 reads
+  booked=$(grep -c '^done$' "$work/bookings" || true)
+  unknown=$(grep -c '^unknown$' "$work/bookings" || true)
+  failed=$(grep -c '^failed$' "$work/bookings" || true)
+  reads=$(grep -c '^200$' "$work/reads" || true)
+  for last in 1 2 3; do
+    tail -n 1 "$work/request_target.$last" >"$work/ledger.json"
+    ran=$((ran + $(field "$work/ledger.json" started)))
+  done
+  say "   bookings told as run $booked, run by targets $ran, unknown $unknown," \
+    "failed $failed; board reads $reads"
+  [ "$failed" = 0 ] || fail "bookings failed"
+  [ "$booked" -gt 0 ] || fail "nothing was booked"
+  [ "$ran" -ge "$booked" ] && [ "$ran" -le $((booked + unknown)) ] ||
+    fail "bookings were lost or doubled"
+}
+
 # wait_ready ADDRESS: until the instance is ready.
 wait_ready() {
   for _ in $(seq 100); do
--- a/src/fleet/control_plane.cc
+++ b/src/fleet/control_plane.cc
@@ -329,7 +329,13 @@
     ++counters_.oversized;
     return;
   }
-  queue_.Push(now, {address, PriorityOf(message), std::move(bytes)});
+  queued_datagram datagram{address, PriorityOf(message), std::move(bytes)};
+  // Part of serving a request, and bounded by the rate of requests.
+  if (std::holds_alternative<request_state>(message.body)) {
+    out_.send.push_back(std::move(datagram));
+    return;
+  }
+  queue_.Push(now, std::move(datagram));
 }
 
 // Newcomers without answers ask for the list; watchers refresh it.
@@ -344,7 +350,9 @@
 }
 
 control_actions control_plane::Finish(time_point now) {
-  out_.send = queue_.Pop(now);
+  for (queued_datagram& datagram : queue_.Pop(now)) {
+    out_.send.push_back(std::move(datagram));
+  }
   control_actions actions = std::move(out_);
   out_ = {};
   return actions;
