--- a/src/config/schema_check.cc
+++ b/src/config/schema_check.cc
@@ -139,10 +139,14 @@
 
 }  // namespace
 
+struct json_schema::compiled {
+  valijson::Schema schema;
+};
+
 json_schema::json_schema(std::string_view text)
-    : text_(json::parse(text)), schema_(new valijson::Schema) {
+    : text_(json::parse(text)), compiled_(std::make_unique<compiled>()) {
   valijson::SchemaParser parser;
-  parser.populateSchema(adapter(text_), *schema_);
+  parser.populateSchema(adapter(text_), compiled_->schema);
 }
 
 json_schema::~json_schema() = default;
@@ -151,10 +155,10 @@
   valijson::Validator validator;
   valijson::ValidationResults results;
   std::vector<error> errors;
-  if (validator.validate(*schema_, adapter(document), nullptr)) {
+  if (validator.validate(compiled_->schema, adapter(document), nullptr)) {
     return errors;
   }
-  validator.validate(*schema_, adapter(document), &results);
+  validator.validate(compiled_->schema, adapter(document), &results);
   for (const valijson::ValidationResults::Error& found : results) {
     if (!IsConsequence(found.description)) {
       errors.push_back(ToError(text_, document, found));
--- a/src/config/schema_check.h
+++ b/src/config/schema_check.h
@@ -9,10 +9,6 @@
 
 #include "rosemaryreach/result.h"
 
-namespace valijson {
-class Schema;
-}
-
 namespace rosemaryreach {
 
 // One compiled schema. Stops the process if the schema itself is broken.
@@ -28,8 +24,11 @@
   std::vector<error> Check(const nlohmann::json& document) const;
 
  private:
+  // The schema in the library's form.
+  struct compiled;
+
   nlohmann::json text_;
-  std::unique_ptr<valijson::Schema> schema_;
+  std::unique_ptr<compiled> compiled_;
 };
 
 }  // namespace rosemaryreach
