Give each test a loopback address of its own

Cause: control_task_test failed now and then in starting a task: a port that a UDP socket had found free was taken over TCP by a test running beside it. Ruled out: the control task; the error is always from binding. Change: tests that bind ports take an address from the process and a counter. Conclusion: the ports of tests that run together no longer meet.

--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -1,10 +1,9 @@
 #include "adapters/control_task.h"
+#include "own_address.h"
 
 #include <catch2/catch.hpp>
 #include <set>
 
-#include "adapters/udp_socket.h"
-
 namespace rosemaryreach {
 namespace {
 
@@ -53,22 +52,12 @@
              std::string_view detail) override {}
 };
 
-std::uint16_t FreePort() {
-  const endpoint any = ParseEndpoint("127.0.0.1:0").value();
-  return udp_socket::Bind(any, port_sharing::kExclusive, 10'000)
-      .value()
-      .local()
-      .port;
-}
-
 settings MakeSettings(const std::string& name) {
   settings one;
   one.instance = name;
   one.data_centre = "d";
   one.region = "r";
-  one.address = ParseIp("127.0.0.1").value();
-  one.listeners.control_port = FreePort();
-  one.listeners.grpc_port = FreePort();
+  one.address = OwnAddress();
   return one;
 }
 
--- /dev/null
+++ b/tests/own_address.h
@@ -0,0 +1,27 @@
+// Addresses for tests that bind sockets side by side.
+#ifndef ROSEMARYREACH_TESTS_OWN_ADDRESS_H_
+#define ROSEMARYREACH_TESTS_OWN_ADDRESS_H_
+
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdint>
+
+#include "rosemaryreach/types.h"
+
+namespace rosemaryreach {
+
+// Returns a loopback address that no other test of this machine listens on.
+inline ip_address OwnAddress() {
+  static std::atomic<std::uint8_t> next = 0;
+  const unsigned process = static_cast<unsigned>(getpid());
+  ip_address address = ParseIp("127.64.0.0").value();
+  address.bytes[13] = static_cast<std::uint8_t>(64 + ((process >> 8) & 0x7f));
+  address.bytes[14] = static_cast<std::uint8_t>(process);
+  address.bytes[15] = ++next;
+  return address;
+}
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_TESTS_OWN_ADDRESS_H_
--- a/tests/packet_fixture.h
+++ b/tests/packet_fixture.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "adapters/packet_worker.h"
+#include "own_address.h"
 #include "rosemaryreach/detour_frame.h"
 #include "standins/tcp_packet.h"
 
@@ -161,6 +162,8 @@
   static constexpr int kSettleRounds = 200;
   static constexpr int kPumpWaitMs = 2;
   static constexpr int kBufferBytes = 1 << 20;
+  static constexpr std::uint16_t kPacketPort = 7'000;
+  static constexpr std::uint16_t kDetourPort = 7'010;
 
   static udp_socket Bind(std::uint16_t port) {
     endpoint local = ParseEndpoint("127.0.0.1:0").value();
@@ -169,9 +172,6 @@
         .value();
   }
 
-  // Returns a port that was free a moment ago.
-  static std::uint16_t FreePort() { return Bind(0).local().port; }
-
   configuration MakeConfiguration() {
     configuration config;
     config.number = 1;
@@ -193,9 +193,9 @@
 
   void AddInstance(int index) {
     packet_worker_options options;
-    options.address = ParseIp("127.0.0.1").value();
-    options.packet_port = FreePort();
-    options.detour_port = FreePort();
+    options.address = OwnAddress();
+    options.packet_port = kPacketPort;
+    options.detour_port = kDetourPort;
     ports_.emplace_back(endpoint{options.address, options.packet_port},
                         endpoint{options.address, options.detour_port});
     instance_info info;
