Share the silent log and the warning about unsent state

Cause: a log sink that drops everything stood eleven times under three names in tests, benches and the explain code; the daemon wrote the same warning for flow and request state in two lambdas. Change: silent_log stands beside its port in log.h; WarnIfUnsent() serves both. Conclusion: no behaviour changes.

--- a/bench/bench_cost.cc
+++ b/bench/bench_cost.cc
@@ -16,13 +16,6 @@
 constexpr std::uint32_t kBuckets = 65'536;
 constexpr std::size_t kPacketsOfALoop = 1 << 16;
 
-class quiet_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 endpoint MakeEndpoint(std::uint8_t net, std::uint32_t host) {
   endpoint made;
   made.address.bytes[0] = net;
@@ -108,7 +101,7 @@
     }
   }
 
-  quiet_log log;
+  silent_log log;
   flow_router_options options;
   std::unique_ptr<flow_router> router;
   time_point now = time_point(std::chrono::seconds(1'000));
--- a/bench/bench_forward.cc
+++ b/bench/bench_forward.cc
@@ -28,13 +28,6 @@
 constexpr std::size_t kPacketBytes = 128;
 constexpr double kMinRatio = 0.8;
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 endpoint Loopback(std::uint16_t port) {
   endpoint local = ParseEndpoint("127.0.0.1:0").value();
   local.port = port;
--- a/bench/bench_http.cc
+++ b/bench/bench_http.cc
@@ -33,15 +33,6 @@
   return ParseEndpoint("127.0.0.1:0").value();
 }
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision& /*decision*/) override {}
-  void Write(log_level /*level*/,
-             std::string_view /*event*/,
-             std::string_view /*detail*/) override {}
-};
-
 duration ThreadTime() {
   timespec used{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
--- a/bench/bench_packets_fleet.h
+++ b/bench/bench_packets_fleet.h
@@ -21,13 +21,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class null_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 // One packet of one connection of the traffic.
 struct fleet_packet {
   std::uint32_t connection = 0;
@@ -467,7 +460,7 @@
   std::mt19937_64 random_;
   virtual_network<fleet_datagram> network_;
   fleet_delays delays_;
-  null_log log_;
+  silent_log log_;
   packet_sink sink_;
   std::vector<std::unique_ptr<virtual_instance>> instances_;
   std::shared_ptr<const configuration> config_;
--- a/bench/requests/world_types.h
+++ b/bench/requests/world_types.h
@@ -26,13 +26,6 @@
          3 / 2;
 }
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 // A request as its caller sends it.
 struct caller_request {
   std::uint64_t uid = 0;
--- a/include/rosemaryreach/log.h
+++ b/include/rosemaryreach/log.h
@@ -34,6 +34,16 @@
                      std::string_view detail) = 0;
 };
 
+// Wants no decision and drops every line.
+class silent_log : public log_sink {
+ public:
+  bool WantsDecision() override { return false; }
+  void Decide(const decision& decision) override {}
+  void Write(log_level level,
+             std::string_view event,
+             std::string_view detail) override {}
+};
+
 }  // namespace rosemaryreach
 
 #endif  // ROSEMARYREACH_LOG_H_
--- a/src/adapters/admin_explain.cc
+++ b/src/adapters/admin_explain.cc
@@ -16,15 +16,6 @@
 constexpr std::array<const char*, 5> kActionNames = {"drop", "target", "legacy",
                                                      "detour", "reset"};
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision& /*decision*/) override {}
-  void Write(log_level /*level*/,
-             std::string_view /*event*/,
-             std::string_view /*detail*/) override {}
-};
-
 std::string NameOf(const fleet_view& view, instance_id id) {
   const instance_info* instance = FindInstance(view, id);
   return instance == nullptr ? "" : instance->name;
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -112,6 +112,7 @@
   void OnLifecycle();
   void OnConfirm();
   void Finish(std::string_view why);
+  void WarnIfUnsent(std::string_view event, const result<void>& sent);
   bool IsAlone() const;
   bool ServesAll() const;
   readiness Readiness() const;
@@ -162,11 +163,8 @@
                log_,
                *metrics_,
                [this](instance_id to, const std::string& payload) {
-                 const result<void> sent = control_.SendFlowState(to, payload);
-                 if (!sent) {
-                   log_.Write(log_level::kWarning, "flow_state_unsent",
-                              FormatError(sent.error()));
-                 }
+                 WarnIfUnsent("flow_state_unsent",
+                              control_.SendFlowState(to, payload));
                }),
       requests_(loop_,
                 settings_,
@@ -175,12 +173,8 @@
                 log_,
                 *metrics_,
                 [this](instance_id to, const std::string& payload) {
-                  const result<void> sent =
-                      control_.SendRequestState(to, payload);
-                  if (!sent) {
-                    log_.Write(log_level::kWarning, "request_state_unsent",
-                               FormatError(sent.error()));
-                  }
+                  WarnIfUnsent("request_state_unsent",
+                               control_.SendRequestState(to, payload));
                 }),
       prober_(loop_,
               settings_.probes,
@@ -324,6 +318,12 @@
   }
 }
 
+void instance::WarnIfUnsent(std::string_view event, const result<void>& sent) {
+  if (!sent) {
+    log_.Write(log_level::kWarning, event, FormatError(sent.error()));
+  }
+}
+
 void instance::Finish(std::string_view why) {
   log_.Write(log_level::kInfo, "stopped", why);
   control_.Leave();
--- a/tests/control_task_test.cc
+++ b/tests/control_task_test.cc
@@ -43,15 +43,6 @@
   bool up_;
 };
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision& decision) override {}
-  void Write(log_level level,
-             std::string_view event,
-             std::string_view detail) override {}
-};
-
 settings MakeSettings(const std::string& name) {
   settings one;
   one.instance = name;
--- a/tests/flow_router_test.cc
+++ b/tests/flow_router_test.cc
@@ -10,13 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class null_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 endpoint Address(std::uint8_t net, std::uint8_t host) {
   endpoint made;
   made.address.bytes[0] = net;
@@ -115,7 +108,7 @@
 
   static constexpr int kMaxTries = 1'000;
 
-  null_log log;
+  silent_log log;
   flow_router router;
   std::vector<flow_outgoing> sent;
   transport_protocol protocol = transport_protocol::kTcp;
@@ -142,7 +135,7 @@
 }
 
 TEST_CASE("without a view of the fleet nothing is forwarded") {
-  null_log log;
+  silent_log log;
   flow_router router({}, log);
   const router_fixture fixture;
   router.ApplyConfiguration(std::make_shared<configuration>(Config(1)),
--- a/tests/packet_fixture.h
+++ b/tests/packet_fixture.h
@@ -23,13 +23,6 @@
   std::vector<std::uint8_t> bytes;
 };
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 class packet_fixture {
  public:
   static constexpr int kTargets = 3;
--- a/tests/request_fixture.h
+++ b/tests/request_fixture.h
@@ -11,13 +11,6 @@
 
 namespace rosemaryreach {
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 inline configuration MakeRequestConfiguration(int targets,
                                               std::uint32_t slots) {
   configuration config;
--- a/tests/request_plane.h
+++ b/tests/request_plane.h
@@ -16,13 +16,6 @@
 
 namespace rosemaryreach {
 
-class silent_log : public log_sink {
- public:
-  bool WantsDecision() override { return false; }
-  void Decide(const decision&) override {}
-  void Write(log_level, std::string_view, std::string_view) override {}
-};
-
 struct plane_options {
   std::size_t instances = 1;
   std::size_t targets = 1;
