--- /dev/null
+++ b/cmake/entry.cmake
@@ -0,0 +1,41 @@
+# rosemaryreach-entry and what it needs, and nothing of the other planes. It
+# starts on a few hundredths of a core, so its libraries are linked in: the
+# dynamic loader would take longer than the program.
+find_package(yaml-cpp REQUIRED)
+
+# rr_io: the adapters that the daemon and the entry program share.
+add_library(
+  rr_io STATIC
+  src/adapters/admin_server.cc
+  src/adapters/connect_prober.cc
+  src/adapters/event_loop.cc
+  src/adapters/http_get.cc
+  src/adapters/json_log.cc
+  src/adapters/json_log_stdout.cc
+  src/adapters/metrics.cc
+  src/adapters/socket_address.cc
+  src/adapters/udp_socket.cc
+  src/config/json_text.cc)
+target_include_directories(rr_io PUBLIC include PRIVATE src)
+target_link_libraries(
+  rr_io PUBLIC rr_core rr_easylogging PkgConfig::EVENT OpenSSL::Crypto
+               Threads::Threads)
+
+rr_module(entry rr_core absl::flat_hash_map)
+
+add_library(
+  rr_platform STATIC platform/packet_header.cc platform/platform_settings_file.cc
+                     platform/store_client.cc platform/store_documents.cc)
+target_include_directories(rr_platform PUBLIC platform include src)
+target_link_libraries(rr_platform PUBLIC rr_entry rr_io yaml-cpp absl::strings)
+
+file(GLOB entryd_sources CONFIGURE_DEPENDS src/entryd/*.cc)
+list(REMOVE_ITEM entryd_sources ${CMAKE_SOURCE_DIR}/src/entryd/main.cc)
+add_library(rr_entryd STATIC ${entryd_sources})
+target_include_directories(rr_entryd PUBLIC src include)
+target_link_libraries(rr_entryd PUBLIC rr_entry rr_io rr_platform)
+
+add_executable(rosemaryreach-entry src/entryd/main.cc)
+target_compile_definitions(rosemaryreach-entry
+                           PRIVATE ROSEMARYREACH_VERSION="${PROJECT_VERSION}")
+target_link_libraries(rosemaryreach-entry PRIVATE rr_entryd PkgConfig::POPT)
--- /dev/null
+++ b/include/rosemaryreach/flow_ledger.h
@@ -0,0 +1,119 @@
+// What an instance sees of flows in its callers' packets: which are opening,
+// open or waiting for an answer, and which targets answer.
+#ifndef ROSEMARYREACH_FLOW_LEDGER_H_
+#define ROSEMARYREACH_FLOW_LEDGER_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <vector>
+
+#include "rosemaryreach/flow_packet.h"
+#include "rosemaryreach/target_directory.h"
+
+namespace rosemaryreach {
+
+// A first packet is answered within a few round trips, whatever the target
+// has to do; this is several times that between distant data centres.
+inline constexpr duration kOpenAnswerTime = std::chrono::milliseconds(60);
+
+// Callers send first packets three times.
+inline constexpr std::size_t kMaxTriedTargets = 3;
+
+// One target as seen from here.
+struct target_contact {
+  std::uint32_t opening = 0;  // first packets without an answer
+  std::uint32_t open = 0;     // flows that are open, running ones too
+  std::uint32_t running = 0;  // requests that got no answer yet
+  time_point opening_since{};  // oldest first packet without an answer
+  time_point answered{};       // last sign of an answer
+  bool doubted = false;        // gets no new flows until a probe reaches it
+  std::uint32_t failed_probes = 0;  // in a row, since it is doubted
+};
+
+enum class flow_phase : std::uint8_t { kOpening, kOpen, kRunning };
+
+struct flow_state {
+  target_index target = kNoTarget;
+  flow_phase phase = flow_phase::kOpening;
+  std::uint8_t tried_count = 0;
+  std::array<target_index, kMaxTriedTargets> tried{};
+  time_point phase_began{};
+  time_point last_packet{};
+  std::uint32_t sequence = 0;      // of the last data
+  std::uint32_t acknowledged = 0;  // highest seen
+
+  std::span<const target_index> tried_targets() const {
+    return {tried.data(), tried_count};
+  }
+};
+
+struct ledger_hooks {
+  // A target becomes doubted, with the reason.
+  std::function<void(target_index, const char* reason)> doubted;
+  // A flow's first packet was answered after this time.
+  std::function<void(duration)> opened;
+  // A request showed the first sign of an answer after this time.
+  std::function<void(duration)> answered;
+};
+
+class flow_ledger {
+ public:
+  flow_ledger(std::size_t max_flows, ledger_hooks hooks);
+
+  // Returns the state of a flow; nullptr if it isn't known here.
+  const flow_state* Find(const flow_key& key) const;
+
+  // Notes that a first packet goes to `target`; a copy of one that went to
+  // another target before is a sign against that target.
+  void Open(const flow_key& key, target_index target, time_point now);
+
+  // Notes a later packet of a flow whose cookie names `target`.
+  void See(const flow_packet& packet, target_index target, time_point now);
+
+  // Drops a flow, as after a reset.
+  void Drop(const flow_key& key);
+
+  // Drops flows that are over or idle.
+  void Sweep(time_point now);
+
+  // Doubts targets whose first packets are unanswered for too long.
+  void CheckOpening(target_index target, time_point now);
+
+  void TakeProbe(target_index target, bool reached, time_point now);
+
+  // Forgets all waiting, since time passed that this process didn't see.
+  void ForgetWaiting(time_point now);
+
+  const target_contact& contact(target_index target) const;
+  std::size_t size() const { return flows_.size(); }
+
+ private:
+  target_contact& Contact(target_index target);
+  void Leave(flow_state& flow);
+  void Enter(flow_state& flow, flow_phase phase, time_point now);
+  void Answer(target_contact& contact, time_point now);
+  void Doubt(target_index target, const char* reason);
+  void SeeData(flow_state& flow, const flow_packet& packet, time_point now);
+
+  std::size_t max_flows_;
+  ledger_hooks hooks_;
+  absl::flat_hash_map<flow_key, flow_state> flows_;
+  std::vector<target_contact> contacts_;
+};
+
+// Probes in a row that must fail before a target counts as out of reach; one
+// may be lost.
+inline constexpr std::uint32_t kUnreachableProbes = 2;
+
+// Returns whether probes show that the target can't be reached from here.
+inline bool Unreachable(const target_contact& contact) {
+  return contact.doubted && contact.failed_probes >= kUnreachableProbes;
+}
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_FLOW_LEDGER_H_
--- /dev/null
+++ b/include/rosemaryreach/item_cache.h
@@ -0,0 +1,68 @@
+// What an instance knows of the store: the newest value of each item, merged
+// by revision from the store's and from peers' answers.
+#ifndef ROSEMARYREACH_ITEM_CACHE_H_
+#define ROSEMARYREACH_ITEM_CACHE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "rosemaryreach/entry_types.h"
+
+namespace rosemaryreach {
+
+// Returns a number that changes when the meaning of an item does. Heartbeats
+// change an item's revision and not its meaning.
+using item_fingerprint = std::function<std::uint64_t(const store_item&)>;
+
+class item_cache {
+ public:
+  explicit item_cache(item_fingerprint fingerprint)
+      : fingerprint_(std::move(fingerprint)) {}
+
+  // Takes all changes up to `revision`; returns those that change a meaning.
+  std::vector<store_item> MergeChanges(std::span<const store_item> items,
+                                       std::uint64_t revision);
+
+  // Takes a listing of all items, begun at `revision`: what it lacks and isn't
+  // newer is deleted. Returns the changes of meaning.
+  std::vector<store_item> MergeListing(std::span<const store_item> items,
+                                       std::uint64_t revision);
+
+  // Takes a peer's answer to ChangedAfter(); returns the changes of meaning.
+  std::vector<store_item> MergePeer(const store_answer& answer);
+
+  // Notes that nothing changed in meaning up to `revision`.
+  void SeeRevision(std::uint64_t revision);
+
+  // Returns the items that changed in meaning after `revision`, with the
+  // revision of that change.
+  store_answer ChangedAfter(std::uint64_t revision) const;
+
+  // The last revision at which a meaning changed; 0 before the first listing.
+  std::uint64_t changed() const { return changed_; }
+  // The store's revision up to which nothing is missing.
+  std::uint64_t revision() const { return revision_; }
+
+ private:
+  struct known_item {
+    store_item item;
+    std::uint64_t fingerprint = 0;
+    std::uint64_t changed = 0;
+  };
+
+  // Returns whether `item` changed a meaning.
+  bool Merge(const store_item& item);
+
+  item_fingerprint fingerprint_;
+  std::map<std::string, known_item> items_;
+  std::uint64_t changed_ = 0;
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ITEM_CACHE_H_
--- a/include/rosemaryreach/log.h
+++ b/include/rosemaryreach/log.h
@@ -3,8 +3,10 @@
 #define ROSEMARYREACH_LOG_H_
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace rosemaryreach {
 
@@ -20,6 +22,12 @@
   std::uint64_t number = 0;  // configuration number in force
 };
 
+// One named value of an event.
+struct log_field {
+  std::string_view name;
+  std::variant<std::string_view, std::int64_t> value;
+};
+
 // Where log lines go. Implementations add time and instance.
 class log_sink {
  public:
@@ -32,6 +40,10 @@
   virtual void Write(log_level level,
                      std::string_view event,
                      std::string_view detail) = 0;
+  // Writes an event with its inputs as members of the line.
+  virtual void Event(log_level level,
+                     std::string_view event,
+                     std::span<const log_field> fields) = 0;
 };
 
 // Wants no decision and drops every line.
@@ -42,6 +54,9 @@
   void Write(log_level level,
              std::string_view event,
              std::string_view detail) override {}
+  void Event(log_level level,
+             std::string_view event,
+             std::span<const log_field> fields) override {}
 };
 
 }  // namespace rosemaryreach
--- /dev/null
+++ b/include/rosemaryreach/packet_director.h
@@ -0,0 +1,65 @@
+// Decides where one packet of a caller goes: open flows by their cookie
+// alone, first packets by their route and the picker.
+#ifndef ROSEMARYREACH_PACKET_DIRECTOR_H_
+#define ROSEMARYREACH_PACKET_DIRECTOR_H_
+
+#include <cstdint>
+
+#include "rosemaryreach/flow_ledger.h"
+#include "rosemaryreach/flow_packet.h"
+#include "rosemaryreach/target_directory.h"
+#include "rosemaryreach/target_picker.h"
+
+namespace rosemaryreach {
+
+enum class packet_verdict : std::uint8_t {
+  kForward,
+  kReset,  // the caller is told at once
+  kDrop,   // in silence: the caller sends it again
+};
+
+struct packet_decision {
+  packet_verdict verdict = packet_verdict::kDrop;
+  target_index target = kNoTarget;
+  std::uint32_t cookie = 0;  // to write into the packet; 0 leaves it
+  const char* rule = "";
+};
+
+// How far the instance may act on what it believes.
+struct view_trust {
+  // False from a pause of the process until the view was confirmed: no flow
+  // is opened by old knowledge.
+  bool settled = false;
+  // Whether an address without a route surely has none.
+  bool recent = false;
+};
+
+class packet_director {
+ public:
+  packet_director(const target_directory& directory,
+                  flow_ledger& ledger,
+                  target_picker& picker);
+
+  packet_decision Direct(const flow_packet& packet,
+                         const view_trust& trust,
+                         time_point now);
+
+ private:
+  packet_decision Open(const flow_packet& packet,
+                       const view_trust& trust,
+                       time_point now);
+  packet_decision OpenOn(const flow_packet& packet,
+                         const entry_route& route,
+                         time_point now);
+  packet_decision Continue(const flow_packet& packet, time_point now);
+  bool ShouldReset(const flow_packet& packet, target_index target) const;
+  packet_decision ToTarget(target_index target, const char* rule) const;
+
+  const target_directory& directory_;
+  flow_ledger& ledger_;
+  target_picker& picker_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_PACKET_DIRECTOR_H_
--- a/src/adapters/admin_server.cc
+++ b/src/adapters/admin_server.cc
@@ -118,6 +118,9 @@
   if (path == "/metrics" && hooks.metrics) {
     return {kOk, kTextType, hooks.metrics()};
   }
+  if (path == "/v1/items" && hooks.items) {
+    return {kOk, kJsonType, hooks.items(query.Number("after"))};
+  }
   if (path == "/v1/flows/explain" && hooks.explain_flow) {
     return ExplainFlow(hooks, query);
   }
--- /dev/null
+++ b/src/adapters/connect_prober.cc
@@ -0,0 +1,74 @@
+#include "adapters/connect_prober.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+#include "adapters/socket_address.h"
+
+namespace rosemaryreach {
+
+struct connect_prober::probe {
+  probe(connect_prober& owner, int descriptor, answered callback)
+      : fd(descriptor),
+        done(std::move(callback)),
+        deadline(owner.loop_, [this, &owner] { owner.Finish(*this, false); }),
+        writable(owner.loop_, descriptor, watch_for::kWrite, [this, &owner] {
+          int fault = 0;
+          socklen_t size = sizeof(fault);
+          const int got = getsockopt(fd, SOL_SOCKET, SO_ERROR, &fault, &size);
+          owner.Finish(*this, got == 0 && fault == 0);
+        }) {}
+  ~probe() { close(fd); }
+  probe(const probe&) = delete;
+  probe& operator=(const probe&) = delete;
+
+  int fd;
+  answered done;
+  loop_timer deadline;
+  descriptor_watch writable;
+};
+
+connect_prober::connect_prober(event_loop& loop, std::size_t max_probes)
+    : loop_(loop), max_probes_(max_probes) {}
+
+connect_prober::~connect_prober() = default;
+
+bool connect_prober::Probe(const endpoint& address,
+                           duration deadline,
+                           answered done) {
+  ended_.clear();
+  if (running_.size() >= max_probes_) {
+    return false;
+  }
+  socket_address to = ToSocketAddress(address);
+  const int fd = socket(to.storage.ss_family,
+                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) {
+    return false;
+  }
+  if (connect(fd, to.get(), to.size) != 0 && errno != EINPROGRESS) {
+    close(fd);
+    loop_.Post([done = std::move(done)] { done(false); });
+    return true;
+  }
+  running_.push_back(std::make_unique<probe>(*this, fd, std::move(done)));
+  running_.back()->deadline.Start(deadline);
+  return true;
+}
+
+void connect_prober::Finish(probe& ended, bool reached) {
+  const auto found =
+      std::find_if(running_.begin(), running_.end(),
+                   [&ended](const auto& one) { return one.get() == &ended; });
+  ended.deadline.Stop();
+  ended.writable.Pause();
+  const answered done = std::move(ended.done);
+  ended_.splice(ended_.end(), running_, found);
+  done(reached);
+}
+
+}  // namespace rosemaryreach
--- a/src/adapters/event_loop.cc
+++ b/src/adapters/event_loop.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <utility>
 
 namespace rosemaryreach {
@@ -39,6 +40,14 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+time_point BootTimeNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(std::chrono::duration_cast<duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 void event_loop::base_deleter::operator()(event_base* base) const {
   event_base_free(base);
 }
--- a/src/adapters/event_loop.h
+++ b/src/adapters/event_loop.h
@@ -19,6 +19,10 @@
 // Returns the monotonic time now.
 time_point MonotonicNow();
 
+// Returns the time now on a clock that also counts while the machine is
+// suspended. Not to be mixed with MonotonicNow().
+time_point BootTimeNow();
+
 // Only Post() and Stop() may be called from other threads than the one in
 // Run(). Timers and watches must be destroyed before their loop.
 class event_loop {
--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -85,6 +85,21 @@
   write_(Dump(line));
 }
 
+void json_log::Event(log_level level,
+                     std::string_view event,
+                     std::span<const log_field> fields) {
+  if (level < settings_.level) {
+    return;
+  }
+  json line = StartLine(level, instance_);
+  line["event"] = event;
+  for (const log_field& field : fields) {
+    json& member = line[std::string(field.name)];
+    std::visit([&member](const auto& value) { member = value; }, field.value);
+  }
+  write_(Dump(line));
+}
+
 background_writer::background_writer(line_writer write, std::size_t capacity)
     : write_(std::move(write)),
       capacity_(capacity),
--- a/src/adapters/json_log.h
+++ b/src/adapters/json_log.h
@@ -34,6 +34,9 @@
   void Write(log_level level,
              std::string_view event,
              std::string_view detail) override;
+  void Event(log_level level,
+             std::string_view event,
+             std::span<const log_field> fields) override;
 
  private:
   log_settings settings_;
--- a/src/adapters/platform_budget.h
+++ b/src/adapters/platform_budget.h
@@ -60,6 +60,9 @@
   // Returns whether an attempt may start.
   bool Ready(time_point now) const { return now >= next_; }
 
+  // Returns when the next attempt may start.
+  time_point next() const { return next_; }
+
  private:
   duration first_;
   duration highest_;
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -1,8 +1,5 @@
 #include "daemon/instance.h"
 
-#include <sys/signalfd.h>
-#include <unistd.h>
-
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -19,6 +16,7 @@
 #include "adapters/json_log.h"
 #include "adapters/platform_directory.h"
 #include "adapters/platform_http.h"
+#include "adapters/signal_descriptor.h"
 #include "adapters/target_prober.h"
 #include "daemon/packet_plane.h"
 #include "daemon/request_plane.h"
@@ -60,38 +58,6 @@
   return std::make_unique<platform_http>(loop, options, seed);
 }
 
-// Blocks the signals that end or reload a daemon and returns a descriptor that
-// reads them.
-int OpenSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
-    sigaddset(&signals, signal);
-  }
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
-}
-
-class signal_descriptor {
- public:
-  signal_descriptor() : fd_(OpenSignals()) {}
-  ~signal_descriptor() { close(fd_); }
-  signal_descriptor(const signal_descriptor&) = delete;
-  signal_descriptor& operator=(const signal_descriptor&) = delete;
-
-  int fd() const { return fd_; }
-
-  // Returns the next signal, or 0 if there is none.
-  int Read() const {
-    signalfd_siginfo info{};
-    const ssize_t bytes = read(fd_, &info, sizeof(info));
-    return bytes == sizeof(info) ? static_cast<int>(info.ssi_signo) : 0;
-  }
-
- private:
-  int fd_;
-};
-
 class instance {
  public:
   instance(const settings& settings, const peer_keys& keys, std::string token);
--- /dev/null
+++ b/src/entry/beacon_codec.cc
@@ -0,0 +1,72 @@
+// Beacons as CBOR arrays, in the order of the structures' members.
+#include <nlohmann/json.hpp>
+
+#include "rosemaryreach/peer_group.h"
+
+namespace rosemaryreach {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int kFormat = 1;
+constexpr std::size_t kBeaconMembers = 7;
+constexpr std::size_t kSummaryMembers = 5;
+
+json ToJson(const peer_summary& summary) {
+  return json::array({summary.address, summary.incarnation, summary.beats,
+                      summary.data_centre, summary.leaving});
+}
+
+peer_summary ToSummary(const json& array) {
+  if (array.size() != kSummaryMembers) {
+    throw std::invalid_argument("wrong size of a summary");
+  }
+  return {array.at(0).get<std::uint32_t>(), array.at(1).get<std::uint64_t>(),
+          array.at(2).get<std::uint32_t>(), array.at(3).get<std::uint32_t>(),
+          array.at(4).get<bool>()};
+}
+
+beacon ToBeacon(const json& array) {
+  if (array.size() != kBeaconMembers || array.at(0) != kFormat ||
+      array.at(6).size() > kMaxBeaconPeers) {
+    throw std::invalid_argument("wrong format");
+  }
+  beacon read;
+  read.from = ToSummary(array.at(1));
+  read.wants_answer = array.at(2).get<bool>();
+  read.changed = array.at(3).get<std::uint64_t>();
+  read.revision = array.at(4).get<std::uint64_t>();
+  read.age = duration(array.at(5).get<std::uint64_t>());
+  for (const json& other : array.at(6)) {
+    read.others.push_back(ToSummary(other));
+  }
+  return read;
+}
+
+}  // namespace
+
+std::string EncodeBeacon(const beacon& beacon) {
+  json others = json::array();
+  for (const peer_summary& other : beacon.others) {
+    others.push_back(ToJson(other));
+  }
+  const json array = json::array(
+      {kFormat, ToJson(beacon.from), beacon.wants_answer, beacon.changed,
+       beacon.revision, beacon.age.count(), std::move(others)});
+  std::string bytes;
+  json::to_cbor(array, bytes);
+  return bytes;
+}
+
+std::optional<beacon> DecodeBeacon(std::string_view bytes) {
+  const json array = json::from_cbor(bytes, true, false);
+  try {
+    return array.is_array() ? std::optional<beacon>(ToBeacon(array))
+                            : std::nullopt;
+  } catch (const std::exception&) {
+    // The caller counts datagrams that are no beacons.
+    return std::nullopt;
+  }
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entry/item_cache.cc
@@ -0,0 +1,79 @@
+#include "rosemaryreach/item_cache.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rosemaryreach {
+
+std::vector<store_item> item_cache::MergeChanges(
+    std::span<const store_item> items,
+    std::uint64_t revision) {
+  std::vector<store_item> changed;
+  for (const store_item& item : items) {
+    if (Merge(item)) {
+      changed.push_back(item);
+    }
+  }
+  SeeRevision(revision);
+  return changed;
+}
+
+std::vector<store_item> item_cache::MergeListing(
+    std::span<const store_item> items,
+    std::uint64_t revision) {
+  std::set<std::string> listed;
+  for (const store_item& item : items) {
+    listed.insert(item.key);
+  }
+  std::vector<store_item> all(items.begin(), items.end());
+  for (const auto& [key, known] : items_) {
+    if (!known.item.deleted && !listed.contains(key) &&
+        known.item.revision <= revision) {
+      all.push_back({key, "", revision, true});
+    }
+  }
+  changed_ = std::max<std::uint64_t>(changed_, 1);
+  return MergeChanges(all, revision);
+}
+
+std::vector<store_item> item_cache::MergePeer(const store_answer& answer) {
+  std::vector<store_item> changed =
+      MergeChanges(answer.items, answer.revision);
+  changed_ = std::max(changed_, answer.changed);
+  return changed;
+}
+
+void item_cache::SeeRevision(std::uint64_t revision) {
+  revision_ = std::max(revision_, revision);
+}
+
+store_answer item_cache::ChangedAfter(std::uint64_t revision) const {
+  store_answer answer;
+  answer.revision = revision_;
+  answer.changed = changed_;
+  for (const auto& [key, known] : items_) {
+    if (known.changed > revision) {
+      answer.items.push_back(known.item);
+      answer.items.back().revision = known.changed;
+    }
+  }
+  return answer;
+}
+
+bool item_cache::Merge(const store_item& item) {
+  known_item& known = items_[item.key];
+  if (item.revision <= known.item.revision) {
+    return false;
+  }
+  const std::uint64_t fingerprint = fingerprint_(item);
+  const bool changes = known.changed == 0 || fingerprint != known.fingerprint;
+  known.item = item;
+  known.fingerprint = fingerprint;
+  if (changes) {
+    known.changed = item.revision;
+    changed_ = std::max(changed_, item.revision);
+  }
+  return changes;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entry/packet_director.cc
@@ -0,0 +1,112 @@
+#include "rosemaryreach/packet_director.h"
+
+namespace rosemaryreach {
+namespace {
+
+// A first packet of a flow that opened less than this ago is a late copy.
+constexpr duration kLateCopyTime = std::chrono::seconds(2);
+
+// Returns the service of a new flow, by the shares of the route; all copies of
+// a first packet get the same one on every instance.
+const std::string& ServiceFor(const entry_route& route, const flow_key& flow) {
+  std::uint64_t total = 0;
+  for (const weighted_service& one : route.services) {
+    total += one.weight;
+  }
+  std::uint64_t point = total == 0 ? 0 : HashFlow(flow) % total;
+  for (const weighted_service& one : route.services) {
+    if (point < one.weight) {
+      return one.service;
+    }
+    point -= one.weight;
+  }
+  return route.services.front().service;
+}
+
+}  // namespace
+
+packet_director::packet_director(const target_directory& directory,
+                                 flow_ledger& ledger,
+                                 target_picker& picker)
+    : directory_(directory), ledger_(ledger), picker_(picker) {}
+
+packet_decision packet_director::Direct(const flow_packet& packet,
+                                        const view_trust& trust,
+                                        time_point now) {
+  return packet.opens ? Open(packet, trust, now) : Continue(packet, now);
+}
+
+packet_decision packet_director::Open(const flow_packet& packet,
+                                      const view_trust& trust,
+                                      time_point now) {
+  if (!trust.settled || !directory_.complete()) {
+    return {packet_verdict::kDrop, kNoTarget, 0, "view_unsettled"};
+  }
+  const entry_route* route = directory_.FindRoute(packet.flow.destination);
+  if (route == nullptr) {
+    return {trust.recent ? packet_verdict::kReset : packet_verdict::kDrop,
+            kNoTarget, 0, "no_route"};
+  }
+  const flow_state* known = ledger_.Find(packet.flow);
+  if (known != nullptr && known->phase != flow_phase::kOpening) {
+    if (now - known->phase_began < kLateCopyTime) {
+      return ToTarget(known->target, "late_copy");
+    }
+    ledger_.Drop(packet.flow);
+  }
+  return OpenOn(packet, *route, now);
+}
+
+packet_decision packet_director::OpenOn(const flow_packet& packet,
+                                        const entry_route& route,
+                                        time_point now) {
+  const flow_state* known = ledger_.Find(packet.flow);
+  const std::span<const target_index> tried =
+      known == nullptr ? std::span<const target_index>()
+                       : known->tried_targets();
+  const pick chosen =
+      picker_.Pick(ServiceFor(route, packet.flow), tried, now);
+  if (chosen.target == kNoTarget) {
+    ledger_.Drop(packet.flow);
+    return {packet_verdict::kReset, kNoTarget, 0, chosen.rule};
+  }
+  ledger_.Open(packet.flow, chosen.target, now);
+  return ToTarget(chosen.target, chosen.rule);
+}
+
+packet_decision packet_director::Continue(const flow_packet& packet,
+                                          time_point now) {
+  const target_index target = directory_.FindCookie(packet.cookie);
+  if (target == kNoTarget) {
+    return {packet_verdict::kDrop, kNoTarget, 0, "unknown_cookie"};
+  }
+  if (ShouldReset(packet, target)) {
+    ledger_.Drop(packet.flow);
+    return {packet_verdict::kReset, target, 0, "target_unreachable"};
+  }
+  ledger_.See(packet, target, now);
+  return {packet_verdict::kForward, target, 0, "cookie"};
+}
+
+// A reset lets the caller try elsewhere at once, but ends a request that may
+// not be repeated, so such flows are left to their callers.
+bool packet_director::ShouldReset(const flow_packet& packet,
+                                  target_index target) const {
+  if (packet.data_bytes == 0 || packet.resets) {
+    return false;
+  }
+  const entry_route* route = directory_.FindRoute(packet.flow.destination);
+  if (route == nullptr || route->kind == request_kind::kNonIdempotent) {
+    return false;
+  }
+  return directory_.Find(target)->address_reused ||
+         Unreachable(ledger_.contact(target));
+}
+
+packet_decision packet_director::ToTarget(target_index target,
+                                          const char* rule) const {
+  return {packet_verdict::kForward, target, directory_.Find(target)->cookie,
+          rule};
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entry/peer_group.cc
@@ -0,0 +1,172 @@
+#include "rosemaryreach/peer_group.h"
+
+#include <algorithm>
+
+namespace rosemaryreach {
+namespace {
+
+// Beacons go to this many peers; news to twice as many. Small deployments are
+// a full mesh, larger ones pass news on.
+constexpr std::size_t kBeaconFanOut = 8;
+constexpr std::size_t kNewsFanOut = 16;
+// Lost peers are tried again for this long.
+constexpr duration kLostMemory = std::chrono::seconds(90);
+
+// Returns whether `a` tells of a later life of the same instance than `b`.
+bool Later(const peer_summary& a, const peer_summary& b) {
+  return a.incarnation != b.incarnation ? a.incarnation > b.incarnation
+                                        : a.beats > b.beats;
+}
+
+}  // namespace
+
+peer_group::peer_group(const peer_summary& self,
+                       std::vector<std::uint32_t> seeds,
+                       std::uint64_t seed,
+                       report report_change)
+    : self_(self), random_(seed), report_(std::move(report_change)) {
+  SetSeeds(std::move(seeds));
+}
+
+void peer_group::SetSeeds(std::vector<std::uint32_t> seeds) {
+  seeds_ = std::move(seeds);
+  std::erase(seeds_, self_.address);
+}
+
+void peer_group::Hear(const beacon& heard, time_point now) {
+  // A restart after a step of the clock may carry a lower incarnation.
+  const auto known = peers_.find(heard.from.address);
+  if (known != peers_.end() &&
+      known->second.summary.incarnation != heard.from.incarnation) {
+    peers_.erase(known);
+  }
+  lost_.erase(heard.from.address);
+  Learn(heard.from, now);
+  for (const peer_summary& other : heard.others) {
+    Learn(other, now);
+  }
+}
+
+void peer_group::Learn(const peer_summary& summary, time_point now) {
+  if (summary.address == self_.address || summary.address == 0) {
+    return;
+  }
+  const auto lost = lost_.find(summary.address);
+  if (lost != lost_.end()) {
+    if (!Later(summary, lost->second.summary)) {
+      return;
+    }
+    lost_.erase(lost);
+  }
+  const bool is_new = !peers_.contains(summary.address);
+  peer& known = peers_[summary.address];
+  if (!is_new && !Later(summary, known.summary)) {
+    return;
+  }
+  const bool now_leaving = summary.leaving && !known.summary.leaving;
+  known = {summary, now};
+  if (is_new || now_leaving) {
+    report_(summary.address, summary.leaving ? "peer_leaving" : "peer_found");
+  }
+}
+
+beacon peer_group::MakeBeacon() {
+  ++self_.beats;
+  beacon made;
+  made.from = self_;
+  for (const std::uint32_t address : Sample(kMaxBeaconPeers)) {
+    made.others.push_back(peers_.at(address).summary);
+  }
+  return made;
+}
+
+std::vector<std::uint32_t> peer_group::Recipients() {
+  std::vector<std::uint32_t> to = Sample(kBeaconFanOut);
+  if (peers_.empty()) {
+    to = seeds_;
+  } else if (!lost_.empty()) {
+    std::vector<std::uint32_t> lost;
+    for (const auto& [address, peer] : lost_) {
+      lost.push_back(address);
+    }
+    to.push_back(RandomOf(lost));
+  } else if (!seeds_.empty()) {
+    const std::uint32_t address = RandomOf(seeds_);
+    if (!peers_.contains(address)) {
+      to.push_back(address);
+    }
+  }
+  return to;
+}
+
+std::vector<std::uint32_t> peer_group::NewsRecipients() {
+  return peers_.empty() ? seeds_ : Sample(kNewsFanOut);
+}
+
+void peer_group::Tick(time_point now) {
+  for (auto one = peers_.begin(); one != peers_.end();) {
+    if (now - one->second.heard < kPeerSilence) {
+      ++one;
+      continue;
+    }
+    report_(one->first, "peer_silent");
+    lost_[one->first] = {one->second.summary, now};
+    one = peers_.erase(one);
+  }
+  std::erase_if(lost_, [now](const auto& one) {
+    return now - one.second.heard >= kLostMemory;
+  });
+}
+
+std::uint32_t peer_group::Rank() const {
+  const std::uint64_t mine = HashPair(self_.address, 0);
+  std::uint32_t rank = 0;
+  for (const auto& [address, peer] : peers_) {
+    if (!peer.summary.leaving && HashPair(address, 0) < mine) {
+      ++rank;
+    }
+  }
+  return self_.leaving ? static_cast<std::uint32_t>(peers_.size()) : rank;
+}
+
+std::uint32_t peer_group::InstancesHere() const {
+  const auto here = std::count_if(
+      peers_.begin(), peers_.end(), [this](const auto& one) {
+        return one.second.summary.data_centre == self_.data_centre &&
+               !one.second.summary.leaving;
+      });
+  return static_cast<std::uint32_t>(here) + 1;
+}
+
+bool peer_group::Owns(std::uint64_t subject) const {
+  const std::uint64_t mine = HashPair(self_.address, subject);
+  return std::none_of(peers_.begin(), peers_.end(), [&](const auto& one) {
+    return !one.second.summary.leaving &&
+           HashPair(one.first, subject) < mine;
+  });
+}
+
+std::vector<peer_summary> peer_group::peers() const {
+  std::vector<peer_summary> all;
+  for (const auto& [address, peer] : peers_) {
+    all.push_back(peer.summary);
+  }
+  return all;
+}
+
+std::vector<std::uint32_t> peer_group::Sample(std::size_t count) {
+  std::vector<std::uint32_t> all;
+  for (const auto& [address, peer] : peers_) {
+    all.push_back(address);
+  }
+  std::vector<std::uint32_t> chosen;
+  std::sample(all.begin(), all.end(), std::back_inserter(chosen), count,
+              random_);
+  return chosen;
+}
+
+std::uint32_t peer_group::RandomOf(std::span<const std::uint32_t> addresses) {
+  return addresses[random_() % addresses.size()];
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entry/target_directory.cc
@@ -0,0 +1,280 @@
+#include "rosemaryreach/target_directory.h"
+
+#include <algorithm>
+#include <array>
+
+namespace rosemaryreach {
+namespace {
+
+std::uint64_t HashText(std::uint64_t seed, std::string_view text) {
+  return HashBytes(text, seed);
+}
+
+std::uint64_t FingerprintOfTarget(const target_record& record) {
+  std::uint64_t hash = HashText(record.incarnation, record.id);
+  hash = HashText(hash, record.service);
+  hash = HashText(hash, FormatIpv4Endpoint(record.address));
+  hash = HashText(hash, record.data_centre);
+  hash = HashPair(hash, record.slots);
+  hash = HashPair(hash, static_cast<std::uint64_t>(record.state));
+  return HashPair(hash, record.cold_left > duration::zero() ? 1 : 0);
+}
+
+std::string DescribeTarget(const target_record& record) {
+  return record.service + " at " + FormatIpv4Endpoint(record.address) + " in " +
+         record.data_centre;
+}
+
+}  // namespace
+
+std::uint32_t MakeCookie(std::string_view id, std::uint64_t incarnation) {
+  const std::uint32_t cookie =
+      static_cast<std::uint32_t>(HashBytes(id, incarnation));
+  return cookie == 0 ? 1 : cookie;
+}
+
+std::uint64_t FingerprintOf(const item_meaning& meaning) {
+  if (const target_item* target = std::get_if<target_item>(&meaning)) {
+    return FingerprintOfTarget(target->record);
+  }
+  if (const entry_config* config = std::get_if<entry_config>(&meaning)) {
+    return HashPair(meaning.index(), config->version);
+  }
+  if (const evacuation_item* zone = std::get_if<evacuation_item>(&meaning)) {
+    return HashPair(meaning.index(), zone->evacuated ? 1 : 0);
+  }
+  return HashPair(meaning.index(), 0);
+}
+
+target_directory::target_directory(duration forget_after, report report_change)
+    : forget_after_(forget_after), report_(std::move(report_change)) {}
+
+void target_directory::Apply(const store_item& item,
+                             const item_meaning& meaning,
+                             time_point now) {
+  if (const entry_config* config = std::get_if<entry_config>(&meaning)) {
+    ApplyConfig(*config);
+  } else if (const target_item* target = std::get_if<target_item>(&meaning)) {
+    ApplyTarget(target->record, now);
+  } else if (const removed_target* removed =
+                 std::get_if<removed_target>(&meaning)) {
+    ApplyRemoval(removed->id, "entry deleted", now);
+  } else if (const evacuation_item* zone =
+                 std::get_if<evacuation_item>(&meaning)) {
+    ApplyEvacuation(*zone);
+  } else if (const unreadable_item* bad =
+                 std::get_if<unreadable_item>(&meaning)) {
+    report_({item.key, "entry_unreadable", bad->reason});
+    ApplyRemoval(item.key.substr(item.key.find('/') + 1), "entry unreadable",
+                 now);
+  }
+}
+
+void target_directory::ApplyConfig(const entry_config& config) {
+  if (config.version <= config_.version) {
+    report_({"configuration", "older_version_ignored",
+             "version " + std::to_string(config.version) + ", in force " +
+                 std::to_string(config_.version)});
+    return;
+  }
+  routes_.clear();
+  for (std::size_t i = 0; i < config.routes.size(); ++i) {
+    routes_[config.routes[i].address] = i;
+  }
+  report_({"configuration", "version_in_force",
+           "version " + std::to_string(config.version) + " after " +
+               std::to_string(config_.version) + ", " +
+               std::to_string(config.routes.size()) + " routes"});
+  config_ = config;
+}
+
+void target_directory::ApplyTarget(const target_record& record,
+                                   time_point now) {
+  const auto known = by_id_.find(record.id);
+  if (known != by_id_.end()) {
+    known_target& target = *targets_[known->second];
+    if (target.record.incarnation == record.incarnation) {
+      Update(target, record, now);
+      return;
+    }
+    if (target.record.incarnation > record.incarnation) {
+      report_({record.id, "older_incarnation_ignored", ""});
+      return;
+    }
+    SetListing(target, target_listing::kGone, "started again", now);
+  }
+  const target_index added = Add(record, now);
+  report_({record.id,
+           record.state == target_state::kActive ? "target_added"
+                                                : "target_added_draining",
+           DescribeTarget(record)});
+  MarkReusedAddress(*targets_[added]);
+}
+
+target_index target_directory::Add(const target_record& record,
+                                   time_point now) {
+  known_target target;
+  target.record = record;
+  target.cookie = MakeCookie(record.id, record.incarnation);
+  target.listing_changed = now;
+  target.cold_until = now + record.cold_left;
+  if (record.state == target_state::kDraining) {
+    target.draining_since = now;
+  }
+  const auto free = std::find(targets_.begin(), targets_.end(), std::nullopt);
+  const target_index index =
+      static_cast<target_index>(std::distance(targets_.begin(), free));
+  if (free == targets_.end()) {
+    targets_.emplace_back();
+  }
+  target.cookie_taken = !by_cookie_.emplace(target.cookie, index).second;
+  targets_[index] = target;
+  by_id_[record.id] = index;
+  IndexServices();
+  return index;
+}
+
+void target_directory::Update(known_target& target,
+                              const target_record& record,
+                              time_point now) {
+  const bool drains = target.record.state == target_state::kActive &&
+                      record.state == target_state::kDraining;
+  if (drains) {
+    target.draining_since = now;
+    report_({record.id, "target_draining", DescribeTarget(record)});
+  }
+  if (record.cold_left > duration::zero()) {
+    target.cold_until = now + record.cold_left;
+  }
+  target.record = record;
+  SetListing(target, target_listing::kListed, "entry is back", now);
+  IndexServices();
+}
+
+void target_directory::ApplyRemoval(const std::string& id,
+                                    const char* reason,
+                                    time_point now) {
+  const auto known = by_id_.find(id);
+  if (known == by_id_.end()) {
+    return;
+  }
+  known_target& target = *targets_[known->second];
+  // A target that said it was leaving has left.
+  const bool left = target.record.state == target_state::kDraining;
+  SetListing(target, left ? target_listing::kGone : target_listing::kMissing,
+             reason, now);
+}
+
+void target_directory::ApplyEvacuation(const evacuation_item& item) {
+  const bool changed = item.evacuated
+                           ? evacuated_.insert(item.data_centre).second
+                           : evacuated_.erase(item.data_centre) > 0;
+  if (changed) {
+    report_({item.data_centre,
+             item.evacuated ? "data_centre_out" : "data_centre_back", ""});
+  }
+}
+
+void target_directory::SetListing(known_target& target,
+                                  target_listing listing,
+                                  const char* reason,
+                                  time_point now) {
+  if (target.listing == listing) {
+    return;
+  }
+  static constexpr std::array<const char*, 3> kOutcomes = {
+      "target_listed", "target_missing", "target_gone"};
+  target.listing = listing;
+  target.listing_changed = now;
+  report_({target.record.id, kOutcomes.at(static_cast<std::size_t>(listing)),
+           reason});
+  IndexServices();
+}
+
+void target_directory::MarkReusedAddress(const known_target& newer) {
+  for (std::optional<known_target>& other : targets_) {
+    if (other && other->cookie != newer.cookie &&
+        other->record.address == newer.record.address) {
+      other->address_reused = true;
+    }
+  }
+}
+
+void target_directory::Tick(bool store_away, time_point now) {
+  if (store_away_ && !store_away) {
+    store_returned_ = now;
+  }
+  store_away_ = store_away;
+  for (target_index i = 0; i < targets_.size(); ++i) {
+    if (!targets_[i]) {
+      continue;
+    }
+    known_target& target = *targets_[i];
+    const time_point since =
+        std::max(target.listing_changed, store_returned_);
+    if (target.listing == target_listing::kMissing && !store_away &&
+        now - since >= kReturnTime) {
+      SetListing(target, target_listing::kGone, "entry did not come back", now);
+    } else if (target.listing == target_listing::kGone &&
+               now - target.listing_changed >= forget_after_) {
+      Forget(i);
+    }
+  }
+}
+
+void target_directory::Forget(target_index index) {
+  const known_target& target = *targets_[index];
+  const auto id = by_id_.find(target.record.id);
+  if (id != by_id_.end() && id->second == index) {
+    by_id_.erase(id);
+  }
+  const auto cookie = by_cookie_.find(target.cookie);
+  if (cookie != by_cookie_.end() && cookie->second == index) {
+    by_cookie_.erase(cookie);
+  }
+  targets_[index].reset();
+  IndexServices();
+}
+
+void target_directory::IndexServices() {
+  by_service_.clear();
+  for (const auto& [id, index] : by_id_) {
+    const known_target& target = *targets_[index];
+    if (target.listing != target_listing::kGone) {
+      by_service_[target.record.service].push_back(index);
+    }
+  }
+}
+
+const known_target* target_directory::Find(target_index index) const {
+  return index < targets_.size() && targets_[index] ? &*targets_[index]
+                                                    : nullptr;
+}
+
+target_index target_directory::FindCookie(std::uint32_t cookie) const {
+  const auto found = by_cookie_.find(cookie);
+  return found == by_cookie_.end() ? kNoTarget : found->second;
+}
+
+const entry_route* target_directory::FindRoute(
+    const ipv4_endpoint& address) const {
+  const auto found = routes_.find(address);
+  return found == routes_.end() ? nullptr : &config_.routes[found->second];
+}
+
+const entry_service* target_directory::FindService(
+    const std::string& name) const {
+  const auto found = std::find_if(
+      config_.services.begin(), config_.services.end(),
+      [&name](const entry_service& service) { return service.name == name; });
+  return found == config_.services.end() ? nullptr : &*found;
+}
+
+std::span<const target_index> target_directory::TargetsOf(
+    const std::string& service) const {
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? std::span<const target_index>()
+                                    : found->second;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entry/target_picker.cc
@@ -0,0 +1,154 @@
+#include "rosemaryreach/target_picker.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace rosemaryreach {
+namespace {
+
+// A data centre's targets take its own callers until their queues are longer
+// than elsewhere by this many requests for each slot; the way there and back
+// costs about a millisecond, a queued request tens.
+constexpr double kRemotePenalty = 1.0;
+// Share of a slot that an open flow uses: about one request a second of tens
+// of milliseconds.
+constexpr double kOpenFlowLoad = 0.03;
+// Cold targets are slower by about this factor.
+constexpr double kColdFactor = 2.0;
+// Breaks ties; less than one request counts.
+constexpr double kJitter = 0.2;
+// More targets are sampled; a choice among so many is nearly the best.
+constexpr std::size_t kMaxCandidates = 32;
+// A planned leave may get new flows for the first second after the news; the
+// bound is three times that.
+constexpr duration kLeavingUse = std::chrono::seconds(1);
+// Two instances may own a cold target while they see the fleet differently.
+constexpr double kColdOwners = 2;
+
+constexpr std::array<const char*, 6> kRules = {
+    "least_load", "entry_missing", "tried_before",
+    "leaving",    "doubted",    "no_target"};
+
+}  // namespace
+
+target_picker::target_picker(const target_directory& directory,
+                             flow_ledger& ledger,
+                             std::string data_centre,
+                             entry_bounds bounds,
+                             fleet_hooks fleet,
+                             std::uint64_t seed)
+    : directory_(directory),
+      ledger_(ledger),
+      data_centre_(std::move(data_centre)),
+      bounds_(bounds),
+      fleet_(std::move(fleet)),
+      random_(seed) {}
+
+pick target_picker::Pick(const std::string& service,
+                         std::span<const target_index> tried,
+                         time_point now) {
+  const std::span<const target_index> all = directory_.TargetsOf(service);
+  const std::size_t count = std::min(all.size(), kMaxCandidates);
+  const std::size_t start = all.empty() ? 0 : random_() % all.size();
+  pick best;
+  grade best_grade = grade::kNever;
+  double best_score = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const target_index index = all[(start + i * all.size() / count) %
+                                   all.size()];
+    const grade graded = Grade(index, tried, now);
+    if (graded > best_grade || graded == grade::kNever) {
+      continue;
+    }
+    const double score = Score(index, now);
+    if (graded < best_grade || score < best_score) {
+      best = {index, kRules.at(static_cast<std::size_t>(graded))};
+      best_grade = graded;
+      best_score = score;
+    }
+  }
+  if (best.target == kNoTarget) {
+    best.rule = kRules.back();
+  } else {
+    NoteCold(*directory_.Find(best.target), now);
+  }
+  return best;
+}
+
+target_picker::grade target_picker::Grade(target_index index,
+                                          std::span<const target_index> tried,
+                                          time_point now) {
+  const known_target& target = *directory_.Find(index);
+  if (target.cookie_taken || directory_.evacuated(target.record.data_centre) ||
+      !ColdAllows(target, now)) {
+    return grade::kNever;
+  }
+  if (target.record.state == target_state::kDraining) {
+    return now - target.draining_since < kLeavingUse ? grade::kLeaving
+                                                     : grade::kNever;
+  }
+  ledger_.CheckOpening(index, now);
+  if (ledger_.contact(index).doubted) {
+    return grade::kDoubted;
+  }
+  if (std::find(tried.begin(), tried.end(), index) != tried.end()) {
+    return grade::kTried;
+  }
+  if (target.listing == target_listing::kMissing) {
+    return grade::kMissing;
+  }
+  return grade::kGood;
+}
+
+double target_picker::Score(target_index index, time_point now) {
+  const known_target& target = *directory_.Find(index);
+  const target_contact& contact = ledger_.contact(index);
+  // Each instance here is taken to use the target as much as this one does.
+  const double here = fleet_.instances_here();
+  const double load = (contact.running + contact.opening) * here + 1 +
+                      contact.open * kOpenFlowLoad * here;
+  double score = load / target.record.slots;
+  if (now < target.cold_until) {
+    score *= kColdFactor;
+  }
+  if (target.record.data_centre != data_centre_) {
+    score += kRemotePenalty;
+  }
+  std::uniform_real_distribution<double> jitter(0, kJitter);
+  return score + jitter(random_);
+}
+
+duration target_picker::ColdInterval(const std::string& service) const {
+  const entry_service* declared = directory_.FindService(service);
+  if (declared == nullptr || declared->cold_flows_per_s <= 0) {
+    return duration::zero();
+  }
+  const double allowed =
+      declared->cold_flows_per_s * bounds_.cold_factor + bounds_.cold_slack;
+  const double mine = std::max(1.0, std::floor(allowed / kColdOwners) - 1);
+  constexpr double kMicrosPerSecond = 1e6;
+  return duration(std::llround(kMicrosPerSecond / mine));
+}
+
+bool target_picker::ColdAllows(const known_target& target,
+                               time_point now) const {
+  if (now >= target.cold_until ||
+      ColdInterval(target.record.service) == duration::zero()) {
+    return true;
+  }
+  const auto next = cold_next_.find(target.cookie);
+  return fleet_.owns(target.cookie) &&
+         (next == cold_next_.end() || now >= next->second);
+}
+
+void target_picker::NoteCold(const known_target& target, time_point now) {
+  std::erase_if(cold_next_, [now](const auto& entry) {
+    return entry.second <= now;
+  });
+  if (now < target.cold_until) {
+    cold_next_[target.cookie] = now + ColdInterval(target.record.service);
+  }
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entryd/entry_metrics.cc
@@ -0,0 +1,69 @@
+#include "entryd/entry_metrics.h"
+
+#include <array>
+
+namespace rosemaryreach {
+namespace {
+
+// From a fraction of the shortest way to a caller up to its give-up time.
+constexpr histogram_range kOpenRange{0.001, 2, 16};
+constexpr histogram_range kRequestRange{0.001, 10, 20};
+
+}  // namespace
+
+entry_metrics::entry_metrics(metrics_registry& registry)
+    : malformed(registry.Counter({"rosemaryreach_entry_malformed_total",
+                                  "Datagrams that are no packets."})),
+      probes(registry.Counter({"rosemaryreach_entry_probes_total",
+                               "Connections tried to doubted targets."})),
+      peer_datagrams_sent(
+          registry.Counter({"rosemaryreach_entry_peer_sent_total",
+                            "Beacons sent to other instances."})),
+      peer_datagrams_received(
+          registry.Counter({"rosemaryreach_entry_peer_received_total",
+                            "Beacons received from other instances."})),
+      peer_datagrams_bad(registry.Counter({"rosemaryreach_entry_peer_bad_total",
+                                           "Datagrams that are no beacons."})),
+      configuration_version(
+          registry.Gauge({"rosemaryreach_entry_configuration_version",
+                          "Version of the configuration in force."})),
+      view_age_ms(registry.Gauge({"rosemaryreach_entry_view_age_ms",
+                                  "Age of what is known of the store."})),
+      peers(registry.Gauge({"rosemaryreach_entry_peers",
+                            "Other instances that are heard of."})),
+      flows(registry.Gauge({"rosemaryreach_entry_flows",
+                            "Flows that this instance follows."})),
+      open_seconds(registry.Histogram(
+          {"rosemaryreach_entry_open_seconds",
+           "First packet of a flow to the caller's next one."},
+          kOpenRange)),
+      request_seconds(registry.Histogram(
+          {"rosemaryreach_entry_request_seconds",
+           "Data of a caller to the first sign of an answer."},
+          kRequestRange)),
+      registry_(registry) {}
+
+counter& entry_metrics::Packets(const char* rule) {
+  return Find(packets_, "rosemaryreach_entry_packets_total",
+              "Packets of callers by the rule that decided.", "rule", rule);
+}
+
+counter& entry_metrics::StoreCalls(const char* outcome) {
+  return Find(store_calls_, "rosemaryreach_entry_store_calls_total",
+              "Calls to the store by outcome.", "outcome", outcome);
+}
+
+counter& entry_metrics::Find(std::map<const char*, counter*>& known,
+                             const char* name,
+                             const char* help,
+                             const char* label,
+                             const char* value) {
+  counter*& found = known[value];
+  if (found == nullptr) {
+    const std::array<metric_label, 1> labels = {metric_label{label, value}};
+    found = &registry_.Counter({name, help, labels});
+  }
+  return *found;
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entryd/entry_metrics.h
@@ -0,0 +1,47 @@
+// Counters and histograms of an entry instance; docs/OPERATIONS.md lists them.
+#ifndef ROSEMARYREACH_ENTRYD_ENTRY_METRICS_H_
+#define ROSEMARYREACH_ENTRYD_ENTRY_METRICS_H_
+
+#include <map>
+#include <string>
+
+#include "rosemaryreach/metrics.h"
+
+namespace rosemaryreach {
+
+class entry_metrics {
+ public:
+  explicit entry_metrics(metrics_registry& registry);
+
+  // Returns the counter of packets that `rule` decided.
+  counter& Packets(const char* rule);
+  // Returns the counter of calls to the store that ended with `outcome`.
+  counter& StoreCalls(const char* outcome);
+
+  counter& malformed;
+  counter& probes;
+  counter& peer_datagrams_sent;
+  counter& peer_datagrams_received;
+  counter& peer_datagrams_bad;
+  gauge& configuration_version;
+  gauge& view_age_ms;
+  gauge& peers;
+  gauge& flows;
+  histogram& open_seconds;     // first packet to the caller's next one
+  histogram& request_seconds;  // data to the first sign of an answer
+
+ private:
+  counter& Find(std::map<const char*, counter*>& known,
+                const char* name,
+                const char* help,
+                const char* label,
+                const char* value);
+
+  metrics_registry& registry_;
+  std::map<const char*, counter*> packets_;
+  std::map<const char*, counter*> store_calls_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ENTRYD_ENTRY_METRICS_H_
--- /dev/null
+++ b/src/entryd/entry_task.cc
@@ -0,0 +1,321 @@
+#include "entryd/entry_task.h"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "platform_settings_file.h"
+#include "store_documents.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr std::size_t kMaxFlows = 50'000;  // 5 MB
+constexpr duration kTickPeriod = std::chrono::milliseconds(100);
+// Ticks late by more than this mean that the process stood still.
+constexpr duration kPause = std::chrono::seconds(1);
+// After a pause old knowledge is used again if nothing newer comes.
+constexpr duration kSettleTime = std::chrono::milliseconds(400);
+// A view older than this may lack a route that callers know already.
+constexpr duration kRecentView = std::chrono::seconds(2);
+// Routers take an instance out after two misses, 500 ms apart.
+constexpr duration kLeaveRotation = std::chrono::milliseconds(2'000);
+// Without a packet for this long, none is on the way.
+constexpr duration kQuietBeforeEnd = std::chrono::milliseconds(1'200);
+// Left of the grace period when the process ends in any case.
+constexpr duration kEndBeforeKill = std::chrono::milliseconds(700);
+// Flows may outlive a target's entry this much longer than their lifetime.
+constexpr duration kForgetSlack = std::chrono::seconds(15);
+
+std::int64_t Millis(duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+std::int64_t ChangeTime(const std::string& path) {
+  constexpr std::int64_t kNanosPerSecond = 1'000'000'000;
+  struct stat info {};
+  if (stat(path.c_str(), &info) != 0) {
+    return 0;
+  }
+  return info.st_mtim.tv_sec * kNanosPerSecond + info.st_mtim.tv_nsec;
+}
+
+const char* NameOf(target_listing listing) {
+  switch (listing) {
+    case target_listing::kListed:
+      return "listed";
+    case target_listing::kMissing:
+      return "missing";
+    case target_listing::kGone:
+      return "gone";
+  }
+  return "";
+}
+
+}  // namespace
+
+entry_task::entry_task(const entry_settings& settings,
+                       const entry_options& options,
+                       signal_descriptor& signals,
+                       log_sink& log,
+                       std::uint64_t seed)
+    : settings_(settings),
+      options_(options),
+      signals_(signals),
+      log_(log),
+      registry_(MakeMetricsRegistry()),
+      metrics_(*registry_),
+      directory_(settings.bounds.flow_lifetime + kForgetSlack,
+                 [this](const directory_change& change) {
+                   OnDirectoryChange(change);
+                 }),
+      ledger_(kMaxFlows,
+              {[this](target_index target, const char* reason) {
+                 targets_.Doubt(target, reason);
+               },
+               [this](duration time) {
+                 metrics_.open_seconds.Observe(
+                     std::chrono::duration<double>(time).count());
+               },
+               [this](duration time) {
+                 metrics_.request_seconds.Observe(
+                     std::chrono::duration<double>(time).count());
+               }}),
+      targets_(loop_, directory_, ledger_, log_, metrics_),
+      sync_(
+          loop_, settings,
+          [](const store_item& item) {
+            return FingerprintOf(DecodeItem(item));
+          },
+          [this](std::span<const store_item> items) { OnChanged(items); },
+          log_, metrics_, seed),
+      picker_(directory_, ledger_, settings.data_centre, settings.bounds,
+              {[this] { return sync_.peers().InstancesHere(); },
+               [this](std::uint32_t cookie) {
+                 return sync_.peers().Owns(cookie);
+               }},
+              seed),
+      director_(directory_, ledger_, picker_),
+      packets_(loop_, settings.packets, directory_, director_,
+               [this] { return Trust(); }, log_, metrics_),
+      admin_(loop_, "", AdminHooks()),
+      signal_watch_(loop_, signals_.fd(), watch_for::kRead,
+                    [this] { OnSignal(); }),
+      tick_(loop_, [this] { OnTick(); }),
+      second_(loop_, [this] { OnSecond(); }),
+      started_(BootTimeNow()),
+      last_turn_(started_),
+      settings_changed_(ChangeTime(options.settings_file)) {}
+
+result<void> entry_task::Start() {
+  BOOST_OUTCOME_TRYV(packets_.Start());
+  BOOST_OUTCOME_TRYV(sync_.Start());
+  BOOST_OUTCOME_TRYV(admin_.Listen(settings_.ready));
+  BOOST_OUTCOME_TRYV(admin_.Listen(settings_.control));
+  if (options_.metrics_port != 0) {
+    const endpoint metrics{settings_.control.address, options_.metrics_port};
+    BOOST_OUTCOME_TRYV(admin_.Listen(metrics));
+  }
+  tick_.StartEvery(kTickPeriod);
+  second_.StartEvery(std::chrono::seconds(1));
+  LogLife("started", settings_.data_centre + ", packets at " +
+                         FormatEndpoint(settings_.packets));
+  return success();
+}
+
+admin_hooks entry_task::AdminHooks() {
+  admin_hooks hooks;
+  hooks.ready = [this] { return Readiness(); };
+  hooks.metrics = [this] { return MetricsText(); };
+  hooks.status = [this] { return Status(); };
+  hooks.targets = [this] { return Targets(); };
+  hooks.items = [this](std::uint64_t after) { return sync_.ItemsAfter(after); };
+  return hooks;
+}
+
+readiness entry_task::Readiness() const {
+  if (stopping_) {
+    return {false, "stopping"};
+  }
+  if (!directory_.complete()) {
+    return {false, "configuration and targets"};
+  }
+  return {true, ""};
+}
+
+view_trust entry_task::Trust() {
+  const time_point now = BootTimeNow();
+  NotePause(now);
+  if (untrusted_ && (sync_.known_at() > untrusted_since_ ||
+                     now - untrusted_since_ >= kSettleTime)) {
+    untrusted_ = false;
+  }
+  return {!untrusted_, sync_.age() < kRecentView};
+}
+
+void entry_task::NotePause(time_point now) {
+  const duration turn = now - std::exchange(last_turn_, now);
+  if (turn < kPause) {
+    return;
+  }
+  untrusted_ = true;
+  untrusted_since_ = now;
+  ledger_.ForgetWaiting(now);
+  sync_.Refresh();
+  LogLife("paused", "stood still for " + std::to_string(Millis(turn)) + " ms");
+}
+
+void entry_task::OnChanged(std::span<const store_item> items) {
+  const time_point now = BootTimeNow();
+  for (const store_item& item : items) {
+    directory_.Apply(item, DecodeItem(item), now);
+  }
+}
+
+void entry_task::OnDirectoryChange(const directory_change& change) {
+  const std::array<log_field, 5> fields = {
+      log_field{"subject", change.subject},
+      log_field{"outcome", change.outcome}, log_field{"detail", change.detail},
+      log_field{"revision", static_cast<std::int64_t>(sync_.revision())},
+      log_field{"age_ms", Millis(sync_.age())}};
+  log_.Belief("directory", fields);
+}
+
+void entry_task::OnSignal() {
+  for (int signal = signals_.Read(); signal != 0; signal = signals_.Read()) {
+    if (signal == SIGHUP) {
+      Reload("signal");
+    } else if (!stopping_) {
+      BeginStop();
+    }
+  }
+}
+
+void entry_task::BeginStop() {
+  stopping_ = true;
+  stop_began_ = BootTimeNow();
+  LogLife("stopping", "not ready; packets are forwarded until they end");
+  sync_.Leave();
+}
+
+void entry_task::CheckStop(time_point now) {
+  if (!stopping_) {
+    return;
+  }
+  const duration since = now - stop_began_;
+  const bool quiet = since >= kLeaveRotation &&
+                     now - packets_.last_packet() >= kQuietBeforeEnd;
+  if (quiet || since >= settings_.bounds.grace_period - kEndBeforeKill) {
+    LogLife("stopped", quiet ? "no packets come any more"
+                             : "the grace period is nearly over");
+    loop_.Stop();
+  }
+}
+
+void entry_task::Reload(const char* why) {
+  const result<entry_settings> loaded =
+      LoadEntrySettings(options_.settings_file);
+  if (!loaded) {
+    LogLife("reload_failed", FormatError(loaded.error()));
+    return;
+  }
+  const bool moved = loaded.value().packets != settings_.packets ||
+                     loaded.value().ready != settings_.ready ||
+                     loaded.value().control != settings_.control;
+  settings_ = loaded.value();
+  sync_.Reload(settings_);
+  LogLife("reloaded", std::string(why) +
+                          (moved ? "; new addresses need a restart" : ""));
+}
+
+void entry_task::CheckSettingsFile() {
+  const std::int64_t changed = ChangeTime(options_.settings_file);
+  if (changed != std::exchange(settings_changed_, changed)) {
+    Reload("the file changed");
+  }
+}
+
+void entry_task::OnTick() {
+  const time_point now = BootTimeNow();
+  NotePause(now);
+  directory_.Tick(sync_.store_away(), now);
+  targets_.Tick();
+  sync_.Tick();
+  CheckStop(now);
+  const readiness state = Readiness();
+  if (state.ready != std::exchange(was_ready_, state.ready)) {
+    LogLife(state.ready ? "ready" : "not_ready", state.waiting_for);
+  }
+}
+
+void entry_task::OnSecond() {
+  ledger_.Sweep(BootTimeNow());
+  log_.ReportSkipped();
+  CheckSettingsFile();
+}
+
+std::string entry_task::MetricsText() {
+  metrics_.configuration_version.Set(
+      static_cast<std::int64_t>(directory_.config().version));
+  metrics_.view_age_ms.Set(Millis(sync_.age()));
+  metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
+  metrics_.flows.Set(static_cast<std::int64_t>(ledger_.size()));
+  return registry_->PrometheusText();
+}
+
+nlohmann::json entry_task::Status() const {
+  nlohmann::json peers = nlohmann::json::array();
+  for (const peer_summary& peer : sync_.peers().peers()) {
+    peers.push_back({{"address", FormatIpv4Endpoint({peer.address, 0})},
+                     {"incarnation", peer.incarnation},
+                     {"leaving", peer.leaving}});
+  }
+  const readiness state = Readiness();
+  return {{"instance", settings_.instance},
+          {"data_centre", settings_.data_centre},
+          {"ready", state.ready},
+          {"waiting_for", state.waiting_for},
+          {"configuration_version", directory_.config().version},
+          {"store_revision", sync_.revision()},
+          {"view_age_ms", Millis(sync_.age())},
+          {"store_away", sync_.store_away()},
+          {"flows", ledger_.size()},
+          {"peers", std::move(peers)}};
+}
+
+nlohmann::json entry_task::Targets() const {
+  nlohmann::json all = nlohmann::json::array();
+  const time_point now = BootTimeNow();
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
+    if (target == nullptr) {
+      continue;
+    }
+    const target_contact& contact = ledger_.contact(i);
+    all.push_back(
+        {{"id", target->record.id},
+         {"service", target->record.service},
+         {"address", FormatIpv4Endpoint(target->record.address)},
+         {"data_centre", target->record.data_centre},
+         {"listing", NameOf(target->listing)},
+         {"draining", target->record.state == target_state::kDraining},
+         {"cold", now < target->cold_until},
+         {"out", directory_.evacuated(target->record.data_centre)},
+         {"doubted", contact.doubted},
+         {"failed_probes", contact.failed_probes},
+         {"open", contact.open},
+         {"running", contact.running}});
+  }
+  return all;
+}
+
+void entry_task::LogLife(const char* event, const std::string& detail) {
+  const std::array<log_field, 3> fields = {
+      log_field{"outcome", event}, log_field{"detail", detail},
+      log_field{"uptime_ms", Millis(BootTimeNow() - started_)}};
+  log_.Belief("instance", fields);
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entryd/entry_task.h
@@ -0,0 +1,89 @@
+// One entry instance on the platform: its tasks put together, and its life
+// from start to graceful stop.
+#ifndef ROSEMARYREACH_ENTRYD_ENTRY_TASK_H_
+#define ROSEMARYREACH_ENTRYD_ENTRY_TASK_H_
+
+#include <memory>
+#include <string>
+
+#include "adapters/admin_server.h"
+#include "adapters/event_loop.h"
+#include "adapters/signal_descriptor.h"
+#include "entryd/entry_log.h"
+#include "entryd/entry_metrics.h"
+#include "entryd/packet_port.h"
+#include "entryd/store_sync.h"
+#include "entryd/target_watch.h"
+#include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/packet_director.h"
+
+namespace rosemaryreach {
+
+struct entry_options {
+  std::string settings_file;
+  std::uint16_t metrics_port = 0;  // on the control address; 0 for none
+};
+
+class entry_task {
+ public:
+  entry_task(const entry_settings& settings,
+             const entry_options& options,
+             signal_descriptor& signals,
+             log_sink& log,
+             std::uint64_t seed);
+
+  result<void> Start();
+
+  // Serves until a stop signal has been obeyed.
+  void Run() { loop_.Run(); }
+
+ private:
+  admin_hooks AdminHooks();
+  readiness Readiness() const;
+  nlohmann::json Status() const;
+  nlohmann::json Targets() const;
+  view_trust Trust();
+  void NotePause(time_point now);
+  void OnChanged(std::span<const store_item> items);
+  void OnDirectoryChange(const directory_change& change);
+  void OnSignal();
+  void BeginStop();
+  void CheckStop(time_point now);
+  void Reload(const char* why);
+  void CheckSettingsFile();
+  void OnTick();
+  void OnSecond();
+  std::string MetricsText();
+  void LogLife(const char* event, const std::string& detail);
+
+  entry_settings settings_;
+  entry_options options_;
+  signal_descriptor& signals_;
+  event_loop loop_;
+  entry_log log_;
+  std::unique_ptr<metrics_registry> registry_;
+  entry_metrics metrics_;
+  target_directory directory_;
+  flow_ledger ledger_;
+  target_watch targets_;
+  store_sync sync_;
+  target_picker picker_;
+  packet_director director_;
+  packet_port packets_;
+  admin_server admin_;
+  descriptor_watch signal_watch_;
+  loop_timer tick_;
+  loop_timer second_;
+  time_point started_;
+  time_point last_turn_;
+  time_point untrusted_since_{};
+  bool untrusted_ = false;
+  bool stopping_ = false;
+  bool was_ready_ = false;
+  time_point stop_began_{};
+  std::int64_t settings_changed_ = 0;  // the file's time, nanoseconds
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ENTRYD_ENTRY_TASK_H_
--- /dev/null
+++ b/src/entryd/main.cc
@@ -0,0 +1,135 @@
+// rosemaryreach-entry: an entry instance on the platform.
+#include <popt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "adapters/json_log.h"
+#include "adapters/signal_descriptor.h"
+#include "entryd/entry_task.h"
+#include "platform_settings_file.h"
+
+namespace rosemaryreach {
+namespace {
+
+enum exit_code : int { kOk = 0, kFailed = 1, kWrongInput = 2 };
+
+struct command_line {
+  entry_options options;
+  bool check_only = false;
+  bool show_version = false;
+};
+
+std::string DefaultSettingsFile() {
+  const char* named = std::getenv(kSettingsVariable);
+  return named == nullptr ? "" : named;
+}
+
+// Reads the command line; returns errc::kUnsupported for a wrong one.
+result<command_line> ParseCommandLine(int argc, const char** argv) {
+  command_line read;
+  char* file = nullptr;
+  int metrics_port = 0;
+  int check = 0;
+  int version = 0;
+  const std::vector<poptOption> options = {
+      {"settings", 's', POPT_ARG_STRING, &file, 0,
+       "settings of this instance, in YAML; default: the file that the "
+       "environment names",
+       "FILE"},
+      {"metrics-port", 'm', POPT_ARG_INT, &metrics_port, 0,
+       "serve /metrics on this port too", "PORT"},
+      {"check-settings", 'c', POPT_ARG_NONE, &check, 0,
+       "check the settings and exit", nullptr},
+      {"version", 'v', POPT_ARG_NONE, &version, 0, "print the version",
+       nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context =
+      poptGetContext("rosemaryreach-entry", argc, argv, options.data(), 0);
+  const int parsed = poptGetNextOpt(context);
+  const char* bad = poptBadOption(context, POPT_BADOPTION_NOALIAS);
+  const std::string bad_option = bad == nullptr ? "" : bad;
+  const char* extra = poptGetArg(context);
+  const std::string argument = extra == nullptr ? "" : extra;
+  poptFreeContext(context);
+  read.options.settings_file = file == nullptr ? DefaultSettingsFile() : file;
+  std::free(file);
+  if (parsed != -1) {
+    return Fail(errc::kUnsupported, bad_option + ": " + poptStrerror(parsed));
+  }
+  if (!argument.empty()) {
+    return Fail(errc::kUnsupported, argument + ": unexpected argument");
+  }
+  if (metrics_port < 0 || metrics_port > UINT16_MAX) {
+    return Fail(errc::kUnsupported, "--metrics-port: not a port");
+  }
+  if (read.options.settings_file.empty() && version == 0) {
+    return Fail(errc::kUnsupported, std::string("--settings FILE or ") +
+                                        kSettingsVariable + " is needed");
+  }
+  read.options.metrics_port = static_cast<std::uint16_t>(metrics_port);
+  read.check_only = check != 0;
+  read.show_version = version != 0;
+  return read;
+}
+
+std::uint64_t RandomSeed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+int Serve(const entry_settings& settings, const entry_options& options) {
+  // Before the writer's thread is made, so that it inherits the mask.
+  signal_descriptor signals;
+  background_writer writer(MakeStdoutWriter());
+  log_settings levels;
+  json_log log(levels, settings.instance, [&writer](std::string line) {
+    writer.Write(std::move(line));
+  });
+  entry_task task(settings, options, signals, log, RandomSeed());
+  const result<void> started = task.Start();
+  if (!started) {
+    std::fprintf(stderr, "rosemaryreach-entry: %s\n",
+                 FormatError(started.error()).c_str());
+    return kFailed;
+  }
+  task.Run();
+  return kOk;
+}
+
+int Main(int argc, const char** argv) {
+  const result<command_line> parsed = ParseCommandLine(argc, argv);
+  if (!parsed) {
+    std::fprintf(stderr, "rosemaryreach-entry: %s\n",
+                 parsed.error().detail.c_str());
+    return kWrongInput;
+  }
+  if (parsed.value().show_version) {
+    std::printf("rosemaryreach-entry %s\n", ROSEMARYREACH_VERSION);
+    return kOk;
+  }
+  const std::string& file = parsed.value().options.settings_file;
+  const result<entry_settings> settings = LoadEntrySettings(file);
+  if (!settings) {
+    std::fprintf(stderr, "rosemaryreach-entry: %s: %s\n", file.c_str(),
+                 FormatError(settings.error()).c_str());
+    return kWrongInput;
+  }
+  if (parsed.value().check_only) {
+    std::printf("%s: ok\n", file.c_str());
+    return kOk;
+  }
+  return Serve(settings.value(), parsed.value().options);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  return rosemaryreach::Main(argc, const_cast<const char**>(argv));
+}
--- /dev/null
+++ b/src/entryd/packet_port.cc
@@ -0,0 +1,133 @@
+#include "entryd/packet_port.h"
+
+#include <algorithm>
+#include <array>
+
+#include "packet_header.h"
+
+namespace rosemaryreach {
+namespace {
+
+// A burst of first packets of a whole data centre fits; unread datagrams
+// count as memory.
+constexpr int kPacketSocketBytes = 4'194'304;
+// Timers get their turn after this many batches.
+constexpr int kBatchesPerWake = 16;
+
+constexpr std::array<const char*, 3> kVerdicts = {"forwarded", "reset",
+                                                  "dropped"};
+
+}  // namespace
+
+packet_port::packet_port(event_loop& loop,
+                         const endpoint& address,
+                         const target_directory& directory,
+                         packet_director& director,
+                         std::function<view_trust()> trust,
+                         entry_log& log,
+                         entry_metrics& metrics)
+    : loop_(loop),
+      address_(address),
+      directory_(directory),
+      director_(director),
+      trust_(std::move(trust)),
+      log_(log),
+      metrics_(metrics),
+      last_packet_(BootTimeNow()) {}
+
+result<void> packet_port::Start() {
+  BOOST_OUTCOME_TRY(bound, udp_socket::Bind(address_, port_sharing::kExclusive,
+                                            kPacketSocketBytes));
+  socket_ = std::move(bound);
+  sending_ = std::make_unique<send_batch>(socket_->fd());
+  watch_ = std::make_unique<descriptor_watch>(
+      loop_, socket_->fd(), watch_for::kRead, [this] { OnPackets(); });
+  return success();
+}
+
+void packet_port::OnPackets() {
+  for (int i = 0; i < kBatchesPerWake; ++i) {
+    const std::span<const datagram> received = received_.Receive(socket_->fd());
+    if (received.empty()) {
+      return;
+    }
+    const view_trust trust = trust_();
+    const time_point now = BootTimeNow();
+    last_packet_ = now;
+    for (const datagram& one : received) {
+      Handle(one.bytes, trust, now);
+    }
+    sending_->Flush();
+    if (received.size() < kBatchDatagrams) {
+      return;
+    }
+  }
+}
+
+void packet_port::Handle(std::span<std::uint8_t> bytes,
+                         const view_trust& trust,
+                         time_point now) {
+  const result<flow_packet> packet = ReadPacket(bytes);
+  if (!packet) {
+    metrics_.malformed.Add();
+    return;
+  }
+  const packet_decision decision =
+      director_.Direct(packet.value(), trust, now);
+  metrics_.Packets(decision.rule).Add();
+  Log(packet.value(), decision, now);
+  switch (decision.verdict) {
+    case packet_verdict::kForward:
+      Forward(bytes, decision);
+      return;
+    case packet_verdict::kReset:
+      Reset(packet.value());
+      return;
+    case packet_verdict::kDrop:
+      return;
+  }
+}
+
+void packet_port::Forward(std::span<std::uint8_t> bytes,
+                          const packet_decision& decision) {
+  const known_target& target = *directory_.Find(decision.target);
+  if (decision.cookie != 0) {
+    WriteCookie(bytes, decision.cookie);
+  }
+  const std::span<std::uint8_t> prefix = sending_->NextHeader();
+  WriteTargetPrefix(prefix, target.record.wire_id);
+  sending_->Add(kTargetPrefixBytes, bytes, ToEndpoint(target.record.address));
+}
+
+void packet_port::Reset(const flow_packet& packet) {
+  const packet_head head = MakeReset(packet);
+  const std::span<std::uint8_t> header = sending_->NextHeader();
+  std::copy(head.begin(), head.end(), header.begin());
+  const ipv4_endpoint caller = {packet.flow.caller.address, address_.port};
+  sending_->Add(head.size(), {}, ToEndpoint(caller));
+}
+
+void packet_port::Log(const flow_packet& packet,
+                      const packet_decision& decision,
+                      time_point now) {
+  const bool unusual = decision.verdict != packet_verdict::kForward ||
+                       (packet.opens && packet.copy > 0);
+  if ((!unusual && !packet.opens) || !log_.WantsFlow(unusual, now)) {
+    return;
+  }
+  const std::string flow = FormatFlow(packet.flow);
+  const known_target* target = directory_.Find(decision.target);
+  const std::array<log_field, 6> fields = {
+      log_field{"flow", flow},
+      log_field{"target", target == nullptr ? std::string_view()
+                                            : target->record.id},
+      log_field{"rule", decision.rule},
+      log_field{"outcome",
+                kVerdicts.at(static_cast<std::size_t>(decision.verdict))},
+      log_field{"copy", static_cast<std::int64_t>(packet.copy)},
+      log_field{"configuration",
+                static_cast<std::int64_t>(directory_.config().version)}};
+  log_.Flow(fields);
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entryd/packet_port.h
@@ -0,0 +1,57 @@
+// The socket that callers' packets come in by, and the way out to targets and
+// callers.
+#ifndef ROSEMARYREACH_ENTRYD_PACKET_PORT_H_
+#define ROSEMARYREACH_ENTRYD_PACKET_PORT_H_
+
+#include <memory>
+#include <optional>
+
+#include "adapters/event_loop.h"
+#include "adapters/udp_socket.h"
+#include "entryd/entry_log.h"
+#include "entryd/entry_metrics.h"
+#include "rosemaryreach/packet_director.h"
+
+namespace rosemaryreach {
+
+class packet_port {
+ public:
+  packet_port(event_loop& loop,
+              const endpoint& address,
+              const target_directory& directory,
+              packet_director& director,
+              std::function<view_trust()> trust,
+              entry_log& log,
+              entry_metrics& metrics);
+
+  result<void> Start();
+
+  // When the last packet of a caller came; the start before the first.
+  time_point last_packet() const { return last_packet_; }
+
+ private:
+  void OnPackets();
+  void Handle(std::span<std::uint8_t> bytes, const view_trust& trust,
+              time_point now);
+  void Forward(std::span<std::uint8_t> bytes, const packet_decision& decision);
+  void Reset(const flow_packet& packet);
+  void Log(const flow_packet& packet, const packet_decision& decision,
+           time_point now);
+
+  event_loop& loop_;
+  endpoint address_;
+  const target_directory& directory_;
+  packet_director& director_;
+  std::function<view_trust()> trust_;
+  entry_log& log_;
+  entry_metrics& metrics_;
+  std::optional<udp_socket> socket_;
+  std::unique_ptr<send_batch> sending_;
+  std::unique_ptr<descriptor_watch> watch_;
+  receive_batch received_;
+  time_point last_packet_{};
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ENTRYD_PACKET_PORT_H_
--- /dev/null
+++ b/src/entryd/store_sync.cc
@@ -0,0 +1,315 @@
+#include "entryd/store_sync.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "store_documents.h"
+
+namespace rosemaryreach {
+namespace {
+
+// A peer answers from memory; several times a round trip between regions.
+constexpr duration kPeerDeadline = std::chrono::milliseconds(400);
+constexpr int kPeerSocketBytes = 262'144;
+// Beacons are skipped when news went to everyone this recently.
+constexpr duration kNewsCountsAsBeacon = std::chrono::milliseconds(900);
+// Until a peer is known, seeds are asked this often.
+constexpr duration kSeedPeriod = std::chrono::milliseconds(300);
+
+std::vector<std::uint32_t> SeedAddresses(const entry_settings& settings) {
+  std::vector<std::uint32_t> addresses;
+  for (const endpoint& seed : settings.seeds) {
+    addresses.push_back(ToIpv4Endpoint(seed).address);
+  }
+  return addresses;
+}
+
+peer_summary SelfSummary(const entry_settings& settings) {
+  peer_summary self;
+  self.address = ToIpv4Endpoint(settings.control).address;
+  self.incarnation = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  self.data_centre =
+      static_cast<std::uint32_t>(HashBytes(settings.data_centre));
+  return self;
+}
+
+std::int64_t Millis(duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+std::string_view AsText(std::span<const std::uint8_t> bytes) {
+  return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+}  // namespace
+
+store_sync::store_sync(event_loop& loop,
+                       const entry_settings& settings,
+                       item_fingerprint fingerprint,
+                       changed_hook on_changed,
+                       entry_log& log,
+                       entry_metrics& metrics,
+                       std::uint64_t seed)
+    : loop_(loop),
+      settings_(settings),
+      on_changed_(std::move(on_changed)),
+      log_(log),
+      metrics_(metrics),
+      cache_(std::move(fingerprint)),
+      follower_(BootTimeNow(), seed),
+      peers_(SelfSummary(settings),
+             SeedAddresses(settings),
+             seed,
+             [this](std::uint32_t address, const char* outcome) {
+               const std::string peer = FormatIpv4Endpoint({address, 0});
+               const std::array<log_field, 3> fields = {
+                   log_field{"peer", peer}, log_field{"outcome", outcome},
+                   log_field{"peers",
+                             static_cast<std::int64_t>(peers_.size())}};
+               log_.Belief("peer", fields);
+             }),
+      store_(std::make_unique<store_client>(loop, settings.store)),
+      read_timer_(loop, [this] { Read(); }),
+      beacon_timer_(loop, [this] { OnBeaconTime(); }) {}
+
+result<void> store_sync::Start() {
+  endpoint local = settings_.control;
+  local.port = settings_.peer_port;
+  BOOST_OUTCOME_TRY(bound, udp_socket::Bind(local, port_sharing::kExclusive,
+                                            kPeerSocketBytes));
+  socket_ = std::move(bound);
+  watch_ = std::make_unique<descriptor_watch>(
+      loop_, socket_->fd(), watch_for::kRead, [this] { OnDatagrams(); });
+  OnBeaconTime();
+  Arm();
+  return success();
+}
+
+void store_sync::Reload(const entry_settings& settings) {
+  peers_.SetSeeds(SeedAddresses(settings));
+  if (settings.store != settings_.store) {
+    reading_ = false;
+    store_ = std::make_unique<store_client>(loop_, settings.store);
+  }
+  settings_ = settings;
+  Arm();
+}
+
+void store_sync::Refresh() {
+  follower_.Hurry();
+  Arm();
+}
+
+void store_sync::Leave() {
+  peers_.SetLeaving();
+  SendNews();
+}
+
+void store_sync::Tick() {
+  peers_.Tick(BootTimeNow());
+  const bool lost = follower_.listed() && store_away();
+  if (lost != std::exchange(store_lost_, lost)) {
+    LogStore(lost ? "store_lost" : "store_regained",
+             "the view is " + std::to_string(Millis(age())) + " ms old");
+  }
+}
+
+std::string store_sync::ItemsAfter(std::uint64_t revision) const {
+  return EncodeAnswer(cache_.ChangedAfter(revision));
+}
+
+void store_sync::Arm() {
+  if (reading_) {
+    return;
+  }
+  const time_point now = BootTimeNow();
+  const time_point due = follower_.NextRead(peers_.Rank());
+  read_timer_.Start(std::max(due - now, duration(0)));
+}
+
+void store_sync::Read() {
+  const time_point now = BootTimeNow();
+  if (reading_) {
+    return;
+  }
+  if (follower_.NextRead(peers_.Rank()) > now) {
+    Arm();
+    return;
+  }
+  reading_ = true;
+  asked_ = now;
+  if (follower_.NextKind(now) == read_kind::kList) {
+    pages_.clear();
+    listing_revision_ = 0;
+    ReadPage("");
+    return;
+  }
+  store_->Watch(
+      cache_.revision(), kWatchWait, kReadDeadline,
+      [this](const result<store_answer>& answer) { OnWatch(answer); });
+}
+
+void store_sync::ReadPage(const std::string& after) {
+  store_->List(after, kReadDeadline,
+               [this](const result<store_answer>& answer) { OnPage(answer); });
+}
+
+void store_sync::OnPage(const result<store_answer>& answer) {
+  if (!answer) {
+    Fail(answer.error());
+    return;
+  }
+  const store_answer& page = answer.value();
+  pages_.insert(pages_.end(), page.items.begin(), page.items.end());
+  if (listing_revision_ == 0) {
+    listing_revision_ = page.revision;
+  }
+  if (page.more && !page.items.empty()) {
+    const std::string last = page.items.back().key;
+    loop_.Post([this, last] { ReadPage(last); });
+    return;
+  }
+  const std::vector<store_item> changed =
+      cache_.MergeListing(pages_, listing_revision_);
+  pages_.clear();
+  Succeed(read_kind::kList);
+  Deliver(changed);
+  SendNews();
+}
+
+void store_sync::OnWatch(const result<store_answer>& answer) {
+  if (!answer) {
+    Fail(answer.error());
+    return;
+  }
+  const std::vector<store_item> changed =
+      cache_.MergeChanges(answer.value().items, answer.value().revision);
+  Succeed(read_kind::kWatch);
+  Deliver(changed);
+  SendNews();
+}
+
+void store_sync::Fail(const error& error) {
+  reading_ = false;
+  metrics_.StoreCalls(ErrcName(error.code)).Add();
+  LogStore("read_failed", FormatError(error));
+  follower_.TakeFailure(error.code == errc::kStale, BootTimeNow());
+  Arm();
+}
+
+void store_sync::Succeed(read_kind kind) {
+  reading_ = false;
+  metrics_.StoreCalls(kind == read_kind::kList ? "listed" : "watched").Add();
+  follower_.TakeAnswer(kind, asked_, BootTimeNow());
+  Arm();
+}
+
+void store_sync::Deliver(const std::vector<store_item>& changed) {
+  if (!changed.empty()) {
+    on_changed_(changed);
+  }
+}
+
+void store_sync::OnDatagrams() {
+  for (const datagram& one : received_.Receive(socket_->fd())) {
+    metrics_.peer_datagrams_received.Add();
+    const std::optional<beacon> heard = DecodeBeacon(AsText(one.bytes));
+    if (!heard) {
+      metrics_.peer_datagrams_bad.Add();
+      continue;
+    }
+    OnBeacon(*heard);
+  }
+}
+
+void store_sync::OnBeacon(const beacon& heard) {
+  const time_point now = BootTimeNow();
+  peers_.Hear(heard, now);
+  if (heard.wants_answer) {
+    const std::array<std::uint32_t, 1> to = {heard.from.address};
+    SendBeacon(to, false);
+  }
+  const time_point known_at = now - heard.age;
+  if (heard.changed > cache_.changed()) {
+    Pull(heard.from.address, known_at);
+  } else if (heard.changed > 0 && heard.revision >= cache_.changed()) {
+    cache_.SeeRevision(heard.revision);
+    follower_.TakePeer(known_at);
+    Arm();
+  }
+}
+
+void store_sync::Pull(std::uint32_t peer, time_point known_at) {
+  if (peer_ != nullptr && peer_->busy()) {
+    return;
+  }
+  const endpoint address = ToEndpoint({peer, settings_.control.port});
+  peer_ = std::make_unique<store_client>(loop_, address);
+  peer_->AskPeer(cache_.changed(), kPeerDeadline,
+                 [this, known_at](const result<store_answer>& answer) {
+                   OnPulled(answer, known_at);
+                 });
+}
+
+void store_sync::OnPulled(const result<store_answer>& answer,
+                          time_point known_at) {
+  if (!answer) {
+    LogStore("peer_pull_failed", FormatError(answer.error()));
+    return;
+  }
+  const std::vector<store_item> changed = cache_.MergePeer(answer.value());
+  follower_.TakePeer(known_at);
+  Arm();
+  Deliver(changed);
+  if (peers_.size() > kMaxBeaconPeers) {
+    SendNews();
+  }
+}
+
+void store_sync::SendBeacon(std::span<const std::uint32_t> to,
+                            bool wants_answer) {
+  if (to.empty() || !socket_) {
+    return;
+  }
+  beacon made = peers_.MakeBeacon();
+  made.wants_answer = wants_answer;
+  made.changed = cache_.changed();
+  made.revision = cache_.revision();
+  made.age = std::max(age(), duration(0));
+  const std::string bytes = EncodeBeacon(made);
+  const std::span<const std::uint8_t> body(
+      reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+  send_batch sending(socket_->fd());
+  for (const std::uint32_t address : to) {
+    sending.Add(0, body, ToEndpoint({address, settings_.peer_port}));
+    metrics_.peer_datagrams_sent.Add();
+  }
+  sending.Flush();
+}
+
+void store_sync::SendNews() {
+  last_news_ = BootTimeNow();
+  SendBeacon(peers_.NewsRecipients(), false);
+}
+
+void store_sync::OnBeaconTime() {
+  const bool alone = peers_.size() == 0;
+  if (alone || BootTimeNow() - last_news_ >= kNewsCountsAsBeacon) {
+    SendBeacon(peers_.Recipients(), alone);
+  }
+  beacon_timer_.Start(alone ? kSeedPeriod : kBeaconPeriod);
+}
+
+void store_sync::LogStore(const char* outcome, const std::string& detail) {
+  const std::array<log_field, 4> fields = {
+      log_field{"outcome", outcome}, log_field{"detail", detail},
+      log_field{"revision", static_cast<std::int64_t>(cache_.revision())},
+      log_field{"age_ms", Millis(age())}};
+  log_.Belief("store", fields);
+}
+
+}  // namespace rosemaryreach
--- /dev/null
+++ b/src/entryd/store_sync.h
@@ -0,0 +1,104 @@
+// Keeps an instance's items in step with the store, by its own reads and by
+// what peers tell.
+#ifndef ROSEMARYREACH_ENTRYD_STORE_SYNC_H_
+#define ROSEMARYREACH_ENTRYD_STORE_SYNC_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "adapters/event_loop.h"
+#include "adapters/udp_socket.h"
+#include "entryd/entry_log.h"
+#include "entryd/entry_metrics.h"
+#include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/item_cache.h"
+#include "rosemaryreach/peer_group.h"
+#include "rosemaryreach/store_follower.h"
+#include "store_client.h"
+
+namespace rosemaryreach {
+
+class store_sync {
+ public:
+  // Called with the items whose meaning changed.
+  using changed_hook = std::function<void(std::span<const store_item>)>;
+
+  store_sync(event_loop& loop,
+             const entry_settings& settings,
+             item_fingerprint fingerprint,
+             changed_hook on_changed,
+             entry_log& log,
+             entry_metrics& metrics,
+             std::uint64_t seed);
+
+  // Binds the socket of the peers and begins to read.
+  result<void> Start();
+
+  // Takes new seeds and the store's address.
+  void Reload(const entry_settings& settings);
+
+  // Reads the store at once: what was known may be old.
+  void Refresh();
+
+  // Tells the peers that this instance stops.
+  void Leave();
+
+  void Tick();
+
+  // Returns what a peer asks for, as JSON.
+  std::string ItemsAfter(std::uint64_t revision) const;
+
+  const peer_group& peers() const { return peers_; }
+  time_point known_at() const { return follower_.known_at(); }
+  duration age() const { return BootTimeNow() - follower_.known_at(); }
+  bool store_away() const { return follower_.away(BootTimeNow()); }
+  std::uint64_t revision() const { return cache_.revision(); }
+
+ private:
+  void Arm();
+  void Read();
+  void ReadPage(const std::string& after);
+  void OnPage(const result<store_answer>& answer);
+  void OnWatch(const result<store_answer>& answer);
+  void Fail(const error& error);
+  void Succeed(read_kind kind);
+  void Deliver(const std::vector<store_item>& changed);
+  void OnDatagrams();
+  void OnBeacon(const beacon& heard);
+  void Pull(std::uint32_t peer, time_point known_at);
+  void OnPulled(const result<store_answer>& answer, time_point known_at);
+  void SendBeacon(std::span<const std::uint32_t> to, bool wants_answer);
+  void SendNews();
+  void OnBeaconTime();
+  void LogStore(const char* outcome, const std::string& detail);
+
+  event_loop& loop_;
+  entry_settings settings_;
+  changed_hook on_changed_;
+  entry_log& log_;
+  entry_metrics& metrics_;
+  item_cache cache_;
+  store_follower follower_;
+  peer_group peers_;
+  std::optional<udp_socket> socket_;
+  std::unique_ptr<descriptor_watch> watch_;
+  receive_batch received_;
+  std::unique_ptr<store_client> store_;
+  std::unique_ptr<store_client> peer_;
+  std::vector<store_item> pages_;
+  std::uint64_t listing_revision_ = 0;
+  time_point asked_{};
+  bool reading_ = false;
+  bool store_lost_ = false;
+  time_point last_news_{};
+  loop_timer read_timer_;
+  loop_timer beacon_timer_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ENTRYD_STORE_SYNC_H_
--- /dev/null
+++ b/src/entryd/target_watch.h
@@ -0,0 +1,56 @@
+// Probes doubted targets until they answer or leave the list.
+#ifndef ROSEMARYREACH_ENTRYD_TARGET_WATCH_H_
+#define ROSEMARYREACH_ENTRYD_TARGET_WATCH_H_
+
+#include <functional>
+#include <map>
+
+#include "adapters/connect_prober.h"
+#include "adapters/event_loop.h"
+#include "entryd/entry_log.h"
+#include "entryd/entry_metrics.h"
+#include "rosemaryreach/flow_ledger.h"
+#include "rosemaryreach/target_directory.h"
+
+namespace rosemaryreach {
+
+class target_watch {
+ public:
+  target_watch(event_loop& loop,
+               const target_directory& directory,
+               flow_ledger& ledger,
+               entry_log& log,
+               entry_metrics& metrics);
+
+  // Begins to probe a target that does not answer flows.
+  void Doubt(target_index target, const char* reason);
+
+  // Sends the probes that are due.
+  void Tick();
+
+ private:
+  struct doubt {
+    std::uint32_t cookie = 0;  // the index may be given to another target
+    time_point since{};
+    time_point next{};
+    bool probing = false;
+  };
+
+  void Probe(target_index index, doubt& doubt);
+  void OnProbe(target_index index, std::uint32_t cookie, bool reached);
+  bool IsOver(target_index index, const doubt& doubt) const;
+  void Log(target_index index, const char* outcome, const char* reason,
+           duration doubted_for);
+
+  event_loop& loop_;
+  const target_directory& directory_;
+  flow_ledger& ledger_;
+  entry_log& log_;
+  entry_metrics& metrics_;
+  connect_prober prober_;
+  std::map<target_index, doubt> doubts_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_ENTRYD_TARGET_WATCH_H_
