Leave rotation and refuse when no target can be reached

Ruled out: choice among the targets, none was in reach. Change: probes decide that a target is out of reach; two of a data centre and no answer from it let the rest be probed; an instance that reaches no other data centre and none for some service isn't ready, and refuses at once what it can't place.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,7 +1,6 @@
-# rosemaryreach-entry and what it needs, and nothing of the other planes. It
-# starts on a few hundredths of a core, so its libraries are linked in: the
-# dynamic loader would take longer than the program.
+# rosemaryreach-entry and what it needs, and nothing of the other planes.
 find_package(yaml-cpp REQUIRED)
+rr_library(yaml yaml-cpp STATIC yaml-cpp)
 
 # rr_io: the adapters that the daemon and the entry program share.
 add_library(
@@ -18,16 +17,16 @@
   src/config/json_text.cc)
 target_include_directories(rr_io PUBLIC include PRIVATE src)
 target_link_libraries(
-  rr_io PUBLIC rr_core rr_easylogging PkgConfig::EVENT OpenSSL::Crypto
+  rr_io PUBLIC rr_core rr_easylogging rr_lib_event rr_lib_crypto
                Threads::Threads)
 
-rr_module(entry rr_core absl::flat_hash_map)
+rr_module(entry rr_core rr_lib_hash_map)
 
 add_library(
   rr_platform STATIC platform/packet_header.cc platform/platform_settings_file.cc
                      platform/store_client.cc platform/store_documents.cc)
 target_include_directories(rr_platform PUBLIC platform include src)
-target_link_libraries(rr_platform PUBLIC rr_entry rr_io yaml-cpp absl::strings)
+target_link_libraries(rr_platform PUBLIC rr_entry rr_io rr_lib_yaml rr_lib_strings)
 
 file(GLOB entryd_sources CONFIGURE_DEPENDS src/entryd/*.cc)
 list(REMOVE_ITEM entryd_sources ${CMAKE_SOURCE_DIR}/src/entryd/main.cc)
@@ -38,4 +37,8 @@
 add_executable(rosemaryreach-entry src/entryd/main.cc)
 target_compile_definitions(rosemaryreach-entry
                            PRIVATE ROSEMARYREACH_VERSION="${PROJECT_VERSION}")
-target_link_libraries(rosemaryreach-entry PRIVATE rr_entryd PkgConfig::POPT)
+target_link_libraries(rosemaryreach-entry PRIVATE rr_entryd rr_lib_popt)
+if(ROSEMARYREACH_ENTRY_ONLY)
+  target_link_options(rosemaryreach-entry PRIVATE -static-libstdc++
+                      -static-libgcc)
+endif()
--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -85,6 +85,9 @@
 
   void TakeProbe(target_index target, bool reached, time_point now);
 
+  // Sends a target no new flows until a probe reaches it.
+  void Doubt(target_index target, const char* reason);
+
   // Forgets all waiting, since time passed that this process didn't see.
   void ForgetWaiting(time_point now);
 
@@ -96,7 +99,6 @@
   void Leave(flow_state& flow);
   void Enter(flow_state& flow, flow_phase phase, time_point now);
   void Answer(target_contact& contact, time_point now);
-  void Doubt(target_index target, const char* reason);
   void SeeData(flow_state& flow, const flow_packet& packet, time_point now);
 
   std::size_t max_flows_;
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -52,6 +52,7 @@
     kTried,     // the flow's first packet got no answer there
     kLeaving,   // draining, within the time that news of it takes
     kDoubted,   // does not answer
+    kUnreachable,  // probes don't reach it: never used
     kNever,
   };
 
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -26,9 +26,9 @@
 // Two instances may own a cold target while they see the fleet differently.
 constexpr double kColdOwners = 2;
 
-constexpr std::array<const char*, 6> kRules = {
-    "least_load", "entry_missing", "tried_before",
-    "leaving",    "doubted",    "no_target"};
+constexpr std::array<const char*, 7> kRules = {
+    "least_load", "entry_missing",      "tried_before", "leaving",
+    "doubted",    "targets_unreachable", "no_target"};
 
 }  // namespace
 
@@ -61,6 +61,10 @@
     if (graded > best_grade || graded == grade::kNever) {
       continue;
     }
+    if (graded == grade::kUnreachable) {
+      best_grade = graded;
+      continue;
+    }
     const double score = Score(index, now);
     if (graded < best_grade || score < best_score) {
       best = {index, kRules.at(static_cast<std::size_t>(graded))};
@@ -69,7 +73,7 @@
     }
   }
   if (best.target == kNoTarget) {
-    best.rule = kRules.back();
+    best.rule = kRules.at(static_cast<std::size_t>(best_grade));
   } else {
     NoteCold(*directory_.Find(best.target), now);
   }
@@ -89,6 +93,9 @@
                                                      : grade::kNever;
   }
   ledger_.CheckOpening(index, now);
+  if (Unreachable(ledger_.contact(index))) {
+    return grade::kUnreachable;
+  }
   if (ledger_.contact(index).doubted) {
     return grade::kDoubted;
   }
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "platform_settings_file.h"
+#include "rosemaryreach/reach.h"
 #include "store_documents.h"
 
 namespace rosemaryreach {
@@ -142,6 +143,9 @@
   if (!directory_.complete()) {
     return {false, "configuration and targets"};
   }
+  if (cut_off_) {
+    return {false, "a way to the targets"};
+  }
   return {true, ""};
 }
 
@@ -243,6 +247,7 @@
   directory_.Tick(sync_.store_away(), now);
   targets_.Tick();
   sync_.Tick();
+  cut_off_ = CutOff(directory_, ledger_, settings_.data_centre);
   CheckStop(now);
   const readiness state = Readiness();
   if (state.ready != std::exchange(was_ready_, state.ready)) {
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -78,6 +78,7 @@
   time_point last_turn_;
   time_point untrusted_since_{};
   bool untrusted_ = false;
+  bool cut_off_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
   time_point stop_began_{};
--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
+#include <vector>
 
 namespace rosemaryreach {
 namespace {
@@ -13,6 +15,11 @@
 constexpr duration kFirstPause = std::chrono::milliseconds(40);
 constexpr duration kHighestPause = std::chrono::seconds(1);
 
+// Two that can't be reached, and none that answered for this long, make a cut
+// more likely than two failures.
+constexpr std::uint32_t kUnreachableOfCentre = 2;
+constexpr duration kCentreSilence = std::chrono::milliseconds(250);
+
 // Returns the pause before the next probe: doubling, so that a target that
 // stays away costs one a second.
 duration PauseAfter(std::uint32_t failures) {
@@ -96,14 +103,54 @@
   ledger_.TakeProbe(index, reached, now);
   const std::uint32_t failures = ledger_.contact(index).failed_probes;
   const duration doubted_for = now - found->second.since;
+  const std::string data_centre = directory_.Find(index)->record.data_centre;
   if (reached) {
     doubts_.erase(found);
+    ProbeDataCentre(data_centre, now);
     Log(index, "target_trusted", "a probe reached it", doubted_for);
     return;
   }
   found->second.next = now + PauseAfter(failures);
   if (failures == kUnreachableProbes) {
     Log(index, "target_unreachable", "probes got no answer", doubted_for);
+    CheckDataCentre(data_centre, now);
+  }
+}
+
+void target_watch::CheckDataCentre(const std::string& data_centre,
+                                   time_point now) {
+  std::vector<target_index> others;
+  std::uint32_t unreachable = 0;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
+    if (target == nullptr || target->listing == target_listing::kGone ||
+        target->record.data_centre != data_centre) {
+      continue;
+    }
+    const target_contact& contact = ledger_.contact(i);
+    if (Unreachable(contact)) {
+      ++unreachable;
+    } else if (now - contact.answered < kCentreSilence) {
+      return;
+    } else if (!contact.doubted) {
+      others.push_back(i);
+    }
+  }
+  if (unreachable < kUnreachableOfCentre) {
+    return;
+  }
+  for (const target_index other : others) {
+    ledger_.Doubt(other, "nothing in its data centre answers");
+  }
+}
+
+void target_watch::ProbeDataCentre(const std::string& data_centre,
+                                   time_point now) {
+  for (auto& [index, doubt] : doubts_) {
+    const known_target* target = directory_.Find(index);
+    if (target != nullptr && target->record.data_centre == data_centre) {
+      doubt.next = now;
+    }
   }
 }
 
