--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -52,7 +52,6 @@
   bool operator==(const entry_config&) const = default;
 };
 
-
 // What a target says of itself.
 struct target_record {
   std::string id;
@@ -122,9 +121,9 @@
 struct entry_settings {
   std::string instance;
   std::string data_centre;
-  endpoint packets;  // UDP, from the fabric
-  endpoint ready;    // HTTP, readiness
-  endpoint control;  // HTTP, what peers and operators ask
+  endpoint packets;             // UDP, from the fabric
+  endpoint ready;               // HTTP, readiness
+  endpoint control;             // HTTP, what peers and operators ask
   std::uint16_t peer_port = 0;  // UDP, between instances
   std::vector<endpoint> seeds;  // control addresses of some instances
   endpoint store;
--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -25,9 +25,9 @@
 
 // One target as seen from here.
 struct target_contact {
-  std::uint32_t opening = 0;  // first packets without an answer
-  std::uint32_t open = 0;     // flows that are open, running ones too
-  std::uint32_t running = 0;  // requests that got no answer yet
+  std::uint32_t opening = 0;   // first packets without an answer
+  std::uint32_t open = 0;      // flows that are open, running ones too
+  std::uint32_t running = 0;   // requests that got no answer yet
   time_point opening_since{};  // oldest first packet without an answer
   time_point answered{};       // last sign of an answer
   bool doubted = false;        // gets no new flows until a probe reaches it
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -52,7 +52,11 @@
                          const entry_route& route,
                          time_point now);
   packet_decision Continue(const flow_packet& packet, time_point now);
-  bool ShouldReset(const flow_packet& packet, target_index target) const;
+  // Returns why an open flow is given up; nullptr if it isn't.
+  const char* WhyReset(const flow_packet& packet,
+                       const known_target& target,
+                       const target_contact& contact,
+                       time_point now) const;
   packet_decision ToTarget(target_index target, const char* rule) const;
 
   const target_directory& directory_;
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -56,8 +56,8 @@
 class peer_group {
  public:
   // Called with a peer's address and what is now believed of it.
-  using report = std::function<void(std::uint32_t address,
-                                    const char* outcome)>;
+  using report =
+      std::function<void(std::uint32_t address, const char* outcome)>;
 
   // `seeds` are IPv4 addresses that may be stale or this instance's own.
   peer_group(const peer_summary& self,
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -62,7 +61,8 @@
   // flows may go on.
   target_directory(duration forget_after, report report_change);
 
-  void Apply(const store_item& item, const item_meaning& meaning,
+  void Apply(const store_item& item,
+             const item_meaning& meaning,
              time_point now);
 
   // Lets missing entries count as gone once their time is over. While
@@ -79,6 +79,8 @@
   bool evacuated(const std::string& data_centre) const {
     return evacuated_.contains(data_centre);
   }
+  // Whether the data centre has been out for so long that nothing goes there.
+  bool Quiet(const std::string& data_centre, time_point now) const;
   // Whether a configuration and at least one target are known.
   bool complete() const { return config_.version > 0 && !by_cookie_.empty(); }
   const entry_config& config() const { return config_; }
@@ -91,12 +93,15 @@
   void ApplyConfig(const entry_config& config);
   void ApplyTarget(const target_record& record, time_point now);
   void ApplyRemoval(const std::string& id, const char* reason, time_point now);
-  void ApplyEvacuation(const evacuation_item& item);
+  void ApplyEvacuation(const evacuation_item& item, time_point now);
   target_index Add(const target_record& record, time_point now);
-  void Update(known_target& target, const target_record& record,
+  void Update(known_target& target,
+              const target_record& record,
               time_point now);
-  void SetListing(known_target& target, target_listing listing,
-                  const char* reason, time_point now);
+  void SetListing(known_target& target,
+                  target_listing listing,
+                  const char* reason,
+                  time_point now);
   void MarkReusedAddress(const known_target& newer);
   void Forget(target_index index);
   void IndexServices();
@@ -105,7 +110,7 @@
   report report_;
   entry_config config_;
   std::map<ipv4_endpoint, std::size_t> routes_;
-  std::set<std::string> evacuated_;
+  std::map<std::string, time_point> evacuated_;  // since when
   std::vector<std::optional<known_target>> targets_;
   std::map<std::string, target_index> by_id_;  // newest incarnation
   std::map<std::uint32_t, target_index> by_cookie_;
@@ -114,6 +119,10 @@
   time_point store_returned_{};
 };
 
+// Operators expect a data centre to be quiet after a few seconds; requests
+// that run there have this long to end.
+inline constexpr duration kQuietTime = std::chrono::seconds(4);
+
 // Entries that lapsed while the store was away return within 2 s; the rest is
 // for reading them.
 inline constexpr duration kReturnTime = std::chrono::milliseconds(2'600);
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -48,15 +48,16 @@
   // Lower is better; kNever can't be used at all.
   enum class grade : std::uint8_t {
     kGood,
-    kMissing,   // its entry went without notice
-    kTried,     // the flow's first packet got no answer there
-    kLeaving,   // draining, within the time that news of it takes
-    kDoubted,   // does not answer
+    kMissing,      // its entry went without notice
+    kTried,        // the flow's first packet got no answer there
+    kLeaving,      // draining, within the time that news of it takes
+    kDoubted,      // does not answer
     kUnreachable,  // probes don't reach it: never used
     kNever,
   };
 
-  grade Grade(target_index index, std::span<const target_index> tried,
+  grade Grade(target_index index,
+              std::span<const target_index> tried,
               time_point now);
   double Score(target_index index, time_point now);
   bool ColdAllows(const known_target& target, time_point now) const;
--- a/src/entry/beacon_codec.cc
+++ b/src/entry/beacon_codec.cc
@@ -59,8 +59,9 @@
 }
 
 std::optional<beacon> DecodeBeacon(std::string_view bytes) {
-  const json array = json::from_cbor(bytes, true, false);
   try {
+    // Announced sizes beyond memory throw even where errors are returned.
+    const json array = json::from_cbor(bytes, true, false);
     return array.is_array() ? std::optional<beacon>(ToBeacon(array))
                             : std::nullopt;
   } catch (const std::exception&) {
--- a/src/entry/flow_ledger.cc
+++ b/src/entry/flow_ledger.cc
@@ -74,8 +74,8 @@
                       time_point now) {
   const auto found = flows_.find(packet.flow);
   if (found == flows_.end()) {
-    const bool worth_counting = packet.data_bytes > 0 && !packet.finishes &&
-                                flows_.size() < max_flows_;
+    const bool worth_counting =
+        packet.data_bytes > 0 && !packet.finishes && flows_.size() < max_flows_;
     if (worth_counting) {
       flow_state& flow = flows_[packet.flow];
       flow.target = target;
@@ -197,9 +197,7 @@
   }
 }
 
-void flow_ledger::TakeProbe(target_index target,
-                            bool reached,
-                            time_point now) {
+void flow_ledger::TakeProbe(target_index target, bool reached, time_point now) {
   target_contact& contact = Contact(target);
   if (reached) {
     contact.doubted = false;
@@ -223,11 +221,10 @@
   absl::erase_if(flows_, [this, now](auto& entry) {
     flow_state& flow = entry.second;
     const duration idle = now - flow.last_packet;
-    const duration lifetime = flow.phase == flow_phase::kOpening
-                                  ? kOpeningLifetime
-                              : flow.phase == flow_phase::kRunning
-                                  ? kRunningLifetime
-                                  : kIdleLifetime;
+    const duration lifetime =
+        flow.phase == flow_phase::kOpening   ? kOpeningLifetime
+        : flow.phase == flow_phase::kRunning ? kRunningLifetime
+                                             : kIdleLifetime;
     if (idle < lifetime) {
       return false;
     }
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -37,8 +37,7 @@
 }
 
 std::vector<store_item> item_cache::MergePeer(const store_answer& answer) {
-  std::vector<store_item> changed =
-      MergeChanges(answer.items, answer.revision);
+  std::vector<store_item> changed = MergeChanges(answer.items, answer.revision);
   changed_ = std::max(changed_, answer.changed);
   return changed;
 }
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -64,8 +64,7 @@
   const std::span<const target_index> tried =
       known == nullptr ? std::span<const target_index>()
                        : known->tried_targets();
-  const pick chosen =
-      picker_.Pick(ServiceFor(route, packet.flow), tried, now);
+  const pick chosen = picker_.Pick(ServiceFor(route, packet.flow), tried, now);
   if (chosen.target == kNoTarget) {
     ledger_.Drop(packet.flow);
     return {packet_verdict::kReset, kNoTarget, 0, chosen.rule};
@@ -80,27 +79,43 @@
   if (target == kNoTarget) {
     return {packet_verdict::kDrop, kNoTarget, 0, "unknown_cookie"};
   }
-  if (ShouldReset(packet, target)) {
+  const known_target& known = *directory_.Find(target);
+  const char* why = WhyReset(packet, known, ledger_.contact(target), now);
+  if (why != nullptr) {
     ledger_.Drop(packet.flow);
-    return {packet_verdict::kReset, target, 0, "target_unreachable"};
+    return {packet_verdict::kReset, target, 0, why};
+  }
+  if (directory_.Quiet(known.record.data_centre, now)) {
+    return {packet_verdict::kDrop, target, 0, "data_centre_out"};
   }
   ledger_.See(packet, target, now);
   return {packet_verdict::kForward, target, 0, "cookie"};
 }
 
 // A reset lets the caller try elsewhere at once, but ends a request that may
-// not be repeated, so such flows are left to their callers.
-bool packet_director::ShouldReset(const flow_packet& packet,
-                                  target_index target) const {
+// not be repeated, so flows with such requests are left to their callers.
+const char* packet_director::WhyReset(const flow_packet& packet,
+                                      const known_target& target,
+                                      const target_contact& contact,
+                                      time_point now) const {
   if (packet.data_bytes == 0 || packet.resets) {
-    return false;
+    return nullptr;
+  }
+  const std::string& data_centre = target.record.data_centre;
+  if (directory_.Quiet(data_centre, now)) {
+    return "data_centre_out";
   }
   const entry_route* route = directory_.FindRoute(packet.flow.destination);
   if (route == nullptr || route->kind == request_kind::kNonIdempotent) {
-    return false;
+    return nullptr;
+  }
+  if (directory_.evacuated(data_centre)) {
+    return "data_centre_out";
+  }
+  if (target.address_reused) {
+    return "target_replaced";
   }
-  return directory_.Find(target)->address_reused ||
-         Unreachable(ledger_.contact(target));
+  return Unreachable(contact) ? "target_unreachable" : nullptr;
 }
 
 packet_decision packet_director::ToTarget(target_index target,
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -130,8 +130,8 @@
 }
 
 std::uint32_t peer_group::InstancesHere() const {
-  const auto here = std::count_if(
-      peers_.begin(), peers_.end(), [this](const auto& one) {
+  const auto here =
+      std::count_if(peers_.begin(), peers_.end(), [this](const auto& one) {
         return one.second.summary.data_centre == self_.data_centre &&
                !one.second.summary.leaving;
       });
@@ -141,8 +141,7 @@
 bool peer_group::Owns(std::uint64_t subject) const {
   const std::uint64_t mine = HashPair(self_.address, subject);
   return std::none_of(peers_.begin(), peers_.end(), [&](const auto& one) {
-    return !one.second.summary.leaving &&
-           HashPair(one.first, subject) < mine;
+    return !one.second.summary.leaving && HashPair(one.first, subject) < mine;
   });
 }
 
--- a/src/entry/reach.cc
+++ b/src/entry/reach.cc
@@ -40,9 +40,8 @@
     }
   }
   return elsewhere.none_reached() &&
-         std::any_of(services.begin(), services.end(), [](const auto& one) {
-           return one.second.none_reached();
-         });
+         std::any_of(services.begin(), services.end(),
+                     [](const auto& one) { return one.second.none_reached(); });
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -61,7 +61,7 @@
     ApplyRemoval(removed->id, "entry deleted", now);
   } else if (const evacuation_item* zone =
                  std::get_if<evacuation_item>(&meaning)) {
-    ApplyEvacuation(*zone);
+    ApplyEvacuation(*zone, now);
   } else if (const unreadable_item* bad =
                  std::get_if<unreadable_item>(&meaning)) {
     report_({item.key, "entry_unreadable", bad->reason});
@@ -106,7 +106,7 @@
   const target_index added = Add(record, now);
   report_({record.id,
            record.state == target_state::kActive ? "target_added"
-                                                : "target_added_draining",
+                                                 : "target_added_draining",
            DescribeTarget(record)});
   MarkReusedAddress(*targets_[added]);
 }
@@ -165,9 +165,10 @@
              reason, now);
 }
 
-void target_directory::ApplyEvacuation(const evacuation_item& item) {
+void target_directory::ApplyEvacuation(const evacuation_item& item,
+                                       time_point now) {
   const bool changed = item.evacuated
-                           ? evacuated_.insert(item.data_centre).second
+                           ? evacuated_.emplace(item.data_centre, now).second
                            : evacuated_.erase(item.data_centre) > 0;
   if (changed) {
     report_({item.data_centre,
@@ -210,8 +211,7 @@
       continue;
     }
     known_target& target = *targets_[i];
-    const time_point since =
-        std::max(target.listing_changed, store_returned_);
+    const time_point since = std::max(target.listing_changed, store_returned_);
     if (target.listing == target_listing::kMissing && !store_away &&
         now - since >= kReturnTime) {
       SetListing(target, target_listing::kGone, "entry did not come back", now);
@@ -246,6 +246,12 @@
   }
 }
 
+bool target_directory::Quiet(const std::string& data_centre,
+                             time_point now) const {
+  const auto out = evacuated_.find(data_centre);
+  return out != evacuated_.end() && now - out->second >= kQuietTime;
+}
+
 const known_target* target_directory::Find(target_index index) const {
   return index < targets_.size() && targets_[index] ? &*targets_[index]
                                                     : nullptr;
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -27,7 +27,7 @@
 constexpr double kColdOwners = 2;
 
 constexpr std::array<const char*, 7> kRules = {
-    "least_load", "entry_missing",      "tried_before", "leaving",
+    "least_load", "entry_missing",       "tried_before", "leaving",
     "doubted",    "targets_unreachable", "no_target"};
 
 }  // namespace
@@ -55,8 +55,8 @@
   grade best_grade = grade::kNever;
   double best_score = 0;
   for (std::size_t i = 0; i < count; ++i) {
-    const target_index index = all[(start + i * all.size() / count) %
-                                   all.size()];
+    const target_index index =
+        all[(start + i * all.size() / count) % all.size()];
     const grade graded = Grade(index, tried, now);
     if (graded > best_grade || graded == grade::kNever) {
       continue;
@@ -150,9 +150,8 @@
 }
 
 void target_picker::NoteCold(const known_target& target, time_point now) {
-  std::erase_if(cold_next_, [now](const auto& entry) {
-    return entry.second <= now;
-  });
+  std::erase_if(cold_next_,
+                [now](const auto& entry) { return entry.second <= now; });
   if (now < target.cold_until) {
     cold_next_[target.cookie] = now + ColdInterval(target.record.service);
   }
--- a/src/entryd/entry_log.cc
+++ b/src/entryd/entry_log.cc
@@ -12,8 +12,8 @@
   }
   const std::chrono::duration<double> passed = now - refilled_;
   refilled_ = now;
-  tokens_ = std::min(kFlowLinesBurst,
-                     tokens_ + passed.count() * kFlowLinesPerSecond);
+  tokens_ =
+      std::min(kFlowLinesBurst, tokens_ + passed.count() * kFlowLinesPerSecond);
   if (tokens_ < (unusual ? 1 : kFlowLinesBurst / 2)) {
     ++skipped_;
     return false;
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -29,10 +29,10 @@
                           "Version of the configuration in force."})),
       view_age_ms(registry.Gauge({"rosemaryreach_entry_view_age_ms",
                                   "Age of what is known of the store."})),
-      peers(registry.Gauge({"rosemaryreach_entry_peers",
-                            "Other instances that are heard of."})),
-      flows(registry.Gauge({"rosemaryreach_entry_flows",
-                            "Flows that this instance follows."})),
+      peers(registry.Gauge(
+          {"rosemaryreach_entry_peers", "Other instances that are heard of."})),
+      flows(registry.Gauge(
+          {"rosemaryreach_entry_flows", "Flows that this instance follows."})),
       open_seconds(registry.Histogram(
           {"rosemaryreach_entry_open_seconds",
            "First packet of a flow to the caller's next one."},
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -86,23 +86,36 @@
                }}),
       targets_(loop_, directory_, ledger_, log_, metrics_),
       sync_(
-          loop_, settings,
+          loop_,
+          settings,
           [](const store_item& item) {
             return FingerprintOf(DecodeItem(item));
           },
           [this](std::span<const store_item> items) { OnChanged(items); },
-          log_, metrics_, seed),
-      picker_(directory_, ledger_, settings.data_centre, settings.bounds,
-              {[this] { return sync_.peers().InstancesHere(); },
-               [this](std::uint32_t cookie) {
-                 return sync_.peers().Owns(cookie);
-               }},
-              seed),
+          log_,
+          metrics_,
+          seed),
+      picker_(
+          directory_,
+          ledger_,
+          settings.data_centre,
+          settings.bounds,
+          {[this] { return sync_.peers().InstancesHere(); },
+           [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
+          seed),
       director_(directory_, ledger_, picker_),
-      packets_(loop_, settings.packets, directory_, director_,
-               [this] { return Trust(); }, log_, metrics_),
+      packets_(
+          loop_,
+          settings.packets,
+          directory_,
+          director_,
+          [this] { return Trust(); },
+          log_,
+          metrics_),
       admin_(loop_, "", AdminHooks()),
-      signal_watch_(loop_, signals_.fd(), watch_for::kRead,
+      signal_watch_(loop_,
+                    signals_.fd(),
+                    watch_for::kRead,
                     [this] { OnSignal(); }),
       tick_(loop_, [this] { OnTick(); }),
       second_(loop_, [this] { OnSecond(); }),
@@ -230,8 +243,8 @@
                      loaded.value().control != settings_.control;
   settings_ = loaded.value();
   sync_.Reload(settings_);
-  LogLife("reloaded", std::string(why) +
-                          (moved ? "; new addresses need a restart" : ""));
+  LogLife("reloaded",
+          std::string(why) + (moved ? "; new addresses need a restart" : ""));
 }
 
 void entry_task::CheckSettingsFile() {
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -87,9 +87,8 @@
   signal_descriptor signals;
   background_writer writer(MakeStdoutWriter());
   log_settings levels;
-  json_log log(levels, settings.instance, [&writer](std::string line) {
-    writer.Write(std::move(line));
-  });
+  json_log log(levels, settings.instance,
+               [&writer](std::string line) { writer.Write(std::move(line)); });
   entry_task task(settings, options, signals, log, RandomSeed());
   const result<void> started = task.Start();
   if (!started) {
--- a/src/entryd/packet_port.cc
+++ b/src/entryd/packet_port.cc
@@ -72,8 +72,7 @@
     metrics_.malformed.Add();
     return;
   }
-  const packet_decision decision =
-      director_.Direct(packet.value(), trust, now);
+  const packet_decision decision = director_.Direct(packet.value(), trust, now);
   metrics_.Packets(decision.rule).Add();
   Log(packet.value(), decision, now);
   switch (decision.verdict) {
@@ -119,8 +118,8 @@
   const known_target* target = directory_.Find(decision.target);
   const std::array<log_field, 6> fields = {
       log_field{"flow", flow},
-      log_field{"target", target == nullptr ? std::string_view()
-                                            : target->record.id},
+      log_field{"target",
+                target == nullptr ? std::string_view() : target->record.id},
       log_field{"rule", decision.rule},
       log_field{"outcome",
                 kVerdicts.at(static_cast<std::size_t>(decision.verdict))},
--- a/src/entryd/packet_port.h
+++ b/src/entryd/packet_port.h
@@ -31,11 +31,13 @@
 
  private:
   void OnPackets();
-  void Handle(std::span<std::uint8_t> bytes, const view_trust& trust,
+  void Handle(std::span<std::uint8_t> bytes,
+              const view_trust& trust,
               time_point now);
   void Forward(std::span<std::uint8_t> bytes, const packet_decision& decision);
   void Reset(const flow_packet& packet);
-  void Log(const flow_packet& packet, const packet_decision& decision,
+  void Log(const flow_packet& packet,
+           const packet_decision& decision,
            time_point now);
 
   event_loop& loop_;
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -61,17 +61,17 @@
       metrics_(metrics),
       cache_(std::move(fingerprint)),
       follower_(BootTimeNow(), seed),
-      peers_(SelfSummary(settings),
-             SeedAddresses(settings),
-             seed,
-             [this](std::uint32_t address, const char* outcome) {
-               const std::string peer = FormatIpv4Endpoint({address, 0});
-               const std::array<log_field, 3> fields = {
-                   log_field{"peer", peer}, log_field{"outcome", outcome},
-                   log_field{"peers",
-                             static_cast<std::int64_t>(peers_.size())}};
-               log_.Belief("peer", fields);
-             }),
+      peers_(
+          SelfSummary(settings),
+          SeedAddresses(settings),
+          seed,
+          [this](std::uint32_t address, const char* outcome) {
+            const std::string peer = FormatIpv4Endpoint({address, 0});
+            const std::array<log_field, 3> fields = {
+                log_field{"peer", peer}, log_field{"outcome", outcome},
+                log_field{"peers", static_cast<std::int64_t>(peers_.size())}};
+            log_.Belief("peer", fields);
+          }),
       store_(std::make_unique<store_client>(loop, settings.store)),
       read_timer_(loop, [this] { Read(); }),
       beacon_timer_(loop, [this] { OnBeaconTime(); }) {}
--- a/src/entryd/target_watch.h
+++ b/src/entryd/target_watch.h
@@ -44,7 +44,9 @@
   void ProbeDataCentre(const std::string& data_centre, time_point now);
   void OnProbe(target_index index, std::uint32_t cookie, bool reached);
   bool IsOver(target_index index, const doubt& doubt) const;
-  void Log(target_index index, const char* outcome, const char* reason,
+  void Log(target_index index,
+           const char* outcome,
+           const char* reason,
            duration doubted_for);
 
   event_loop& loop_;
--- /dev/null
+++ b/tests/connect_prober_test.cc
@@ -0,0 +1,73 @@
+#include "adapters/connect_prober.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+#include "http_server_fixture.h"
+#include "own_address.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr duration kDeadline = std::chrono::seconds(5);
+
+bool Reaches(event_loop& loop, const endpoint& address, duration deadline) {
+  connect_prober prober(loop, 4);
+  std::optional<bool> reached;
+  REQUIRE(prober.Probe(address, deadline, [&](bool answer) {
+    reached = answer;
+    loop.Stop();
+  }));
+  loop.Run();
+  return reached.value();
+}
+
+TEST_CASE("A port that listens is reached") {
+  event_loop loop;
+  const http_server_fixture server(
+      loop, [](const std::string&) { return scripted_reply{}; });
+  CHECK(Reaches(loop, server.address(), kDeadline));
+}
+
+TEST_CASE("A port that refuses is not reached") {
+  event_loop loop;
+  CHECK_FALSE(Reaches(loop, {OwnAddress(), 9}, kDeadline));
+}
+
+TEST_CASE("A silent port is not reached at the deadline") {
+  event_loop loop;
+  // With its queue of new connections full, a listener answers no more.
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  socket_address local = ToSocketAddress({OwnAddress(), 0});
+  REQUIRE(bind(listener, local.get(), local.size) == 0);
+  REQUIRE(listen(listener, 0) == 0);
+  getsockname(listener, local.get(), &local.size);
+  std::vector<int> waiting;
+  for (int i = 0; i < 4; ++i) {
+    waiting.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    connect(waiting.back(), local.get(), local.size);
+  }
+  CHECK_FALSE(Reaches(loop, FromSocketAddress(local.storage),
+                      std::chrono::milliseconds(50)));
+  for (const int fd : waiting) {
+    close(fd);
+  }
+  close(listener);
+}
+
+TEST_CASE("Probes beyond the limit are refused") {
+  event_loop loop;
+  connect_prober prober(loop, 1);
+  const auto ignore = [](bool) {};
+  const http_server_fixture server(
+      loop, [](const std::string&) { return scripted_reply{}; });
+  CHECK(prober.Probe(server.address(), kDeadline, ignore));
+  CHECK_FALSE(prober.Probe(server.address(), kDeadline, ignore));
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/entry_fixture.h
@@ -0,0 +1,139 @@
+// Short ways to build what the entry modules' tests need.
+#ifndef ROSEMARYREACH_TESTS_ENTRY_FIXTURE_H_
+#define ROSEMARYREACH_TESTS_ENTRY_FIXTURE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosemaryreach/flow_ledger.h"
+#include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/target_directory.h"
+#include "rosemaryreach/target_picker.h"
+
+namespace rosemaryreach {
+
+inline time_point At(std::int64_t ms) {
+  return time_point(std::chrono::milliseconds(ms));
+}
+
+inline constexpr ipv4_endpoint kWatchAddress{0xC6120001, 8443};
+inline constexpr ipv4_endpoint kBookAddress{0xC6120001, 8080};
+inline constexpr ipv4_endpoint kFilesAddress{0xC6120002, 8443};
+
+inline entry_config Config(std::uint64_t version) {
+  entry_config config;
+  config.version = version;
+  config.routes = {
+      {"watch", kWatchAddress, {{"ledger", 1}}, request_kind::kIdempotent},
+      {"book", kBookAddress, {{"ledger", 1}}, request_kind::kNonIdempotent},
+      {"files", kFilesAddress, {{"files", 1}}, request_kind::kBulk}};
+  config.services = {{"ledger", "/healthz", 0}, {"files", "/healthz", 0}};
+  return config;
+}
+
+// Returns a ready target; its address ends with `host`.
+inline target_record Target(const std::string& id,
+                            std::uint32_t host,
+                            const std::string& data_centre = "dc-a",
+                            const std::string& service = "ledger") {
+  target_record record;
+  record.id = id;
+  record.wire_id = host;
+  record.incarnation = 1;
+  record.service = service;
+  record.address = {0x0A800000 + host, 8080};
+  record.data_centre = data_centre;
+  record.slots = 2;
+  return record;
+}
+
+// A directory, ledger, picker and director of one instance in dc-a.
+struct entry_scene {
+  entry_scene() { directory.Apply({}, Config(1), At(0)); }
+
+  target_index Add(const target_record& record, time_point now = At(0)) {
+    directory.Apply({}, target_item{record}, now);
+    return directory.FindCookie(MakeCookie(record.id, record.incarnation));
+  }
+
+  void Remove(const std::string& id, time_point now) {
+    directory.Apply({}, removed_target{id}, now);
+  }
+
+  void Drain(target_record record, time_point now) {
+    record.state = target_state::kDraining;
+    directory.Apply({}, target_item{record}, now);
+  }
+
+  void Evacuate(const std::string& data_centre, bool out, time_point now) {
+    directory.Apply({}, evacuation_item{data_centre, out}, now);
+  }
+
+  // Makes a target unreachable, as two failed probes do.
+  void CutOffTarget(target_index target, time_point now) {
+    ledger.Doubt(target, "test");
+    ledger.TakeProbe(target, false, now);
+    ledger.TakeProbe(target, false, now);
+  }
+
+  packet_decision Direct(const flow_packet& packet, time_point now) {
+    return director.Direct(packet, trust, now);
+  }
+
+  std::vector<directory_change> changes;
+  std::vector<target_index> doubted;
+  target_directory directory{
+      std::chrono::seconds(75),
+      [this](const directory_change& change) { changes.push_back(change); }};
+  flow_ledger ledger{1'000,
+                     {[this](target_index target, const char* /*reason*/) {
+                        doubted.push_back(target);
+                      },
+                      [](duration) {}, [](duration) {}}};
+  std::uint32_t instances_here = 1;
+  bool owns = true;
+  target_picker picker{directory,
+                       ledger,
+                       "dc-a",
+                       entry_bounds{},
+                       {[this] { return instances_here; },
+                        [this](std::uint32_t /*cookie*/) { return owns; }},
+                       7};
+  packet_director director{directory, ledger, picker};
+  view_trust trust{true, true};
+};
+
+inline flow_key Flow(std::uint16_t caller_port,
+                     const ipv4_endpoint& to = kWatchAddress) {
+  return {{0x64400007, caller_port}, to};
+}
+
+// Returns the first packet of a flow, or its n-th copy.
+inline flow_packet First(const flow_key& flow, std::uint32_t copy = 0) {
+  flow_packet packet;
+  packet.flow = flow;
+  packet.opens = true;
+  packet.copy = copy;
+  packet.sequence = 1'000;
+  return packet;
+}
+
+// Returns a later packet of a flow whose target is named by `cookie`.
+inline flow_packet Later(const flow_key& flow,
+                         std::uint32_t cookie,
+                         std::uint32_t sequence,
+                         std::uint32_t acknowledged,
+                         std::uint16_t data_bytes) {
+  flow_packet packet;
+  packet.flow = flow;
+  packet.cookie = cookie;
+  packet.sequence = sequence;
+  packet.acknowledged = acknowledged;
+  packet.data_bytes = data_bytes;
+  return packet;
+}
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_TESTS_ENTRY_FIXTURE_H_
--- /dev/null
+++ b/tests/item_cache_test.cc
@@ -0,0 +1,99 @@
+#include "rosemaryreach/item_cache.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+namespace rosemaryreach {
+namespace {
+
+// The part before '#' is the meaning; the rest stands for a heartbeat.
+std::uint64_t Fingerprint(const store_item& item) {
+  const std::string meaning = item.value.substr(0, item.value.find('#'));
+  return HashBytes(meaning, item.deleted ? 1 : 0);
+}
+
+store_item Item(const std::string& key,
+                const std::string& value,
+                std::uint64_t revision) {
+  return {key, value, revision, false};
+}
+
+TEST_CASE("Heartbeats change no meaning") {
+  item_cache cache(Fingerprint);
+  const std::vector<store_item> first = {Item("a", "x#1", 5)};
+  CHECK(cache.MergeChanges(first, 5).size() == 1);
+  const std::vector<store_item> beat = {Item("a", "x#2", 7)};
+  CHECK(cache.MergeChanges(beat, 7).empty());
+  CHECK(cache.changed() == 5);
+  CHECK(cache.revision() == 7);
+}
+
+TEST_CASE("Older values never replace newer ones") {
+  item_cache cache(Fingerprint);
+  const std::vector<store_item> newer = {Item("a", "new", 9)};
+  const std::vector<store_item> older = {Item("a", "old", 8)};
+  cache.MergeChanges(newer, 9);
+  CHECK(cache.MergeChanges(older, 8).empty());
+  CHECK(cache.ChangedAfter(0).items.at(0).value == "new");
+  CHECK(cache.revision() == 9);
+}
+
+TEST_CASE("A listing deletes what it lacks, but nothing newer than itself") {
+  item_cache cache(Fingerprint);
+  const std::vector<store_item> all = {Item("a", "x", 3), Item("b", "y", 12)};
+  cache.MergeChanges(all, 12);
+  const std::vector<store_item> deleted = cache.MergeListing({}, 10);
+  REQUIRE(deleted.size() == 1);
+  CHECK(deleted[0].key == "a");
+  CHECK(deleted[0].deleted);
+}
+
+TEST_CASE("A listing of an empty store counts as known") {
+  item_cache cache(Fingerprint);
+  CHECK(cache.changed() == 0);
+  cache.MergeListing({}, 1);
+  CHECK(cache.changed() == 1);
+}
+
+TEST_CASE("A peer that asks again gets nothing twice") {
+  item_cache one(Fingerprint);
+  item_cache two(Fingerprint);
+  const std::vector<store_item> all = {Item("a", "x#1", 3),
+                                       Item("a", "x#2", 6)};
+  one.MergeChanges(all, 6);
+  const store_answer answer = one.ChangedAfter(two.changed());
+  CHECK(two.MergePeer(answer).size() == 1);
+  CHECK(two.changed() == one.changed());
+  CHECK(one.ChangedAfter(two.changed()).items.empty());
+}
+
+TEST_CASE("Instances agree in whatever order they hear of changes") {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& writes) {
+    std::vector<store_item> items;
+    std::uint64_t revision = 0;
+    for (const std::uint8_t write : writes) {
+      const std::string key(1, static_cast<char>('a' + write % 4));
+      items.push_back(
+          {key, std::to_string(write / 8), ++revision, write % 7 == 0});
+    }
+    item_cache ordered(Fingerprint);
+    ordered.MergeChanges(items, revision);
+    item_cache shuffled(Fingerprint);
+    std::vector<store_item> reversed(items.rbegin(), items.rend());
+    shuffled.MergeChanges(reversed, revision);
+    item_cache peer(Fingerprint);
+    peer.MergePeer(ordered.ChangedAfter(0));
+    const auto values = [](const item_cache& cache) {
+      std::vector<std::pair<std::string, std::string>> all;
+      for (const store_item& item : cache.ChangedAfter(0).items) {
+        all.emplace_back(item.key, item.deleted ? "-" : item.value);
+      }
+      return all;
+    };
+    RC_ASSERT(values(ordered) == values(shuffled));
+    RC_ASSERT(values(ordered) == values(peer));
+  }));
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/packet_director_test.cc
@@ -0,0 +1,160 @@
+#include "rosemaryreach/packet_director.h"
+
+#include <catch2/catch.hpp>
+
+#include "entry_fixture.h"
+
+namespace rosemaryreach {
+namespace {
+
+TEST_CASE("A first packet gets the cookie of a target of its service") {
+  entry_scene scene;
+  const target_index ledger = scene.Add(Target("l1", 1));
+  scene.Add(Target("f1", 2, "dc-a", "files"));
+  const packet_decision decision = scene.Direct(First(Flow(1)), At(1));
+  CHECK(decision.verdict == packet_verdict::kForward);
+  CHECK(decision.target == ledger);
+  CHECK(decision.cookie == MakeCookie("l1", 1));
+}
+
+TEST_CASE("An open flow follows its cookie on an instance that never saw it") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  const target_index second = scene.Add(Target("l2", 2));
+  const packet_decision decision = scene.Direct(
+      Later(Flow(1), MakeCookie("l2", 1), 1'001, 5'001, 100), At(1));
+  CHECK(decision.verdict == packet_verdict::kForward);
+  CHECK(decision.target == second);
+  CHECK(decision.cookie == 0);
+}
+
+TEST_CASE("An open flow follows its cookie after its target drained and left") {
+  entry_scene scene;
+  const target_index first = scene.Add(Target("l1", 1));
+  scene.Drain(Target("l1", 1), At(1'000));
+  scene.Remove("l1", At(5'000));
+  const packet_decision decision = scene.Direct(
+      Later(Flow(1), MakeCookie("l1", 1), 1'001, 5'001, 100), At(6'000));
+  CHECK(decision.verdict == packet_verdict::kForward);
+  CHECK(decision.target == first);
+}
+
+TEST_CASE("An unknown cookie is dropped, never guessed") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  const packet_decision decision =
+      scene.Direct(Later(Flow(1), 12'345, 1'001, 5'001, 100), At(1));
+  CHECK(decision.verdict == packet_verdict::kDrop);
+}
+
+TEST_CASE("A copy of a first packet tries another target") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  scene.Add(Target("l2", 2));
+  scene.Add(Target("l3", 3));
+  const target_index first = scene.Direct(First(Flow(1)), At(0)).target;
+  const target_index second = scene.Direct(First(Flow(1), 1), At(200)).target;
+  const target_index third = scene.Direct(First(Flow(1), 2), At(600)).target;
+  CHECK(first != second);
+  CHECK(third != second);
+  CHECK(third != first);
+}
+
+TEST_CASE("A late copy of a first packet stays with the flow's target") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  scene.Add(Target("l2", 2));
+  const packet_decision opened = scene.Direct(First(Flow(1)), At(0));
+  scene.Direct(Later(Flow(1), opened.cookie, 1'001, 5'001, 100), At(5));
+  CHECK(scene.Direct(First(Flow(1), 1), At(200)).target == opened.target);
+}
+
+TEST_CASE("Addresses without a route are reset only by a recent view") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  const flow_packet packet = First(Flow(1, {0xC6120009, 443}));
+  CHECK(scene.Direct(packet, At(1)).verdict == packet_verdict::kReset);
+  scene.trust.recent = false;
+  CHECK(scene.Direct(packet, At(2)).verdict == packet_verdict::kDrop);
+}
+
+TEST_CASE("No flow is opened before the view is settled") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  scene.trust.settled = false;
+  CHECK(scene.Direct(First(Flow(1)), At(1)).verdict == packet_verdict::kDrop);
+}
+
+TEST_CASE("A flow is refused at once when no target can be reached") {
+  entry_scene scene;
+  scene.CutOffTarget(scene.Add(Target("l1", 1)), At(0));
+  const packet_decision decision = scene.Direct(First(Flow(1)), At(1));
+  CHECK(decision.verdict == packet_verdict::kReset);
+  CHECK(std::string(decision.rule) == "targets_unreachable");
+}
+
+TEST_CASE("Only flows whose requests may be repeated are reset") {
+  entry_scene scene;
+  const target_index target = scene.Add(Target("l1", 1));
+  scene.CutOffTarget(target, At(0));
+  const std::uint32_t cookie = MakeCookie("l1", 1);
+  const auto verdict = [&](const ipv4_endpoint& to, std::uint16_t bytes) {
+    return scene.Direct(Later(Flow(1, to), cookie, 1'001, 5'001, bytes), At(1))
+        .verdict;
+  };
+  CHECK(verdict(kWatchAddress, 100) == packet_verdict::kReset);
+  CHECK(verdict(kWatchAddress, 0) == packet_verdict::kForward);
+  CHECK(verdict(kBookAddress, 100) == packet_verdict::kForward);
+}
+
+TEST_CASE("A data centre taken out is quiet after a few seconds") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  scene.Evacuate("dc-a", true, At(1'000));
+  const std::uint32_t cookie = MakeCookie("l1", 1);
+  const auto direct = [&](const ipv4_endpoint& to, std::uint16_t bytes,
+                          std::int64_t ms) {
+    return scene.Direct(Later(Flow(1, to), cookie, 1'001, 5'001, bytes),
+                        At(ms));
+  };
+  CHECK(direct(kWatchAddress, 100, 1'001).verdict == packet_verdict::kReset);
+  CHECK(direct(kBookAddress, 100, 1'001).verdict == packet_verdict::kForward);
+  CHECK(direct(kWatchAddress, 0, 4'999).verdict == packet_verdict::kForward);
+  CHECK(direct(kWatchAddress, 0, 5'000).verdict == packet_verdict::kDrop);
+  CHECK(direct(kBookAddress, 100, 5'000).verdict == packet_verdict::kReset);
+  scene.Evacuate("dc-a", false, At(6'000));
+  CHECK(direct(kWatchAddress, 0, 6'001).verdict == packet_verdict::kForward);
+}
+
+TEST_CASE("A flow whose target's address was given away is reset") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  target_record other = Target("f1", 1, "dc-a", "files");
+  scene.Add(other, At(10));
+  const packet_decision decision = scene.Direct(
+      Later(Flow(1), MakeCookie("l1", 1), 1'001, 5'001, 100), At(11));
+  CHECK(decision.verdict == packet_verdict::kReset);
+  CHECK(std::string(decision.rule) == "target_replaced");
+}
+
+TEST_CASE("Shares of a route give all copies the same service") {
+  entry_scene scene;
+  entry_config config = Config(2);
+  config.routes[0].services = {{"ledger", 90}, {"files", 10}};
+  scene.directory.Apply({}, config, At(0));
+  const target_index ledger = scene.Add(Target("l1", 1));
+  scene.Add(Target("f1", 2, "dc-a", "files"));
+  int to_ledger = 0;
+  for (std::uint16_t port = 0; port < 1'000; ++port) {
+    const target_index first = scene.Direct(First(Flow(port)), At(0)).target;
+    const target_index copy = scene.Direct(First(Flow(port), 1), At(20)).target;
+    CHECK(first == copy);
+    to_ledger += first == ledger ? 1 : 0;
+    scene.ledger.Drop(Flow(port));
+  }
+  CHECK(to_ledger > 850);
+  CHECK(to_ledger < 950);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/packet_header_test.cc
@@ -0,0 +1,83 @@
+#include "packet_header.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace rosemaryreach {
+namespace {
+
+std::vector<std::uint8_t> Bytes(const std::string& hex) {
+  std::vector<std::uint8_t> bytes;
+  for (std::size_t i = 0; i + 1 < hex.size(); i += 3) {
+    bytes.push_back(
+        static_cast<std::uint8_t>(std::stoi(hex.substr(i, 2), nullptr, 16)));
+  }
+  return bytes;
+}
+
+// The first packet that the platform's description shows.
+const std::vector<std::uint8_t> kFirst = Bytes(
+    "d5 c3 b2 a1 04 00 bb 01 07 00 40 64 01 00 12 c6 "
+    "41 9c 00 00 00 00 00 00 44 33 22 11 00 00 00 00 ");
+const std::vector<std::uint8_t> kReset = Bytes(
+    "00 00 00 00 08 00 41 9c 01 00 12 c6 07 00 40 64 "
+    "bb 01 00 00 00 00 00 00 00 00 00 00 00 00 00 00 ");
+
+TEST_CASE("The described first packet is read") {
+  const result<flow_packet> packet = ReadPacket(kFirst);
+  REQUIRE(packet);
+  CHECK(packet.value().opens);
+  CHECK(FormatFlow(packet.value().flow) == "100.64.0.7:40001>198.18.0.1:443");
+  CHECK(packet.value().sequence == 0x11223344);
+}
+
+TEST_CASE("A reset is written as described") {
+  const packet_head head = MakeReset(ReadPacket(kFirst).value());
+  CHECK(std::vector<std::uint8_t>(head.begin(), head.end()) == kReset);
+}
+
+TEST_CASE("A reset of an open flow carries what the caller acknowledged") {
+  std::vector<std::uint8_t> data = kFirst;
+  data[4] = 64;
+  data[28] = 0x55;
+  const packet_head head = MakeReset(ReadPacket(data).value());
+  CHECK(head[24] == 0x55);
+}
+
+TEST_CASE("Only the cookie is written") {
+  std::vector<std::uint8_t> packet = kFirst;
+  WriteCookie(packet, 0x01020304);
+  CHECK(ReadPacket(packet).value().cookie == 0x01020304);
+  std::fill_n(packet.begin() + 20, 4, std::uint8_t{0});
+  CHECK(packet == kFirst);
+}
+
+TEST_CASE("The target's number goes first, big-endian") {
+  std::array<std::uint8_t, kTargetPrefixBytes> prefix{};
+  WriteTargetPrefix(prefix, 0x7f3a91c2);
+  CHECK(prefix ==
+        std::array<std::uint8_t, 8>{0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2});
+}
+
+TEST_CASE("Garbage is refused without reading past its end") {
+  CHECK(rc::check([](const std::vector<std::uint8_t>& bytes) {
+    const result<flow_packet> packet = ReadPacket(bytes);
+    RC_ASSERT(!packet ||
+              bytes.size() == kPacketHeadBytes + packet.value().data_bytes);
+  }));
+  for (std::size_t size = 0; size < kFirst.size(); ++size) {
+    CHECK_FALSE(ReadPacket(std::span(kFirst).first(size)));
+  }
+}
+
+TEST_CASE("Answers of targets are no callers' packets") {
+  std::vector<std::uint8_t> answer = kFirst;
+  answer[4] = 4 | 64;
+  CHECK_FALSE(ReadPacket(answer));
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/peer_group_test.cc
@@ -0,0 +1,155 @@
+#include "rosemaryreach/peer_group.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "entry_fixture.h"
+
+namespace rosemaryreach {
+namespace {
+
+peer_summary Summary(std::uint32_t address, std::uint32_t data_centre = 1) {
+  peer_summary summary;
+  summary.address = address;
+  summary.incarnation = 100;
+  summary.data_centre = data_centre;
+  return summary;
+}
+
+// Instances that beacon each second; `cut` tells who can't hear whom.
+struct fleet {
+  explicit fleet(std::uint32_t size) {
+    for (std::uint32_t i = 1; i <= size; ++i) {
+      Start(i);
+    }
+  }
+
+  void Start(std::uint32_t address) {
+    peer_summary self = Summary(address, address % 3);
+    self.incarnation = static_cast<std::uint64_t>(now) + 1;
+    groups.erase(address);
+    groups.emplace(address, peer_group(self, {1, 2, 3}, address,
+                                       [](std::uint32_t, const char*) {}));
+  }
+
+  void Run(std::int64_t seconds) {
+    for (std::int64_t i = 0; i < seconds; ++i, now += 1'000) {
+      for (auto& [address, group] : groups) {
+        const beacon made = group.MakeBeacon();
+        for (const std::uint32_t to : group.Recipients()) {
+          if (groups.contains(to) && !(cut && address % 3 != to % 3)) {
+            groups.at(to).Hear(made, At(now));
+          }
+        }
+        group.Tick(At(now));
+      }
+    }
+  }
+
+  std::map<std::uint32_t, peer_group> groups;
+  std::int64_t now = 0;
+  bool cut = false;
+};
+
+TEST_CASE("All instances find each other by three seeds") {
+  fleet fleet(9);
+  fleet.Run(4);
+  for (const auto& [address, group] : fleet.groups) {
+    CHECK(group.size() == 8);
+  }
+}
+
+TEST_CASE("Exactly one instance comes first, and owns each subject") {
+  fleet fleet(9);
+  fleet.Run(4);
+  int first = 0;
+  int owners = 0;
+  for (const auto& [address, group] : fleet.groups) {
+    first += group.Rank() == 0 ? 1 : 0;
+    owners += group.Owns(42) ? 1 : 0;
+    CHECK(group.InstancesHere() == 3);
+  }
+  CHECK(first == 1);
+  CHECK(owners == 1);
+}
+
+TEST_CASE("Silent instances are dropped, restarted ones found again") {
+  fleet fleet(9);
+  fleet.Run(4);
+  fleet.groups.erase(5);
+  fleet.Run(8);
+  CHECK(fleet.groups.at(1).size() == 7);
+  fleet.Start(5);
+  fleet.Run(3);
+  CHECK(fleet.groups.at(1).size() == 8);
+  CHECK(fleet.groups.at(5).size() == 8);
+}
+
+TEST_CASE("The sides of a cut go on and find each other after it") {
+  fleet fleet(9);
+  fleet.Run(4);
+  fleet.cut = true;
+  fleet.Run(8);
+  CHECK(fleet.groups.at(1).size() == 2);
+  fleet.cut = false;
+  fleet.Run(5);
+  for (const auto& [address, group] : fleet.groups) {
+    CHECK(group.size() == 8);
+  }
+}
+
+TEST_CASE("A leaving instance comes last and owns nothing for others") {
+  peer_group group(Summary(1), {}, 1, [](std::uint32_t, const char*) {});
+  beacon other;
+  other.from = Summary(2);
+  other.from.leaving = true;
+  group.Hear(other, At(0));
+  CHECK(group.Rank() == 0);
+  CHECK(group.InstancesHere() == 1);
+  CHECK(group.Owns(1));
+}
+
+TEST_CASE("A restart with an earlier clock is heard") {
+  peer_group group(Summary(1), {}, 1, [](std::uint32_t, const char*) {});
+  beacon other;
+  other.from = Summary(2);
+  other.from.beats = 50;
+  group.Hear(other, At(0));
+  other.from.incarnation = 10;
+  other.from.beats = 1;
+  group.Hear(other, At(1'000));
+  group.Tick(At(4'000));
+  CHECK(group.size() == 1);
+}
+
+TEST_CASE("Beacons of a large fleet fit one datagram") {
+  fleet fleet(40);
+  fleet.Run(10);
+  constexpr std::size_t kDatagram = 1'200;
+  CHECK(EncodeBeacon(fleet.groups.at(1).MakeBeacon()).size() < kDatagram);
+}
+
+TEST_CASE("Beacons survive their encoding") {
+  beacon made;
+  made.from = Summary(0xC0A80001);
+  made.wants_answer = true;
+  made.changed = 1'000'000'000'000;
+  made.revision = 1'000'000'000'007;
+  made.age = std::chrono::milliseconds(35);
+  made.others = {Summary(7), Summary(8)};
+  CHECK(DecodeBeacon(EncodeBeacon(made)) == made);
+}
+
+TEST_CASE("Datagrams that are no beacons are refused") {
+  CHECK(rc::check(
+      [](const std::string& bytes) { RC_ASSERT(!DecodeBeacon(bytes)); }));
+  const std::string whole = EncodeBeacon({});
+  for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+    CHECK_FALSE(DecodeBeacon(whole.substr(0, bytes)));
+  }
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/store_client_test.cc
@@ -0,0 +1,69 @@
+#include "store_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+#include "http_server_fixture.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr duration kDeadline = std::chrono::seconds(5);
+
+TEST_CASE("A watch names where it goes on") {
+  event_loop loop;
+  std::string uri;
+  const http_server_fixture server(loop, [&uri](const std::string& asked) {
+    uri = asked;
+    return scripted_reply{200, R"({"events":[],"storeRevision":9})"};
+  });
+  store_client client(loop, server.address());
+  std::optional<std::uint64_t> revision;
+  client.Watch(7, std::chrono::milliseconds(50), kDeadline,
+               [&](const result<store_answer>& answer) {
+                 revision = answer.value().revision;
+                 loop.Stop();
+               });
+  loop.Run();
+  CHECK(revision == 9);
+  CHECK(uri == "/rosemaryreach/kv-watch?prefix=&after=7&waitMs=50");
+}
+
+TEST_CASE("A listing names the key it goes on after") {
+  event_loop loop;
+  std::string uri;
+  const http_server_fixture server(loop, [&uri](const std::string& asked) {
+    uri = asked;
+    return scripted_reply{200, R"({"items":[],"storeRevision":9})"};
+  });
+  store_client client(loop, server.address());
+  client.List("servers/i-1", kDeadline,
+              [&](const result<store_answer>&) { loop.Stop(); });
+  loop.Run();
+  CHECK(uri == "/rosemaryreach/kv-range?prefix=&after=servers%2Fi-1");
+}
+
+TEST_CASE("Each way to be turned away is told apart") {
+  const std::vector<std::pair<scripted_reply, errc>> cases = {
+      {{410, ""}, errc::kStale},        {{429, ""}, errc::kLimit},
+      {{503, ""}, errc::kUnavailable},  {{404, ""}, errc::kUnsupported},
+      {{200, "{"}, errc::kInvalidJson}, {{0, ""}, errc::kTimeout}};
+  for (const auto& [reply, code] : cases) {
+    event_loop loop;
+    const http_server_fixture server(
+        loop, [answer = reply](const std::string&) { return answer; });
+    store_client client(loop, server.address());
+    std::optional<errc> failed;
+    client.AskPeer(0, std::chrono::milliseconds(50),
+                   [&](const result<store_answer>& answer) {
+                     failed = answer.error().code;
+                     loop.Stop();
+                   });
+    loop.Run();
+    CHECK(failed == code);
+  }
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/store_documents_test.cc
@@ -0,0 +1,144 @@
+#include "store_documents.h"
+
+#include <absl/strings/escaping.h>
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+namespace rosemaryreach {
+namespace {
+
+store_item Item(const std::string& key, const std::string& value) {
+  return {key, absl::Base64Escape(value), 4, false};
+}
+
+constexpr const char* kTarget =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"almaty-a",)"
+    R"("version":"v1","maxConcurrency":2,"state":"ready","coldLeftMs":150,)"
+    R"("sequence":4,"born":1773400000123})";
+
+constexpr const char* kConfig =
+    R"({"version":7,"routes":[{"name":"r-1","host":"198.18.0.1",)"
+    R"("prefix":"/8443/","type":"idempotent","timeoutMs":800,)"
+    R"("backends":[{"service":"a","weight":90},{"service":"b","weight":10}]},)"
+    R"({"name":"r-2","host":"198.18.0.2","prefix":"/8080/",)"
+    R"("type":"download","service":"b"},{"name":"r-3","host":"198.18.0.2",)"
+    R"("prefix":"/443/","type":"non_idempotent","service":"a"}],"services":)"
+    R"([{"name":"a","healthPath":"/h","coldPerS":2.5},{"name":"b"}],)"
+    R"("limits":{"idleTimeoutMs":15000}})";
+
+TEST_CASE("A target's entry is read") {
+  const item_meaning meaning = DecodeItem(Item("servers/i-7f3a91c2", kTarget));
+  const target_item* target = std::get_if<target_item>(&meaning);
+  REQUIRE(target != nullptr);
+  const target_record& record = target->record;
+  CHECK(record.id == "i-7f3a91c2");
+  CHECK(record.wire_id == 0x7f3a91c2);
+  CHECK(record.incarnation == 1'773'400'000'123);
+  CHECK(record.service == "huvo11a");
+  CHECK(FormatIpv4Endpoint(record.address) == "10.128.0.9:8080");
+  CHECK(record.data_centre == "almaty-a");
+  CHECK(record.slots == 2);
+  CHECK(record.state == target_state::kActive);
+  CHECK(record.cold_left == std::chrono::milliseconds(150));
+}
+
+TEST_CASE("Entries of other writers name no target") {
+  const std::string whole = kTarget;
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {R"("ready")", R"("asleep")"},
+      {R"("ready")", "7"},
+      {R"("10.128.0.9:8080")", R"("x")"},
+      {R"("huvo11a")", "null"},
+      {R"("maxConcurrency":2)", R"("maxConcurrency":"two")"},
+      {R"("zone")", R"("z")"},
+      {"}", ""}};
+  for (const auto& [from, to] : changes) {
+    std::string spoilt = whole;
+    spoilt.replace(spoilt.find(from), from.size(), to);
+    const item_meaning meaning = DecodeItem(Item("servers/i-1", spoilt));
+    CHECK(std::holds_alternative<unreadable_item>(meaning));
+  }
+  const store_item raw{"servers/i-1", "%%%", 1, false};
+  CHECK(std::holds_alternative<unreadable_item>(DecodeItem(raw)));
+}
+
+TEST_CASE("A configuration is read") {
+  const item_meaning meaning = DecodeItem(Item("op/config", kConfig));
+  const entry_config* config = std::get_if<entry_config>(&meaning);
+  REQUIRE(config != nullptr);
+  CHECK(config->version == 7);
+  REQUIRE(config->routes.size() == 3);
+  CHECK(FormatIpv4Endpoint(config->routes[0].address) == "198.18.0.1:8443");
+  CHECK(config->routes[0].services ==
+        std::vector<weighted_service>{{"a", 90}, {"b", 10}});
+  CHECK(config->routes[0].kind == request_kind::kIdempotent);
+  CHECK(config->routes[1].kind == request_kind::kBulk);
+  CHECK(config->routes[2].kind == request_kind::kNonIdempotent);
+  CHECK(config->services ==
+        std::vector<entry_service>{{"a", "/h", 2.5}, {"b", "/healthz", 0}});
+}
+
+TEST_CASE("Evacuations are told by their keys") {
+  store_item item = Item("op/evacuate/almaty-a", "{}");
+  evacuation_item read = std::get<evacuation_item>(DecodeItem(item));
+  CHECK(read.data_centre == "almaty-a");
+  CHECK(read.evacuated);
+  item.deleted = true;
+  read = std::get<evacuation_item>(DecodeItem(item));
+  CHECK_FALSE(read.evacuated);
+}
+
+TEST_CASE("Other keys mean nothing, deleted targets are removed") {
+  CHECK(std::holds_alternative<unrelated_item>(DecodeItem(Item("my/x", "{}"))));
+  store_item item = Item("servers/i-1", "");
+  item.deleted = true;
+  CHECK(std::get<removed_target>(DecodeItem(item)).id == "i-1");
+}
+
+TEST_CASE("Answers of a listing and of a watch are read") {
+  const result<store_answer> listing = DecodeAnswer(
+      R"({"items":[{"key":"a","value":"eA==","revision":4,"created":4,)"
+      R"("lease":0}],"hasMore":true,"storeRevision":530})");
+  REQUIRE(listing);
+  CHECK(listing.value().more);
+  CHECK(listing.value().revision == 530);
+  CHECK(listing.value().items ==
+        std::vector<store_item>{{"a", "eA==", 4, false}});
+  const result<store_answer> watch =
+      DecodeAnswer(R"({"events":[{"key":"a","revision":413,"deleted":true}],)"
+                   R"("storeRevision":413})");
+  REQUIRE(watch);
+  CHECK(watch.value().items == std::vector<store_item>{{"a", "", 413, true}});
+}
+
+TEST_CASE("What is passed on to peers is read as it was") {
+  store_answer answer;
+  answer.items = {{"a", "eA==", 4, false}, {"b", "", 9, true}};
+  answer.revision = 12;
+  answer.changed = 9;
+  const result<store_answer> read = DecodeAnswer(EncodeAnswer(answer));
+  REQUIRE(read);
+  CHECK(read.value().items == answer.items);
+  CHECK(read.value().revision == 12);
+  CHECK(read.value().changed == 9);
+}
+
+TEST_CASE("Bad answers are errors") {
+  CHECK_FALSE(DecodeAnswer(""));
+  CHECK_FALSE(DecodeAnswer("[]"));
+  CHECK_FALSE(DecodeAnswer(R"({"items":[]})"));
+  CHECK_FALSE(DecodeAnswer(R"({"items":[{}],"storeRevision":1})"));
+  CHECK(rc::check(
+      [](const std::string& body) { RC_ASSERT(!DecodeAnswer(body)); }));
+}
+
+TEST_CASE("No value is more than unreadable") {
+  CHECK(rc::check([](const std::string& value) {
+    DecodeItem(Item("servers/i-1", value));
+    DecodeItem(Item("op/config", value));
+  }));
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- /dev/null
+++ b/tests/store_follower_test.cc
@@ -0,0 +1,74 @@
+#include "rosemaryreach/store_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include "entry_fixture.h"
+
+namespace rosemaryreach {
+namespace {
+
+TEST_CASE("The first read is a listing, soon after the start") {
+  const store_follower follower(At(0), 1);
+  CHECK(follower.NextKind(At(0)) == read_kind::kList);
+  CHECK(follower.NextRead(0) > At(0));
+  CHECK(follower.NextRead(9) <= At(60));
+}
+
+TEST_CASE("One instance reads while the others follow") {
+  store_follower first(At(0), 1);
+  store_follower second(At(0), 2);
+  std::vector<std::int64_t> reads;
+  first.TakeAnswer(read_kind::kList, At(0), At(4));
+  second.TakePeer(At(0));
+  for (std::int64_t ms = 0; ms < 10'000; ++ms) {
+    if (first.NextRead(0) <= At(ms)) {
+      first.TakeAnswer(read_kind::kWatch, At(ms), At(ms + 4));
+      second.TakePeer(At(ms));
+      reads.push_back(ms);
+    }
+    CHECK(second.NextRead(1) > At(ms));
+  }
+  CHECK(reads.size() == 19);
+}
+
+TEST_CASE("The next one reads when nothing new is heard") {
+  store_follower follower(At(0), 1);
+  follower.TakePeer(At(1'000));
+  CHECK(follower.NextRead(1) == At(1'700));
+  CHECK(follower.NextRead(2) == At(1'900));
+}
+
+TEST_CASE("Failures back off, so that another one reads") {
+  store_follower follower(At(0), 1);
+  follower.TakeAnswer(read_kind::kList, At(0), At(4));
+  duration longest{};
+  for (std::int64_t ms = 1'000; ms < 60'000; ms += 4'000) {
+    follower.TakeFailure(false, At(ms));
+    const duration wait = follower.NextRead(0) - At(ms);
+    CHECK(wait >= std::chrono::milliseconds(100));
+    CHECK(wait <= std::chrono::seconds(2));
+    longest = std::max(longest, wait);
+  }
+  CHECK(longest >= std::chrono::seconds(1));
+}
+
+TEST_CASE("A history that is gone is listed at once") {
+  store_follower follower(At(0), 1);
+  follower.TakeAnswer(read_kind::kList, At(0), At(4));
+  CHECK(follower.NextKind(At(500)) == read_kind::kWatch);
+  follower.TakeFailure(true, At(500));
+  CHECK(follower.NextKind(At(500)) == read_kind::kList);
+  CHECK(follower.NextRead(5) <= At(500));
+}
+
+TEST_CASE("The store counts as away when nobody hears of it") {
+  store_follower follower(At(0), 1);
+  follower.TakeAnswer(read_kind::kList, At(0), At(4));
+  CHECK_FALSE(follower.away(At(1'799)));
+  CHECK(follower.away(At(1'800)));
+  follower.TakePeer(At(1'750));
+  CHECK_FALSE(follower.away(At(1'800)));
+}
+
+}  // namespace
+}  // namespace rosemaryreach
