Send beacons by data centre in large fleets

Change: a few recipients here and one or two elsewhere, changes passed on inside a data centre, silence allowed in step with the size.

--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -52,6 +52,12 @@
 inline constexpr duration kBeaconPeriod = std::chrono::seconds(1);
 // Three beacons and their jitter may be lost.
 inline constexpr duration kPeerSilence = std::chrono::milliseconds(3'500);
+// In larger fleets most is heard through others: an instance gets some 70
+// summaries a second, so news of one peer comes each (peers / 70) seconds on
+// average. Ten times that makes a false loss rare.
+inline constexpr duration kSilenceForEachPeer = std::chrono::milliseconds(150);
+// Up to this many peers, everyone tells everyone.
+inline constexpr std::size_t kSmallFleet = 16;
 
 class peer_group {
  public:
@@ -77,9 +83,15 @@
   // peer is among them, so that the sides of a healed cut find each other.
   std::vector<std::uint32_t> Recipients();
 
-  // Returns whom news goes to at once.
+  // Returns whom this instance's own reading of the store goes to: everyone in
+  // a small fleet; in a large one those that would read next, and some of
+  // each data centre, who pass changes on.
   std::vector<std::uint32_t> NewsRecipients();
 
+  // Returns whom a change goes to that a peer told: some of this data centre,
+  // so that it crosses to each data centre only a few times.
+  std::vector<std::uint32_t> PassOnRecipients();
+
   // Drops peers that are silent.
   void Tick(time_point now);
 
@@ -101,7 +113,16 @@
   };
 
   void Learn(const peer_summary& summary, time_point now);
-  std::vector<std::uint32_t> Sample(std::size_t count);
+  using address_list = std::vector<std::uint32_t>;
+
+  bool small() const { return peers_.size() <= kSmallFleet; }
+  address_list All() const;
+  // The peers of each data centre.
+  std::map<std::uint32_t, address_list> ByDataCentre() const;
+  // Adds `here` random peers of this data centre and `elsewhere` of each other.
+  void AddSpread(std::size_t here, std::size_t elsewhere, address_list& to);
+  void AddSample(const address_list& from, std::size_t count, address_list& to);
+  void AddFirstReaders(address_list& to) const;
   std::uint32_t RandomOf(std::span<const std::uint32_t> addresses);
 
   peer_summary self_;
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -5,10 +5,20 @@
 namespace rosemaryreach {
 namespace {
 
-// Beacons go to this many peers; news to twice as many. Small deployments are
-// a full mesh, larger ones pass news on.
+// Periodic beacons of a small fleet.
 constexpr std::size_t kBeaconFanOut = 8;
-constexpr std::size_t kNewsFanOut = 16;
+// In a large fleet, bytes between data centres are dear: a beacon or a change
+// goes to several peers here and one or two of each other data centre.
+constexpr std::size_t kBeaconsHere = 5;
+constexpr std::size_t kBeaconsElsewhere = 1;
+constexpr std::size_t kNewsHere = 6;
+constexpr std::size_t kNewsElsewhere = 2;
+constexpr std::size_t kPassOnHere = 6;
+// Those who would read the store next if they heard nothing.
+constexpr std::size_t kFirstReaders = 6;
+// Summaries in a beacon of a large fleet; each second some 6 beacons bring
+// news of some 50 peers.
+constexpr std::size_t kLargeFleetSummaries = 8;
 // Lost peers are tried again for this long.
 constexpr duration kLostMemory = std::chrono::seconds(90);
 
@@ -74,18 +84,26 @@
   ++self_.beats;
   beacon made;
   made.from = self_;
-  for (const std::uint32_t address : Sample(kMaxBeaconPeers)) {
+  address_list told;
+  AddSample(All(), small() ? kMaxBeaconPeers : kLargeFleetSummaries, told);
+  for (const std::uint32_t address : told) {
     made.others.push_back(peers_.at(address).summary);
   }
   return made;
 }
 
 std::vector<std::uint32_t> peer_group::Recipients() {
-  std::vector<std::uint32_t> to = Sample(kBeaconFanOut);
   if (peers_.empty()) {
-    to = seeds_;
-  } else if (!lost_.empty()) {
-    std::vector<std::uint32_t> lost;
+    return seeds_;
+  }
+  address_list to;
+  if (small()) {
+    AddSample(All(), kBeaconFanOut, to);
+  } else {
+    AddSpread(kBeaconsHere, kBeaconsElsewhere, to);
+  }
+  if (!lost_.empty()) {
+    address_list lost;
     for (const auto& [address, peer] : lost_) {
       lost.push_back(address);
     }
@@ -100,12 +118,33 @@
 }
 
 std::vector<std::uint32_t> peer_group::NewsRecipients() {
-  return peers_.empty() ? seeds_ : Sample(kNewsFanOut);
+  if (peers_.empty()) {
+    return seeds_;
+  }
+  if (small()) {
+    return All();
+  }
+  address_list to;
+  AddSpread(kNewsHere, kNewsElsewhere, to);
+  AddFirstReaders(to);
+  return to;
+}
+
+std::vector<std::uint32_t> peer_group::PassOnRecipients() {
+  address_list to;
+  if (!small()) {
+    AddSpread(kPassOnHere, 0, to);
+  }
+  return to;
 }
 
 void peer_group::Tick(time_point now) {
+  const duration silence =
+      small() ? kPeerSilence
+              : kPeerSilence + kSilenceForEachPeer *
+                                   static_cast<duration::rep>(peers_.size());
   for (auto one = peers_.begin(); one != peers_.end();) {
-    if (now - one->second.heard < kPeerSilence) {
+    if (now - one->second.heard < silence) {
       ++one;
       continue;
     }
@@ -153,15 +192,50 @@
   return all;
 }
 
-std::vector<std::uint32_t> peer_group::Sample(std::size_t count) {
-  std::vector<std::uint32_t> all;
+std::vector<std::uint32_t> peer_group::All() const {
+  address_list all;
   for (const auto& [address, peer] : peers_) {
     all.push_back(address);
   }
-  std::vector<std::uint32_t> chosen;
-  std::sample(all.begin(), all.end(), std::back_inserter(chosen), count,
-              random_);
-  return chosen;
+  return all;
+}
+
+std::map<std::uint32_t, std::vector<std::uint32_t>> peer_group::ByDataCentre()
+    const {
+  std::map<std::uint32_t, address_list> centres;
+  for (const auto& [address, peer] : peers_) {
+    centres[peer.summary.data_centre].push_back(address);
+  }
+  return centres;
+}
+
+void peer_group::AddSpread(std::size_t here,
+                           std::size_t elsewhere,
+                           address_list& to) {
+  for (const auto& [data_centre, addresses] : ByDataCentre()) {
+    AddSample(addresses, data_centre == self_.data_centre ? here : elsewhere,
+              to);
+  }
+}
+
+void peer_group::AddSample(const address_list& from,
+                           std::size_t count,
+                           address_list& to) {
+  std::sample(from.begin(), from.end(), std::back_inserter(to), count, random_);
+}
+
+void peer_group::AddFirstReaders(address_list& to) const {
+  address_list readers = All();
+  std::sort(readers.begin(), readers.end(),
+            [](std::uint32_t a, std::uint32_t b) {
+              return HashPair(a, 0) < HashPair(b, 0);
+            });
+  readers.resize(std::min(readers.size(), kFirstReaders));
+  for (const std::uint32_t address : readers) {
+    if (std::find(to.begin(), to.end(), address) == to.end()) {
+      to.push_back(address);
+    }
+  }
 }
 
 std::uint32_t peer_group::RandomOf(std::span<const std::uint32_t> addresses) {
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -265,9 +265,7 @@
   follower_.TakePeer(known_at);
   Arm();
   Deliver(changed);
-  if (peers_.size() > kMaxBeaconPeers) {
-    SendNews();
-  }
+  SendBeacon(peers_.PassOnRecipients(), false);
 }
 
 void store_sync::SendBeacon(std::span<const std::uint32_t> to,
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -131,6 +131,31 @@
   CHECK(EncodeBeacon(fleet.groups.at(1).MakeBeacon()).size() < kDatagram);
 }
 
+TEST_CASE("What an instance sends stays bounded as the fleet grows") {
+  for (const std::uint32_t size : {9U, 30U, 90U, 300U}) {
+    fleet fleet(size);
+    fleet.Run(60);
+    for (auto& [address, group] : fleet.groups) {
+      CHECK(group.size() == size - 1);
+      CHECK(group.Recipients().size() <= 8);
+      CHECK(group.NewsRecipients().size() <= 16);
+      CHECK(group.PassOnRecipients().size() <= 6);
+    }
+  }
+}
+
+TEST_CASE("A large fleet finds out that instances died, and no others") {
+  fleet fleet(90);
+  fleet.Run(20);
+  for (std::uint32_t address = 10; address < 20; ++address) {
+    fleet.groups.erase(address);
+  }
+  fleet.Run(30);
+  for (const auto& [address, group] : fleet.groups) {
+    CHECK(group.size() == 79);
+  }
+}
+
 TEST_CASE("Beacons survive their encoding") {
   beacon made;
   made.from = Summary(0xC0A80001);
