Take no failed probe of a late process as a sign, bound log lines

Change: a probe whose deadline comes looks whether it is connected; failures while the process runs 60 ms late don't count; lines for one batch of changes and for peers are bounded (35 lines took 12 ms there). Test: entry_path_test, connect_prober_test pass; a late loop is played next.

--- a/src/adapters/connect_prober.cc
+++ b/src/adapters/connect_prober.cc
@@ -1,5 +1,6 @@
 #include "adapters/connect_prober.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,17 +16,26 @@
   probe(connect_prober& owner, int descriptor, answered callback)
       : fd(descriptor),
         done(std::move(callback)),
-        deadline(owner.loop_, [this, &owner] { owner.Finish(*this, false); }),
+        // A loop that runs late sees the deadline before an answer that came
+        // in time.
+        deadline(owner.loop_,
+                 [this, &owner] { owner.Finish(*this, Connected()); }),
         writable(owner.loop_, descriptor, watch_for::kWrite, [this, &owner] {
-          int fault = 0;
-          socklen_t size = sizeof(fault);
-          const int got = getsockopt(fd, SOL_SOCKET, SO_ERROR, &fault, &size);
-          owner.Finish(*this, got == 0 && fault == 0);
+          owner.Finish(*this, Connected());
         }) {}
   ~probe() { close(fd); }
   probe(const probe&) = delete;
   probe& operator=(const probe&) = delete;
 
+  bool Connected() const {
+    pollfd poller{fd, POLLOUT, 0};
+    int fault = 0;
+    socklen_t size = sizeof(fault);
+    return poll(&poller, 1, 0) == 1 &&
+           getsockopt(fd, SOL_SOCKET, SO_ERROR, &fault, &size) == 0 &&
+           fault == 0;
+  }
+
   int fd;
   answered done;
   loop_timer deadline;
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -15,6 +15,13 @@
 
 constexpr std::size_t kMaxFlows = 50'000;  // 5 MB
 constexpr duration kTickPeriod = std::chrono::milliseconds(100);
+// A tick late by half a probe's time: the process is short of processor.
+constexpr duration kLate = std::chrono::milliseconds(60);
+// Probes that were sent while the process ran late have ended after this.
+constexpr duration kLateMemory = std::chrono::milliseconds(500);
+// Lines for one batch of changes: a listing of hundreds of targets would keep
+// a small instance from serving for its first tenths of a second.
+constexpr std::size_t kLinesForChanges = 24;
 // Ticks late by more than this mean that the process stood still.
 constexpr duration kPause = std::chrono::seconds(1);
 // After a pause old knowledge is used again if nothing newer comes.
@@ -84,7 +91,13 @@
                  metrics_.request_seconds.Observe(
                      std::chrono::duration<double>(time).count());
                }}),
-      targets_(loop_, directory_, ledger_, log_, metrics_),
+      targets_(
+          loop_,
+          directory_,
+          ledger_,
+          [this] { return BootTimeNow() < late_until_; },
+          log_,
+          metrics_),
       sync_(
           loop_,
           settings,
@@ -121,6 +134,7 @@
       second_(loop_, [this] { OnSecond(); }),
       started_(BootTimeNow()),
       last_turn_(started_),
+      last_tick_(started_),
       settings_changed_(ChangeTime(options.settings_file)) {}
 
 result<void> entry_task::Start() {
@@ -184,14 +198,35 @@
   LogLife("paused", "stood still for " + std::to_string(Millis(turn)) + " ms");
 }
 
+void entry_task::NoteLateness(time_point now) {
+  const duration late = now - std::exchange(last_tick_, now) - kTickPeriod;
+  if (late < kLate) {
+    return;
+  }
+  if (now >= late_until_) {
+    LogLife("late", "ran " + std::to_string(Millis(late)) + " ms late");
+  }
+  late_until_ = now + kLateMemory;
+}
+
 void entry_task::OnChanged(std::span<const store_item> items) {
   const time_point now = BootTimeNow();
+  lines_left_ = kLinesForChanges;
   for (const store_item& item : items) {
     directory_.Apply(item, DecodeItem(item), now);
   }
+  if (items.size() > kLinesForChanges) {
+    LogLife("changes_taken",
+            std::to_string(items.size()) + " items, the first are logged");
+  }
+  lines_left_ = kLinesForChanges;
 }
 
 void entry_task::OnDirectoryChange(const directory_change& change) {
+  if (lines_left_ == 0) {
+    return;
+  }
+  --lines_left_;
   const std::array<log_field, 5> fields = {
       log_field{"subject", change.subject},
       log_field{"outcome", change.outcome}, log_field{"detail", change.detail},
@@ -257,6 +292,7 @@
 void entry_task::OnTick() {
   const time_point now = BootTimeNow();
   NotePause(now);
+  NoteLateness(now);
   directory_.Tick(sync_.store_away(), now);
   targets_.Tick();
   sync_.Tick();
@@ -269,6 +305,8 @@
 }
 
 void entry_task::OnSecond() {
+  lines_left_ = kLinesForChanges;
+  sync_.LogPeers();
   ledger_.Sweep(BootTimeNow());
   log_.ReportSkipped();
   CheckSettingsFile();
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -47,6 +47,7 @@
   nlohmann::json Targets() const;
   view_trust Trust();
   void NotePause(time_point now);
+  void NoteLateness(time_point now);
   void OnChanged(std::span<const store_item> items);
   void OnDirectoryChange(const directory_change& change);
   void OnSignal();
@@ -79,11 +80,14 @@
   loop_timer second_;
   time_point started_;
   time_point last_turn_;
+  time_point last_tick_;
+  time_point late_until_{};
   time_point untrusted_since_{};
   bool untrusted_ = false;
   bool cut_off_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
+  std::size_t lines_left_ = 0;  // of the items being applied
   time_point stop_began_{};
   std::int64_t settings_changed_ = 0;  // the file's time, nanoseconds
 };
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -49,6 +49,9 @@
 
   void Tick();
 
+  // Writes one line for the peers found and lost since the last call.
+  void LogPeers();
+
   // Returns what a peer asks for, as JSON.
   std::string ItemsAfter(std::uint64_t revision) const;
 
@@ -74,6 +77,7 @@
   void SendBeacon(std::span<const std::uint32_t> to, bool wants_answer);
   void SendNews();
   void OnBeaconTime();
+  void OnPeerChange(std::uint32_t address, const char* outcome);
   void LogStore(const char* outcome, const std::string& detail);
 
   event_loop& loop_;
@@ -95,6 +99,8 @@
   bool reading_ = false;
   bool store_lost_ = false;
   time_point last_news_{};
+  std::string peer_changes_;  // the first ones since the last line
+  std::size_t peer_change_count_ = 0;
   loop_timer read_timer_;
   loop_timer beacon_timer_;
 };
--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rosemaryreach {
@@ -32,11 +33,13 @@
 target_watch::target_watch(event_loop& loop,
                            const target_directory& directory,
                            flow_ledger& ledger,
+                           std::function<bool()> late,
                            entry_log& log,
                            entry_metrics& metrics)
     : loop_(loop),
       directory_(directory),
       ledger_(ledger),
+      late_(std::move(late)),
       log_(log),
       metrics_(metrics),
       prober_(loop, kMaxProbes) {}
@@ -100,6 +103,10 @@
     doubts_.erase(found);
     return;
   }
+  if (!reached && late_()) {
+    found->second.next = now + kHighestPause;
+    return;
+  }
   ledger_.TakeProbe(index, reached, now);
   const std::uint32_t failures = ledger_.contact(index).failed_probes;
   const duration doubted_for = now - found->second.since;
--- a/src/entryd/target_watch.h
+++ b/src/entryd/target_watch.h
@@ -16,9 +16,12 @@
 
 class target_watch {
  public:
+  // `late` tells whether this process ran late itself: a probe that fails then
+  // says nothing of its target.
   target_watch(event_loop& loop,
                const target_directory& directory,
                flow_ledger& ledger,
+               std::function<bool()> late,
                entry_log& log,
                entry_metrics& metrics);
 
@@ -52,6 +55,7 @@
   event_loop& loop_;
   const target_directory& directory_;
   flow_ledger& ledger_;
+  std::function<bool()> late_;
   entry_log& log_;
   entry_metrics& metrics_;
   connect_prober prober_;
