--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -76,7 +76,7 @@
   const bool now_leaving = summary.leaving && !known.summary.leaving;
   known = {summary, now};
   if (is_new || now_leaving) {
-    report_(summary.address, summary.leaving ? "peer_leaving" : "peer_found");
+    report_(summary.address, summary.leaving ? "leaving" : "found");
   }
 }
 
@@ -148,7 +148,7 @@
       ++one;
       continue;
     }
-    report_(one->first, "peer_silent");
+    report_(one->first, "silent");
     lost_[one->first] = {one->second.summary, now};
     one = peers_.erase(one);
   }
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -14,6 +14,8 @@
 constexpr int kPeerSocketBytes = 262'144;
 // Beacons are skipped when news went to everyone this recently.
 constexpr duration kNewsCountsAsBeacon = std::chrono::milliseconds(900);
+// Peers named in one line; the rest is counted.
+constexpr std::size_t kPeersInLine = 8;
 // Until a peer is known, seeds are asked this often.
 constexpr duration kSeedPeriod = std::chrono::milliseconds(300);
 
@@ -61,17 +63,12 @@
       metrics_(metrics),
       cache_(std::move(fingerprint)),
       follower_(BootTimeNow(), seed),
-      peers_(
-          SelfSummary(settings),
-          SeedAddresses(settings),
-          seed,
-          [this](std::uint32_t address, const char* outcome) {
-            const std::string peer = FormatIpv4Endpoint({address, 0});
-            const std::array<log_field, 3> fields = {
-                log_field{"peer", peer}, log_field{"outcome", outcome},
-                log_field{"peers", static_cast<std::int64_t>(peers_.size())}};
-            log_.Belief("peer", fields);
-          }),
+      peers_(SelfSummary(settings),
+             SeedAddresses(settings),
+             seed,
+             [this](std::uint32_t address, const char* outcome) {
+               OnPeerChange(address, outcome);
+             }),
       store_(std::make_unique<store_client>(loop, settings.store)),
       read_timer_(loop, [this] { Read(); }),
       beacon_timer_(loop, [this] { OnBeaconTime(); }) {}
@@ -302,6 +299,27 @@
   beacon_timer_.Start(alone ? kSeedPeriod : kBeaconPeriod);
 }
 
+void store_sync::OnPeerChange(std::uint32_t address, const char* outcome) {
+  if (++peer_change_count_ <= kPeersInLine) {
+    peer_changes_ += peer_changes_.empty() ? "" : ", ";
+    peer_changes_ += FormatIp(ToEndpoint({address, 0}).address);
+    peer_changes_ += std::string(" ") + outcome;
+  }
+}
+
+void store_sync::LogPeers() {
+  if (peer_change_count_ == 0) {
+    return;
+  }
+  const std::array<log_field, 3> fields = {
+      log_field{"outcome", peer_changes_},
+      log_field{"changes", static_cast<std::int64_t>(peer_change_count_)},
+      log_field{"peers", static_cast<std::int64_t>(peers_.size())}};
+  log_.Belief("peers", fields);
+  peer_changes_.clear();
+  peer_change_count_ = 0;
+}
+
 void store_sync::LogStore(const char* outcome, const std::string& detail) {
   const std::array<log_field, 4> fields = {
       log_field{"outcome", outcome}, log_field{"detail", detail},
