Add a fault soak of real processes

scripts/soak runs rosemaryreach-entry as separate processes among stand-ins of store, targets, callers and fabric; kills, freezes, stops and reloads them, fails the store and the link to it through a proxy, drains and silences targets, takes data centres out and changes the configuration, by seed and overlapping. It checks answers, runs, resets, drain and evacuation bounds while it runs and that everything is answered afterwards.

--- /dev/null
+++ b/tests/standins/soak.cc
@@ -0,0 +1,425 @@
+// soak: runs rosemaryreach-entry as separate processes in a world of stand-ins
+// and injects faults from outside, drawn from a seed. Checks what callers and
+// targets see while it runs, and that the system recovers at the end.
+#include <fcntl.h>
+#include <popt.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "standins/entry_world.h"
+#include "standins/tcp_proxy.h"
+
+extern char** environ;
+
+namespace rosemaryreach {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct soak_options {
+  std::string program;
+  std::string directory;
+  std::uint64_t seed = 1;
+  int seconds = 60;
+  int processes = 9;
+  int flows_per_second = 40;
+  bool check_times = true;
+};
+
+// One rosemaryreach-entry, started again whenever it ends.
+class entry_process {
+ public:
+  entry_process(const soak_options& options, std::string settings, int index)
+      : options_(options), settings_(std::move(settings)), index_(index) {
+    Start();
+  }
+  ~entry_process() {
+    kill(pid_, SIGCONT);
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  entry_process(const entry_process&) = delete;
+  entry_process& operator=(const entry_process&) = delete;
+
+  void Signal(int signal) const { kill(pid_, signal); }
+
+  // Starts the process again if it has ended; returns whether it ended.
+  bool Reap() {
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) != pid_) {
+      return false;
+    }
+    crashed_ = WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL;
+    failed_ = WIFEXITED(status) && WEXITSTATUS(status) != 0;
+    Start();
+    return true;
+  }
+
+  // Whether the last end was its own fault.
+  bool ended_badly() const { return crashed_ || failed_; }
+
+ private:
+  void Start() {
+    ++starts_;
+    const std::string log = options_.directory + "/e" + std::to_string(index_) +
+                            "." + std::to_string(starts_) + ".log";
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
+                                     O_CREAT | O_WRONLY, 0644);
+    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    std::string program = options_.program;
+    std::string option = "--settings";
+    std::array<char*, 4> arguments = {program.data(), option.data(),
+                                      settings_.data(), nullptr};
+    if (posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments.data(),
+                    environ) != 0) {
+      std::perror(program.c_str());
+      std::exit(2);
+    }
+    posix_spawn_file_actions_destroy(&files);
+  }
+
+  const soak_options& options_;
+  std::string settings_;
+  int index_;
+  int starts_ = 0;
+  pid_t pid_ = 0;
+  bool crashed_ = false;
+  bool failed_ = false;
+};
+
+class soak {
+ public:
+  explicit soak(const soak_options& options)
+      : options_(options),
+        random_(options.seed),
+        world_(loop_,
+               static_cast<std::size_t>(options.processes),
+               4,
+               options.seed),
+        opener_(loop_, [this] { OpenFlows(); }),
+        fault_timer_(loop_, [this] { NextFault(); }),
+        reaper_(loop_, [this] { Reap(); }) {
+    world_.SetCheckTimes(options.check_times);
+    proxy_ = std::make_unique<tcp_proxy>(loop_, world_.ProxyAddress(),
+                                         world_.StoreAddress());
+    world_.Configure();
+    for (int i = 0; i < 12; ++i) {
+      AddTarget(i % 4 == 3 ? "files" : "ledger", i);
+    }
+    for (int i = 0; i < options.processes; ++i) {
+      processes_.push_back(std::make_unique<entry_process>(
+          options_,
+          world_.WriteSettings(static_cast<std::size_t>(i), options.directory),
+          i));
+    }
+  }
+
+  // Runs to the end; returns whether every promise was kept.
+  bool Run() {
+    reaper_.StartEvery(milliseconds(50));
+    if (!WaitFor(seconds(30), [this] { return AllReady(); })) {
+      std::printf("not all instances became ready\n");
+      return false;
+    }
+    world_.SetDisturbed(false);
+    opener_.StartEvery(milliseconds(1'000 / options_.flows_per_second));
+    fault_timer_.Start(milliseconds(500));
+    const time_point end = loop_.now() + seconds(options_.seconds);
+    WaitFor(seconds(options_.seconds + 1), [&] { return loop_.now() >= end; });
+    faults_over_ = true;
+    const bool healed = WaitFor(
+        seconds(30), [this] { return running_faults_ == 0 && AllReady(); });
+    return Report(healed && Recovers());
+  }
+
+ private:
+  using action = std::function<void()>;
+
+  struct fault {
+    const char* name;
+    bool planned;                     // promises in time hold all the while
+    std::function<duration()> begin;  // returns how long it lasts
+    action end;
+  };
+
+  bool AllReady() const { return world_.fabric().ready() == processes_.size(); }
+
+  bool WaitFor(duration limit, const std::function<bool()>& done) {
+    const time_point end = loop_.now() + limit;
+    while (!done() && loop_.now() < end) {
+      loop_.RunOnce();
+    }
+    return done();
+  }
+
+  // After the faults every flow is answered again.
+  bool Recovers() {
+    WaitFor(seconds(5), [] { return false; });
+    const call_counts before = world_.counts();
+    WaitFor(seconds(3), [] { return false; });
+    opener_.Stop();
+    WaitFor(seconds(10), [this] { return world_.open_flows() == 0; });
+    const call_counts after = world_.counts();
+    const std::uint64_t lost = after.timeouts - before.timeouts +
+                               after.reset_open - before.reset_open +
+                               after.reset_opening - before.reset_opening;
+    std::printf("after the faults: %lu answered, %lu lost\n",
+                after.answered - before.answered, lost);
+    return after.answered > before.answered && lost == 0;
+  }
+
+  bool Report(bool recovered) {
+    for (const std::string& violation : world_.violations()) {
+      std::printf("broken: %s\n", violation.c_str());
+    }
+    const call_counts& counts = world_.counts();
+    std::printf(
+        "{\"seed\":%lu,\"faults\":%d,\"answered\":%lu,\"timeouts\":%lu,"
+        "\"reset_opening\":%lu,\"reset_open\":%lu,\"broken\":%zu,"
+        "\"bad_ends\":%d,\"recovered\":%s}\n",
+        options_.seed, faults_, counts.answered, counts.timeouts,
+        counts.reset_opening, counts.reset_open, world_.violations().size(),
+        bad_ends_, recovered ? "true" : "false");
+    return recovered && bad_ends_ == 0 && world_.violations().empty();
+  }
+
+  void OpenFlows() { world_.OpenFlow(); }
+
+  void Reap() {
+    for (const std::unique_ptr<entry_process>& process : processes_) {
+      if (process->Reap() && process->ended_badly()) {
+        ++bad_ends_;
+      }
+    }
+  }
+
+  std::uint64_t Draw(std::uint64_t below) { return random_() % below; }
+
+  duration Between(int lowest_ms, int highest_ms) {
+    return milliseconds(
+        lowest_ms + static_cast<int>(Draw(
+                        static_cast<std::uint64_t>(highest_ms - lowest_ms))));
+  }
+
+  entry_process& AnyProcess() { return *processes_[Draw(processes_.size())]; }
+
+  void AddTarget(const std::string& service, int i) {
+    static constexpr std::array<const char*, 3> kCentres = {"dc-a", "dc-b",
+                                                            "dc-c"};
+    world_.AddTarget(service, kCentres.at(static_cast<std::size_t>(i) % 3));
+  }
+
+  // Returns a target that neither drains nor is silent.
+  entry_target& AnyTarget() {
+    std::vector<entry_target*> usable;
+    for (const auto& [id, target] : world_.targets()) {
+      if (!target->draining() && !target->silent()) {
+        usable.push_back(target.get());
+      }
+    }
+    return *usable[Draw(usable.size())];
+  }
+
+  void NextFault() {
+    if (faults_over_) {
+      return;
+    }
+    fault_timer_.Start(Between(300, 2'500));
+    if (running_faults_ >= kMaxFaults) {
+      return;
+    }
+    Begin(DrawFault());
+  }
+
+  void Begin(const fault& drawn) {
+    ++faults_;
+    ++running_faults_;
+    unplanned_ += drawn.planned ? 0 : 1;
+    world_.SetDisturbed(unplanned_ > 0);
+    const duration lasts = drawn.begin();
+    std::printf("%s for %ld ms\n", drawn.name, lasts.count() / 1'000);
+    timers_.push_back(std::make_unique<loop_timer>(loop_, [this, drawn] {
+      drawn.end();
+      --running_faults_;
+      unplanned_ -= drawn.planned ? 0 : 1;
+      world_.SetDisturbed(unplanned_ > 0);
+    }));
+    timers_.back()->Start(lasts);
+  }
+
+  fault DrawFault() {
+    switch (Draw(10)) {
+      case 0:
+        return SignalFault("kill", false, SIGKILL, 0, 300, 800);
+      case 1:
+        return SignalFault("freeze", false, SIGSTOP, SIGCONT, 300, 4'000);
+      case 2:
+        return SignalFault("stop", true, SIGTERM, 0, 4'000, 7'000);
+      case 3:
+        return SignalFault("reload", true, SIGHUP, 0, 100, 200);
+      case 4:
+        return LinkFault();
+      case 5:
+        return StoreFault();
+      case 6:
+        return DrainFault();
+      case 7:
+        return SilenceFault();
+      case 8:
+        return EvacuationFault();
+      default:
+        return {"configuration", true,
+                [this] {
+                  world_.Configure();
+                  return duration(milliseconds(100));
+                },
+                [] {}};
+    }
+  }
+
+  fault SignalFault(const char* name,
+                    bool planned,
+                    int first,
+                    int last,
+                    int lowest_ms,
+                    int highest_ms) {
+    entry_process& process = AnyProcess();
+    return {name, planned,
+            [this, &process, first, lowest_ms, highest_ms] {
+              process.Signal(first);
+              return Between(lowest_ms, highest_ms);
+            },
+            [&process, last] {
+              if (last != 0) {
+                process.Signal(last);
+              }
+            }};
+  }
+
+  fault LinkFault() {
+    const link_fault how = static_cast<link_fault>(1 + Draw(4));
+    return {"store link", false,
+            [this, how] {
+              proxy_->SetFault(how);
+              return Between(500, 4'000);
+            },
+            [this] { proxy_->SetFault(link_fault::kNone); }};
+  }
+
+  fault StoreFault() {
+    const bool compacts = Draw(2) == 0;
+    return {"store", false,
+            [this, compacts] {
+              world_.store().SetFault(store_fault::kBusy);
+              if (compacts) {
+                world_.store().Compact();
+              }
+              return Between(500, 4'000);
+            },
+            [this] { world_.store().SetFault(store_fault::kNone); }};
+  }
+
+  // A replacement joins first, the target drains and leaves.
+  fault DrainFault() {
+    entry_target& target = AnyTarget();
+    const std::string id = target.options().id;
+    return {"drain", true,
+            [this, &target] {
+              world_.AddTarget(target.options().service,
+                               target.options().data_centre);
+              target.Drain();
+              return Between(4'500, 6'000);
+            },
+            [this, id] { world_.EndTarget(id); }};
+  }
+
+  fault SilenceFault() {
+    entry_target& target = AnyTarget();
+    const std::string id = target.options().id;
+    return {"target silent", false,
+            [this, &target] {
+              world_.AddTarget(target.options().service,
+                               target.options().data_centre);
+              target.Silence();
+              return Between(800, 3'000);
+            },
+            [this, id] { world_.EndTarget(id); }};
+  }
+
+  fault EvacuationFault() {
+    const std::string data_centre = "dc-" + std::string(1, "abc"[Draw(3)]);
+    return {"data centre out", true,
+            [this, data_centre] {
+              world_.Evacuate(data_centre, true);
+              return Between(5'500, 8'000);
+            },
+            [this, data_centre] { world_.Evacuate(data_centre, false); }};
+  }
+
+  static constexpr int kMaxFaults = 3;
+
+  soak_options options_;
+  std::mt19937_64 random_;
+  event_loop loop_;
+  entry_world world_;
+  std::unique_ptr<tcp_proxy> proxy_;
+  std::vector<std::unique_ptr<entry_process>> processes_;
+  std::vector<std::unique_ptr<loop_timer>> timers_;
+  loop_timer opener_;
+  loop_timer fault_timer_;
+  loop_timer reaper_;
+  int faults_ = 0;
+  int running_faults_ = 0;
+  int unplanned_ = 0;
+  int bad_ends_ = 0;
+  bool faults_over_ = false;
+};
+
+int Main(int argc, const char** argv) {
+  soak_options options;
+  char* program = nullptr;
+  char* directory = nullptr;
+  long seed = 1;
+  int no_times = 0;
+  const std::vector<poptOption> table = {
+      {"program", 'p', POPT_ARG_STRING, &program, 0, "the entry program", ""},
+      {"directory", 'd', POPT_ARG_STRING, &directory, 0, "for logs", ""},
+      {"seed", 's', POPT_ARG_LONG, &seed, 0, "draws the faults", ""},
+      {"seconds", 't', POPT_ARG_INT, &options.seconds, 0, "of faults", ""},
+      {"processes", 'n', POPT_ARG_INT, &options.processes, 0, "instances", ""},
+      {"no-times", 0, POPT_ARG_NONE, &no_times, 0,
+       "leave out bounds in time, for a busy machine", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("soak", argc, argv, table.data(), 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  if (parsed != -1 || program == nullptr || directory == nullptr) {
+    std::fprintf(stderr, "soak: --program and --directory are needed\n");
+    return 2;
+  }
+  options.program = program;
+  options.directory = directory;
+  options.seed = static_cast<std::uint64_t>(seed);
+  options.check_times = no_times == 0;
+  std::filesystem::create_directories(options.directory);
+  return soak(options).Run() ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace rosemaryreach
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  return rosemaryreach::Main(argc, const_cast<const char**>(argv));
+}
