--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -39,6 +39,7 @@
 struct flow_state {
   target_index target = kNoTarget;
   flow_phase phase = flow_phase::kOpening;
+  bool stalled = false;  // in this phase
   std::uint8_t tried_count = 0;
   std::array<target_index, kMaxTriedTargets> tried{};
   time_point phase_began{};
@@ -56,6 +57,9 @@
   std::function<void(target_index, const char* reason)> doubted;
   // A flow's first packet was answered after this time.
   std::function<void(duration)> opened;
+  // A flow's data was sent again after this time without an answer; called
+  // once a request.
+  std::function<void(const flow_key&, target_index, duration)> stalled;
   // A request showed the first sign of an answer after this time.
   std::function<void(duration)> answered;
 };
@@ -100,6 +104,7 @@
   void Enter(flow_state& flow, flow_phase phase, time_point now);
   void Answer(target_contact& contact, time_point now);
   void SeeData(flow_state& flow, const flow_packet& packet, time_point now);
+  void SeeRepeat(flow_state& flow, const flow_key& key, time_point now);
 
   std::size_t max_flows_;
   ledger_hooks hooks_;
--- a/src/entry/flow_ledger.cc
+++ b/src/entry/flow_ledger.cc
@@ -1,6 +1,7 @@
 #include "rosemaryreach/flow_ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemaryreach {
 namespace {
@@ -128,9 +129,20 @@
     }
     return;
   }
-  const bool repeated = flow.phase == flow_phase::kRunning &&
-                        now - flow.phase_began >= kRepeatTime;
-  if (repeated && Contact(flow.target).answered < flow.phase_began) {
+  SeeRepeat(flow, packet.flow, now);
+}
+
+void flow_ledger::SeeRepeat(flow_state& flow,
+                            const flow_key& key,
+                            time_point now) {
+  const duration waited = now - flow.phase_began;
+  if (flow.phase != flow_phase::kRunning || waited < kRepeatTime) {
+    return;
+  }
+  if (!std::exchange(flow.stalled, true)) {
+    hooks_.stalled(key, flow.target, waited);
+  }
+  if (Contact(flow.target).answered < flow.phase_began) {
     Doubt(flow.target, "data sent again without an answer since");
   }
 }
@@ -162,6 +174,7 @@
 void flow_ledger::Enter(flow_state& flow, flow_phase phase, time_point now) {
   target_contact& contact = Contact(flow.target);
   flow.phase = phase;
+  flow.stalled = false;
   flow.phase_began = now;
   flow.last_packet = now;
   if (phase == flow_phase::kOpening) {
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -14,6 +14,9 @@
 entry_metrics::entry_metrics(metrics_registry& registry)
     : malformed(registry.Counter({"rosemaryreach_entry_malformed_total",
                                   "Datagrams that are no packets."})),
+      stalled(registry.Counter(
+          {"rosemaryreach_entry_stalled_total",
+           "Requests whose data was sent again without an answer."})),
       probes(registry.Counter({"rosemaryreach_entry_probes_total",
                                "Connections tried to doubted targets."})),
       peer_datagrams_sent(
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -19,6 +19,7 @@
   counter& StoreCalls(const char* outcome);
 
   counter& malformed;
+  counter& stalled;
   counter& probes;
   counter& peer_datagrams_sent;
   counter& peer_datagrams_received;
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -79,18 +79,22 @@
                  [this](const directory_change& change) {
                    OnDirectoryChange(change);
                  }),
-      ledger_(kMaxFlows,
-              {[this](target_index target, const char* reason) {
-                 targets_.Doubt(target, reason);
-               },
-               [this](duration time) {
-                 metrics_.open_seconds.Observe(
-                     std::chrono::duration<double>(time).count());
-               },
-               [this](duration time) {
-                 metrics_.request_seconds.Observe(
-                     std::chrono::duration<double>(time).count());
-               }}),
+      ledger_(
+          kMaxFlows,
+          {[this](target_index target, const char* reason) {
+             targets_.Doubt(target, reason);
+           },
+           [this](duration time) {
+             metrics_.open_seconds.Observe(
+                 std::chrono::duration<double>(time).count());
+           },
+           [this](const flow_key& key, target_index target, duration waited) {
+             OnStalled(key, target, waited);
+           },
+           [this](duration time) {
+             metrics_.request_seconds.Observe(
+                 std::chrono::duration<double>(time).count());
+           }}),
       targets_(
           loop_,
           directory_,
@@ -235,6 +239,22 @@
   log_.Belief("directory", fields);
 }
 
+void entry_task::OnStalled(const flow_key& key,
+                           target_index target,
+                           duration waited) {
+  metrics_.stalled.Add();
+  if (!log_.WantsFlow(true, BootTimeNow())) {
+    return;
+  }
+  const std::string flow = FormatFlow(key);
+  const std::array<log_field, 5> fields = {
+      log_field{"flow", flow},
+      log_field{"target", directory_.Find(target)->record.id},
+      log_field{"rule", "no_answer"}, log_field{"outcome", "stalled"},
+      log_field{"waited_ms", Millis(waited)}};
+  log_.Flow(fields);
+}
+
 void entry_task::OnSignal() {
   for (int signal = signals_.Read(); signal != 0; signal = signals_.Read()) {
     if (signal == SIGHUP) {
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -50,6 +50,7 @@
   void NoteLateness(time_point now);
   void OnChanged(std::span<const store_item> items);
   void OnDirectoryChange(const directory_change& change);
+  void OnStalled(const flow_key& key, target_index target, duration waited);
   void OnSignal();
   void BeginStop();
   void CheckStop(time_point now);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -86,11 +86,13 @@
   target_directory directory{
       std::chrono::seconds(75),
       [this](const directory_change& change) { changes.push_back(change); }};
-  flow_ledger ledger{1'000,
-                     {[this](target_index target, const char* /*reason*/) {
-                        doubted.push_back(target);
-                      },
-                      [](duration) {}, [](duration) {}}};
+  flow_ledger ledger{
+      1'000,
+      {[this](target_index target, const char* /*reason*/) {
+         doubted.push_back(target);
+       },
+       [](duration) {}, [](const flow_key&, target_index, duration) {},
+       [](duration) {}}};
   std::uint32_t instances_here = 1;
   bool owns = true;
   target_picker picker{directory,
--- /dev/null
+++ b/tests/entry_path_fixture.h
@@ -0,0 +1,126 @@
+// Entry instances on threads of their own, and a world of stand-ins.
+#ifndef ROSEMARYREACH_TESTS_ENTRY_PATH_FIXTURE_H_
+#define ROSEMARYREACH_TESTS_ENTRY_PATH_FIXTURE_H_
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "adapters/json_log.h"
+#include "entryd/entry_task.h"
+#include "platform_settings_file.h"
+#include "standins/entry_world.h"
+#include "temporary_directory.h"
+
+namespace rosemaryreach {
+
+// Some entry instances, each on a thread of its own, and a world around them.
+class path_scene {
+ public:
+  explicit path_scene(std::size_t instances)
+      : world_(loop_, instances, 2, 1), running_(instances) {
+    world_.Configure();
+    for (const char* data_centre : {"dc-a", "dc-b", "dc-c"}) {
+      world_.AddTarget("ledger", data_centre);
+      world_.AddTarget("files", data_centre);
+    }
+  }
+
+  ~path_scene() {
+    for (std::size_t i = 0; i < running_.size(); ++i) {
+      Stop(i);
+    }
+  }
+
+  path_scene(const path_scene&) = delete;
+  path_scene& operator=(const path_scene&) = delete;
+
+  void Start(std::size_t i) {
+    const std::string file = world_.WriteSettings(i, directory_.path());
+    const entry_settings settings = LoadEntrySettings(file).value();
+    running_[i] = std::make_unique<running_instance>(settings, file);
+  }
+
+  void Stop(std::size_t i) { running_[i].reset(); }
+
+  // Serves the world until `done` or a minute has passed.
+  bool RunUntil(const std::function<bool()>& done) {
+    const time_point end = loop_.now() + std::chrono::minutes(1);
+    while (!done() && loop_.now() < end) {
+      loop_.RunOnce();
+    }
+    return done();
+  }
+
+  // Opens `flows` flows, some a second, and waits until all are over.
+  bool Call(std::size_t flows) {
+    std::size_t opened = 0;
+    loop_timer opener(loop_, [&] {
+      if (opened++ < flows) {
+        world_.OpenFlow();
+      }
+    });
+    opener.StartEvery(std::chrono::milliseconds(5));
+    return RunUntil(
+        [&] { return opened >= flows && world_.open_flows() == 0; });
+  }
+
+  // Returns the lines that instance `i` has logged so far.
+  std::vector<nlohmann::json> Lines(std::size_t i) {
+    const std::lock_guard<std::mutex> lock(running_[i]->mutex);
+    return running_[i]->lines;
+  }
+
+  // Returns the first line of instance `i` with these members; null if none.
+  nlohmann::json FindLine(std::size_t i, const nlohmann::json& members) {
+    for (const nlohmann::json& line : Lines(i)) {
+      nlohmann::json both = line;
+      both.update(members);
+      if (both == line) {
+        return line;
+      }
+    }
+    return nullptr;
+  }
+
+  event_loop& loop() { return loop_; }
+  entry_world& world() { return world_; }
+
+ private:
+  struct running_instance {
+    running_instance(const entry_settings& settings, const std::string& file)
+        : task(settings, {file, 0}, signals, log, 1) {
+      REQUIRE(task.Start());
+      thread = std::thread([this] { task.Run(); });
+    }
+    ~running_instance() {
+      task.Stop();
+      thread.join();
+    }
+    running_instance(const running_instance&) = delete;
+    running_instance& operator=(const running_instance&) = delete;
+
+    signal_descriptor signals;
+    std::mutex mutex;
+    std::vector<nlohmann::json> lines;  // Guarded by mutex.
+    json_log log{{log_level::kInfo, 1}, "e", [this](const std::string& line) {
+                   const std::lock_guard<std::mutex> lock(mutex);
+                   lines.push_back(nlohmann::json::parse(line));
+                 }};
+    entry_task task;
+    std::thread thread;
+  };
+
+  event_loop loop_;
+  temporary_directory directory_;
+  entry_world world_;
+  std::vector<std::unique_ptr<running_instance>> running_;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_TESTS_ENTRY_PATH_FIXTURE_H_
--- a/tests/flow_ledger_test.cc
+++ b/tests/flow_ledger_test.cc
@@ -14,11 +14,15 @@
   std::vector<target_index> doubted;
   std::vector<duration> opened;
   std::vector<duration> answered;
+  std::vector<flow_key> stalled;
   flow_ledger ledger{100,
                      {[this](target_index target, const char* /*reason*/) {
                         doubted.push_back(target);
                       },
                       [this](duration time) { opened.push_back(time); },
+                      [this](const flow_key& key, target_index, duration) {
+                        stalled.push_back(key);
+                      },
                       [this](duration time) { answered.push_back(time); }}};
 };
 
@@ -73,6 +77,8 @@
   CHECK(scene.doubted.empty());
   scene.ledger.See(data, kOne, At(1'200));
   CHECK(scene.doubted == std::vector<target_index>{kOne});
+  scene.ledger.See(data, kOne, At(1'600));
+  CHECK(scene.stalled == std::vector<flow_key>{Flow(1)});
 }
 
 TEST_CASE("A probe or an answer ends doubt") {
--- a/tests/standins/entry_caller.h
+++ b/tests/standins/entry_caller.h
@@ -254,15 +254,16 @@
                     .value()),
         watch_(loop, socket_.fd(), watch_for::kRead, [this] { OnPackets(); }) {}
 
-  void Open(const ipv4_endpoint& destination,
-            std::vector<std::string> requests,
-            duration pause,
-            entry_flow::report_hook report) {
+  flow_key Open(const ipv4_endpoint& destination,
+                std::vector<std::string> requests,
+                duration pause,
+                entry_flow::report_hook report) {
     std::erase_if(flows_, [](const auto& one) { return one.second->over(); });
     const flow_key key{{address_.address, ++next_port_}, destination};
     flows_[next_port_] = std::make_unique<entry_flow>(
         loop_, fabric_, socket_.fd(), key, std::move(requests), pause,
         std::move(report));
+    return key;
   }
 
   std::size_t open() const {
--- a/tests/standins/entry_world.h
+++ b/tests/standins/entry_world.h
@@ -137,6 +137,18 @@
                 [this](const call_report& report) { OnCall(report); });
   }
 
+  // Opens one flow whose reports go to `report`; returns its ends.
+  flow_key OpenCall(const ipv4_endpoint& to,
+                    std::vector<std::string> requests,
+                    entry_flow::report_hook report) {
+    return callers_[0]->Open(to, std::move(requests),
+                             std::chrono::milliseconds(50), std::move(report));
+  }
+
+  endpoint ControlAddress(std::size_t i) const {
+    return {addresses_[i], kControlPort};
+  }
+
   // Notes that faults are on: bounds in time don't count until some seconds
   // after they end.
   void SetDisturbed(bool disturbed) {
