Relay large configurations deflated, from large instances first

Change: peers' answers are deflated and kept for those who ask the same, larger instances read the store first, a configuration is decoded once, three probes must fail (half a second).

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,12 +1,15 @@
 # rosemaryreach-entry and what it needs, and nothing of the other planes.
 find_package(yaml-cpp REQUIRED)
+find_package(ZLIB REQUIRED)
 rr_library(yaml yaml-cpp STATIC yaml-cpp)
+rr_library(zlib ZLIB::ZLIB STATIC z)
 
 # rr_io: the adapters that the daemon and the entry program share.
 add_library(
   rr_io STATIC
   src/adapters/admin_server.cc
   src/adapters/connect_prober.cc
+  src/adapters/deflate.cc
   src/adapters/event_loop.cc
   src/adapters/http_get.cc
   src/adapters/json_log.cc
@@ -17,7 +20,7 @@
   src/config/json_text.cc)
 target_include_directories(rr_io PUBLIC include PRIVATE src)
 target_link_libraries(
-  rr_io PUBLIC rr_core rr_easylogging rr_lib_event rr_lib_crypto
+  rr_io PUBLIC rr_core rr_easylogging rr_lib_event rr_lib_crypto rr_lib_zlib
                Threads::Threads)
 
 rr_module(entry rr_core rr_lib_hash_map)
--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -121,11 +121,12 @@
 struct entry_settings {
   std::string instance;
   std::string data_centre;
-  endpoint packets;             // UDP, from the fabric
-  endpoint ready;               // HTTP, readiness
-  endpoint control;             // HTTP, what peers and operators ask
-  std::uint16_t peer_port = 0;  // UDP, between instances
-  std::vector<endpoint> seeds;  // control addresses of some instances
+  std::uint32_t capacity = 1'000;  // thousandths of a core
+  endpoint packets;                // UDP, from the fabric
+  endpoint ready;                  // HTTP, readiness
+  endpoint control;                // HTTP, what peers and operators ask
+  std::uint16_t peer_port = 0;     // UDP, between instances
+  std::vector<endpoint> seeds;     // control addresses of some instances
   endpoint store;
   entry_bounds bounds;
 
--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -112,9 +112,9 @@
   std::vector<target_contact> contacts_;
 };
 
-// Probes in a row that must fail before a target counts as out of reach; one
-// may be lost.
-inline constexpr std::uint32_t kUnreachableProbes = 2;
+// Probes in a row that must fail before a target counts as out of reach: with
+// the pauses between them half a second, which a full link may hold packets.
+inline constexpr std::uint32_t kUnreachableProbes = 3;
 
 // Returns whether probes show that the target can't be reached from here.
 inline bool Unreachable(const target_contact& contact) {
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -23,6 +23,7 @@
   std::uint64_t incarnation = 0;
   std::uint32_t beats = 0;
   std::uint32_t data_centre = 0;  // hash of its name
+  std::uint32_t capacity = 0;     // thousandths of a core
   bool leaving = false;
 
   bool operator==(const peer_summary&) const = default;
--- a/src/adapters/admin_server.cc
+++ b/src/adapters/admin_server.cc
@@ -26,6 +26,7 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr const char* kJsonType = "application/json";
+constexpr const char* kBinaryType = "application/octet-stream";
 constexpr const char* kTextType = "text/plain; version=0.0.4";
 
 // One finished answer.
@@ -119,7 +120,7 @@
     return {kOk, kTextType, hooks.metrics()};
   }
   if (path == "/v1/items" && hooks.items) {
-    return {kOk, kJsonType, hooks.items(query.Number("after"))};
+    return {kOk, kBinaryType, hooks.items(query.Number("after"))};
   }
   if (path == "/v1/flows/explain" && hooks.explain_flow) {
     return ExplainFlow(hooks, query);
--- a/src/adapters/admin_server.h
+++ b/src/adapters/admin_server.h
@@ -51,7 +51,7 @@
   std::function<nlohmann::json()> configuration;
   std::function<nlohmann::json()> verdicts;
   std::function<nlohmann::json()> targets;
-  // What a peer asks: the items that changed after a revision, as JSON text.
+  // What a peer asks: the items that changed after a revision, deflated.
   std::function<std::string(std::uint64_t after)> items;
   std::function<result<nlohmann::json>(const flow_question&)> explain_flow;
   std::function<result<nlohmann::json>(const request_question&)>
--- a/src/entry/beacon_codec.cc
+++ b/src/entry/beacon_codec.cc
@@ -8,13 +8,13 @@
 
 using json = nlohmann::json;
 
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 constexpr std::size_t kBeaconMembers = 7;
-constexpr std::size_t kSummaryMembers = 5;
+constexpr std::size_t kSummaryMembers = 6;
 
 json ToJson(const peer_summary& summary) {
   return json::array({summary.address, summary.incarnation, summary.beats,
-                      summary.data_centre, summary.leaving});
+                      summary.data_centre, summary.capacity, summary.leaving});
 }
 
 peer_summary ToSummary(const json& array) {
@@ -23,7 +23,7 @@
   }
   return {array.at(0).get<std::uint32_t>(), array.at(1).get<std::uint64_t>(),
           array.at(2).get<std::uint32_t>(), array.at(3).get<std::uint32_t>(),
-          array.at(4).get<bool>()};
+          array.at(4).get<std::uint32_t>(), array.at(5).get<bool>()};
 }
 
 beacon ToBeacon(const json& array) {
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -28,6 +28,14 @@
                                         : a.beats > b.beats;
 }
 
+// Returns whether `a` reads the store before `b`: larger instances first,
+// since a large configuration keeps a small one busy for tenths of a second.
+bool ReadsBefore(const peer_summary& a, const peer_summary& b) {
+  return a.capacity != b.capacity
+             ? a.capacity > b.capacity
+             : HashPair(a.address, 0) < HashPair(b.address, 0);
+}
+
 }  // namespace
 
 peer_group::peer_group(const peer_summary& self,
@@ -158,10 +166,9 @@
 }
 
 std::uint32_t peer_group::Rank() const {
-  const std::uint64_t mine = HashPair(self_.address, 0);
   std::uint32_t rank = 0;
   for (const auto& [address, peer] : peers_) {
-    if (!peer.summary.leaving && HashPair(address, 0) < mine) {
+    if (!peer.summary.leaving && ReadsBefore(peer.summary, self_)) {
       ++rank;
     }
   }
@@ -227,8 +234,8 @@
 void peer_group::AddFirstReaders(address_list& to) const {
   address_list readers = All();
   std::sort(readers.begin(), readers.end(),
-            [](std::uint32_t a, std::uint32_t b) {
-              return HashPair(a, 0) < HashPair(b, 0);
+            [this](std::uint32_t a, std::uint32_t b) {
+              return ReadsBefore(peers_.at(a).summary, peers_.at(b).summary);
             });
   readers.resize(std::min(readers.size(), kFirstReaders));
   for (const std::uint32_t address : readers) {
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -105,9 +105,7 @@
       sync_(
           loop_,
           settings,
-          [](const store_item& item) {
-            return FingerprintOf(DecodeItem(item));
-          },
+          FingerprintItem,
           [this](std::span<const store_item> items) { OnChanged(items); },
           log_,
           metrics_,
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "adapters/deflate.h"
 #include "store_documents.h"
 
 namespace rosemaryreach {
@@ -34,6 +35,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
           std::chrono::system_clock::now().time_since_epoch())
           .count());
+  self.capacity = settings.capacity;
   self.data_centre =
       static_cast<std::uint32_t>(HashBytes(settings.data_centre));
   return self;
@@ -115,8 +117,15 @@
   }
 }
 
-std::string store_sync::ItemsAfter(std::uint64_t revision) const {
-  return EncodeAnswer(cache_.ChangedAfter(revision));
+const std::string& store_sync::ItemsAfter(std::uint64_t revision) {
+  const bool same = revision == served_after_ &&
+                    cache_.changed() == served_changed_ && !served_.empty();
+  if (!same) {
+    served_ = Deflate(EncodeAnswer(cache_.ChangedAfter(revision)));
+    served_after_ = revision;
+    served_changed_ = cache_.changed();
+  }
+  return served_;
 }
 
 void store_sync::Arm() {
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -52,8 +52,8 @@
   // Writes one line for the peers found and lost since the last call.
   void LogPeers();
 
-  // Returns what a peer asks for, as JSON.
-  std::string ItemsAfter(std::uint64_t revision) const;
+  // Returns what a peer asks for, deflated. After a change many ask the same.
+  const std::string& ItemsAfter(std::uint64_t revision);
 
   const peer_group& peers() const { return peers_; }
   time_point known_at() const { return follower_.known_at(); }
@@ -98,6 +98,9 @@
   time_point asked_{};
   bool reading_ = false;
   bool store_lost_ = false;
+  std::string served_;  // the last answer of ItemsAfter()
+  std::uint64_t served_after_ = 0;
+  std::uint64_t served_changed_ = 0;
   time_point last_news_{};
   std::string peer_changes_;  // the first ones since the last line
   std::size_t peer_change_count_ = 0;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -70,11 +70,12 @@
     directory.Apply({}, evacuation_item{data_centre, out}, now);
   }
 
-  // Makes a target unreachable, as two failed probes do.
+  // Makes a target unreachable, as failed probes do.
   void CutOffTarget(target_index target, time_point now) {
     ledger.Doubt(target, "test");
-    ledger.TakeProbe(target, false, now);
-    ledger.TakeProbe(target, false, now);
+    for (std::uint32_t i = 0; i < kUnreachableProbes; ++i) {
+      ledger.TakeProbe(target, false, now);
+    }
   }
 
   packet_decision Direct(const flow_packet& packet, time_point now) {
--- a/tests/flow_ledger_test.cc
+++ b/tests/flow_ledger_test.cc
@@ -85,8 +85,9 @@
   ledger_scene scene;
   scene.ledger.Doubt(kOne, "test");
   scene.ledger.TakeProbe(kOne, false, At(100));
-  CHECK_FALSE(Unreachable(scene.ledger.contact(kOne)));
   scene.ledger.TakeProbe(kOne, false, At(200));
+  CHECK_FALSE(Unreachable(scene.ledger.contact(kOne)));
+  scene.ledger.TakeProbe(kOne, false, At(250));
   CHECK(Unreachable(scene.ledger.contact(kOne)));
   scene.ledger.TakeProbe(kOne, true, At(300));
   CHECK_FALSE(scene.ledger.contact(kOne).doubted);
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -167,6 +167,19 @@
   }
 }
 
+TEST_CASE("Larger instances read the store first") {
+  peer_summary small = Summary(1);
+  small.capacity = 38;
+  peer_group group(small, {}, 1, [](std::uint32_t, const char*) {});
+  beacon other;
+  for (std::uint32_t address = 2; address < 6; ++address) {
+    other.from = Summary(address);
+    other.from.capacity = 500;
+    group.Hear(other, At(0));
+  }
+  CHECK(group.Rank() == 4);
+}
+
 TEST_CASE("Beacons survive their encoding") {
   beacon made;
   made.from = Summary(0xC0A80001);
--- a/tests/platform_settings_file_test.cc
+++ b/tests/platform_settings_file_test.cc
@@ -20,6 +20,8 @@
   - "10.2.0.40:8166"
 dataDir: null
 somethingNew: [1, 2]
+limits:
+  cpuShare: 0.038
 bounds:
   gracePeriodS: 6
   flowTtlS: 60
@@ -34,6 +36,7 @@
   const entry_settings& settings = read.value();
   CHECK(settings.instance == "front-a-1");
   CHECK(settings.data_centre == "a");
+  CHECK(settings.capacity == 38);
   CHECK(FormatEndpoint(settings.packets) == "10.1.0.10:8172");
   CHECK(FormatEndpoint(settings.ready) == "10.1.0.10:8167");
   CHECK(FormatEndpoint(settings.control) == "10.1.0.10:8166");
