Hold packets at start until the first view

Change: packets wait in the socket until the view is known, 300 ms at most; the first read starts after 5 to 20 ms instead of 15 to 55.

--- a/src/entry/store_follower.cc
+++ b/src/entry/store_follower.cc
@@ -9,8 +9,8 @@
 constexpr duration kHighestBackoff = std::chrono::seconds(2);
 // Peers that know the store answer within a few milliseconds; the rest of this
 // spreads a start of all instances at once.
-constexpr duration kFirstReadLowest = std::chrono::milliseconds(15);
-constexpr duration::rep kFirstReadSpread = 40'000;  // microseconds
+constexpr duration kFirstReadLowest = std::chrono::milliseconds(5);
+constexpr duration::rep kFirstReadSpread = 15'000;  // microseconds
 
 }  // namespace
 
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t kLinesForChanges = 24;
 // Ticks late by more than this mean that the process stood still.
 constexpr duration kPause = std::chrono::seconds(1);
+// Packets that come before the first view wait this long for it: less than
+// until their callers send them again, twice.
+constexpr duration kHoldAtStart = std::chrono::milliseconds(300);
 // After a pause old knowledge is used again if nothing newer comes.
 constexpr duration kSettleTime = std::chrono::milliseconds(400);
 // A view older than this may lack a route that callers know already.
@@ -217,6 +220,9 @@
   for (const store_item& item : items) {
     directory_.Apply(item, DecodeItem(item), now);
   }
+  if (directory_.complete()) {
+    ReleasePackets("configuration and targets are known");
+  }
   if (items.size() > kLinesForChanges) {
     LogLife("changes_taken",
             std::to_string(items.size()) + " items, the first are logged");
@@ -224,6 +230,13 @@
   lines_left_ = kLinesForChanges;
 }
 
+void entry_task::ReleasePackets(const char* why) {
+  if (!packets_.released()) {
+    packets_.Release();
+    LogLife("serving", why);
+  }
+}
+
 void entry_task::OnDirectoryChange(const directory_change& change) {
   if (lines_left_ == 0) {
     return;
@@ -311,6 +324,9 @@
   const time_point now = BootTimeNow();
   NotePause(now);
   NoteLateness(now);
+  if (now - started_ >= kHoldAtStart) {
+    ReleasePackets("no view of the store came in time");
+  }
   directory_.Tick(sync_.store_away(), now);
   targets_.Tick();
   sync_.Tick();
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -48,6 +48,7 @@
   view_trust Trust();
   void NotePause(time_point now);
   void NoteLateness(time_point now);
+  void ReleasePackets(const char* why);
   void OnChanged(std::span<const store_item> items);
   void OnDirectoryChange(const directory_change& change);
   void OnStalled(const flow_key& key, target_index target, duration waited);
--- a/src/entryd/packet_port.cc
+++ b/src/entryd/packet_port.cc
@@ -40,9 +40,12 @@
                                             kPacketSocketBytes));
   socket_ = std::move(bound);
   sending_ = std::make_unique<send_batch>(socket_->fd());
+  return success();
+}
+
+void packet_port::Release() {
   watch_ = std::make_unique<descriptor_watch>(
       loop_, socket_->fd(), watch_for::kRead, [this] { OnPackets(); });
-  return success();
 }
 
 void packet_port::OnPackets() {
--- a/src/entryd/packet_port.h
+++ b/src/entryd/packet_port.h
@@ -24,8 +24,13 @@
               entry_log& log,
               entry_metrics& metrics);
 
+  // Binds the socket. Packets wait in it until Release().
   result<void> Start();
 
+  // Begins to serve packets.
+  void Release();
+  bool released() const { return watch_ != nullptr; }
+
   // When the last packet of a caller came; the start before the first.
   time_point last_packet() const { return last_packet_; }
 
