Hold back targets that probes reach and flows do not

Each probe ended the doubt, and a caller lost 200 ms with each new try (50 late in the window of 12 s). Ruled out: the choice among targets. Change: a doubt within 3 s of a probe's word holds the target back for 0.5 s, doubling to 8 s; doubt_history_test plays the load.

--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -54,6 +54,7 @@
   added.cookie = known->cookie;
   added.since = now;
   added.next = now;
+  added.held_until = now + history_.OnDoubt(known->cookie, now);
   Log(target, "target_doubted", reason, duration(0));
   Probe(target, added);
 }
@@ -107,12 +108,17 @@
     found->second.next = now + kHighestPause;
     return;
   }
+  if (reached && now < found->second.held_until) {
+    found->second.next = found->second.held_until;
+    return;
+  }
   ledger_.TakeProbe(index, reached, now);
   const std::uint32_t failures = ledger_.contact(index).failed_probes;
   const duration doubted_for = now - found->second.since;
   const std::string data_centre = directory_.Find(index)->record.data_centre;
   if (reached) {
     doubts_.erase(found);
+    history_.OnTrust(cookie, now);
     ProbeDataCentre(data_centre, now);
     Log(index, "target_trusted", "a probe reached it", doubted_for);
     return;
--- a/src/entryd/target_watch.h
+++ b/src/entryd/target_watch.h
@@ -9,6 +9,7 @@
 #include "adapters/event_loop.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
+#include "rosemaryreach/doubt_history.h"
 #include "rosemaryreach/flow_ledger.h"
 #include "rosemaryreach/target_directory.h"
 
@@ -36,6 +37,7 @@
     std::uint32_t cookie = 0;  // the index may be given to another target
     time_point since{};
     time_point next{};
+    time_point held_until{};  // whatever probes say
     bool probing = false;
   };
 
@@ -59,6 +61,7 @@
   entry_log& log_;
   entry_metrics& metrics_;
   connect_prober prober_;
+  doubt_history history_;
   std::map<target_index, doubt> doubts_;
 };
 
