End in time when nobody reads the log, test the program as a process

Cause: the writer of the log waits for its output at the end; with a pipe that nobody reads a planned stop would have ended only by SIGKILL.

--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -126,6 +126,12 @@
   filled_.notify_one();
 }
 
+bool background_writer::WaitWritten(std::chrono::milliseconds limit) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  return written_.wait_for(lock, limit,
+                           [this] { return lines_.empty() && !writing_; });
+}
+
 void background_writer::Run() {
   std::uint64_t reported = 0;
   std::unique_lock<std::mutex> lock(mutex_);
@@ -133,6 +139,7 @@
     filled_.wait(lock, [this] { return stopping_ || !lines_.empty(); });
     const std::deque<std::string> lines = std::exchange(lines_, {});
     const bool last = stopping_;
+    writing_ = true;
     lock.unlock();
     for (const std::string& line : lines) {
       write_(line);
@@ -145,6 +152,8 @@
                    {"total", dropped}}));
     }
     lock.lock();
+    writing_ = false;
+    written_.notify_all();
     if (last && lines_.empty()) {
       return;
     }
--- a/src/adapters/json_log.h
+++ b/src/adapters/json_log.h
@@ -4,6 +4,7 @@
 #define ROSEMARYREACH_ADAPTERS_JSON_LOG_H_
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -59,6 +60,9 @@
 
   void Write(std::string line);
 
+  // Waits until all lines are written; returns whether they were in time.
+  bool WaitWritten(std::chrono::milliseconds limit);
+
   // Returns the lines dropped so far.
   std::uint64_t dropped() const { return dropped_.load(); }
 
@@ -70,7 +74,9 @@
   std::atomic<std::uint64_t> dropped_ = 0;
   std::mutex mutex_;
   std::condition_variable filled_;
+  std::condition_variable written_;
   std::deque<std::string> lines_;  // Guarded by mutex_.
+  bool writing_ = false;           // Guarded by mutex_.
   bool stopping_ = false;          // Guarded by mutex_.
   std::thread thread_;
 };
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -1,6 +1,9 @@
 // rosemaryreach-entry: an entry instance on the platform.
 #include <popt.h>
 
+#include <algorithm>
+#include <array>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -16,10 +19,14 @@
 namespace rosemaryreach {
 namespace {
 
+// For the last lines of the log; a reader that is alive needs milliseconds.
+constexpr std::chrono::milliseconds kLastLinesTime(200);
+
 enum exit_code : int { kOk = 0, kFailed = 1, kWrongInput = 2 };
 
 struct command_line {
   entry_options options;
+  log_level level = log_level::kInfo;
   bool check_only = false;
   bool show_version = false;
 };
@@ -29,10 +36,21 @@
   return named == nullptr ? "" : named;
 }
 
+result<log_level> ParseLevel(const std::string& name) {
+  static constexpr std::array<const char*, 4> kNames = {"debug", "info",
+                                                        "warning", "error"};
+  const auto* const found = std::find(kNames.begin(), kNames.end(), name);
+  if (found == kNames.end()) {
+    return Fail(errc::kUnsupported, "--log-level " + name + ": no such level");
+  }
+  return static_cast<log_level>(std::distance(kNames.begin(), found));
+}
+
 // Reads the command line; returns errc::kUnsupported for a wrong one.
 result<command_line> ParseCommandLine(int argc, const char** argv) {
   command_line read;
   char* file = nullptr;
+  char* level = nullptr;
   int metrics_port = 0;
   int check = 0;
   int version = 0;
@@ -43,6 +61,8 @@
        "FILE"},
       {"metrics-port", 'm', POPT_ARG_INT, &metrics_port, 0,
        "serve /metrics on this port too", "PORT"},
+      {"log-level", 'l', POPT_ARG_STRING, &level, 0,
+       "debug, info, warning or error; default: info", "LEVEL"},
       {"check-settings", 'c', POPT_ARG_NONE, &check, 0,
        "check the settings and exit", nullptr},
       {"version", 'v', POPT_ARG_NONE, &version, 0, "print the version",
@@ -57,13 +77,17 @@
   const std::string argument = extra == nullptr ? "" : extra;
   poptFreeContext(context);
   read.options.settings_file = file == nullptr ? DefaultSettingsFile() : file;
+  const std::string level_name = level == nullptr ? "info" : level;
   std::free(file);
+  std::free(level);
   if (parsed != -1) {
     return Fail(errc::kUnsupported, bad_option + ": " + poptStrerror(parsed));
   }
   if (!argument.empty()) {
     return Fail(errc::kUnsupported, argument + ": unexpected argument");
   }
+  BOOST_OUTCOME_TRY(log_level, ParseLevel(level_name));
+  read.level = log_level;
   if (metrics_port < 0 || metrics_port > UINT16_MAX) {
     return Fail(errc::kUnsupported, "--metrics-port: not a port");
   }
@@ -82,11 +106,14 @@
   return (std::uint64_t{device()} << 32) | device();
 }
 
-int Serve(const entry_settings& settings, const entry_options& options) {
+int Serve(const entry_settings& settings,
+          const entry_options& options,
+          log_level level) {
   // Before the writer's thread is made, so that it inherits the mask.
   signal_descriptor signals;
   background_writer writer(MakeStdoutWriter());
   log_settings levels;
+  levels.level = level;
   json_log log(levels, settings.instance,
                [&writer](std::string line) { writer.Write(std::move(line)); });
   entry_task task(settings, options, signals, log, RandomSeed());
@@ -97,6 +124,10 @@
     return kFailed;
   }
   task.Run();
+  if (!writer.WaitWritten(kLastLinesTime)) {
+    // Nobody reads the output: waiting for its writer would never end.
+    std::_Exit(kOk);
+  }
   return kOk;
 }
 
@@ -122,7 +153,7 @@
     std::printf("%s: ok\n", file.c_str());
     return kOk;
   }
-  return Serve(settings.value(), parsed.value().options);
+  return Serve(settings.value(), parsed.value().options, parsed.value().level);
 }
 
 }  // namespace
--- a/tests/json_log_test.cc
+++ b/tests/json_log_test.cc
@@ -41,6 +41,16 @@
   CHECK(count_wanted({log_level::kWarning, 1}) == 0);
 }
 
+TEST_CASE("Waiting for a stuck output ends at its limit") {
+  std::binary_semaphore stuck(0);
+  background_writer writer(
+      [&stuck](const std::string& /*line*/) { stuck.acquire(); });
+  writer.Write("0");
+  CHECK_FALSE(writer.WaitWritten(std::chrono::milliseconds(10)));
+  stuck.release();
+  CHECK(writer.WaitWritten(std::chrono::minutes(1)));
+}
+
 TEST_CASE("A stuck output makes nobody wait and loses counted lines") {
   std::vector<std::string> lines;
   std::binary_semaphore stuck(0);
--- /dev/null
+++ b/tests/standins/entry_process.h
@@ -0,0 +1,95 @@
+// The real program as a process of its own.
+#ifndef ROSEMARYREACH_TESTS_STANDINS_ENTRY_PROCESS_H_
+#define ROSEMARYREACH_TESTS_STANDINS_ENTRY_PROCESS_H_
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+extern char** environ;
+
+namespace rosemaryreach {
+
+// One rosemaryreach-entry, started again whenever it ends.
+class entry_process {
+ public:
+  // Writes its output to `log` with the number of the start added.
+  entry_process(std::string program, std::string settings, std::string log)
+      : program_(std::move(program)),
+        settings_(std::move(settings)),
+        log_(std::move(log)) {
+    Start();
+  }
+  ~entry_process() {
+    if (pid_ > 0) {
+      kill(pid_, SIGCONT);
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+  }
+  entry_process(const entry_process&) = delete;
+  entry_process& operator=(const entry_process&) = delete;
+
+  void Signal(int signal) const { kill(pid_, signal); }
+
+  // Starts the process again if it has ended; returns whether it ended.
+  bool Reap() {
+    if (!Ended()) {
+      return false;
+    }
+    Start();
+    return true;
+  }
+
+  // Returns whether the process has ended; it is not started again.
+  bool Ended() {
+    int status = 0;
+    if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) {
+      return pid_ <= 0;
+    }
+    pid_ = 0;
+    ended_badly_ = (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) ||
+                   (WIFEXITED(status) && WEXITSTATUS(status) != 0);
+    return true;
+  }
+
+  // Whether the last end was its own fault.
+  bool ended_badly() const { return ended_badly_; }
+
+ private:
+  void Start() {
+    const std::string log = log_ + "." + std::to_string(++starts_) + ".log";
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
+                                     O_CREAT | O_RDWR, 0644);
+    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    std::string option = "--settings";
+    std::array<char*, 4> arguments = {program_.data(), option.data(),
+                                      settings_.data(), nullptr};
+    if (posix_spawn(&pid_, program_.c_str(), &files, nullptr, arguments.data(),
+                    environ) != 0) {
+      std::perror(program_.c_str());
+      std::exit(2);
+    }
+    posix_spawn_file_actions_destroy(&files);
+  }
+
+  std::string program_;
+  std::string settings_;
+  std::string log_;
+  int starts_ = 0;
+  pid_t pid_ = 0;
+  bool ended_badly_ = false;
+};
+
+}  // namespace rosemaryreach
+
+#endif  // ROSEMARYREACH_TESTS_STANDINS_ENTRY_PROCESS_H_
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -1,10 +1,7 @@
 // soak: runs rosemaryreach-entry as separate processes in a world of stand-ins
 // and injects faults from outside, drawn from a seed. Checks what callers and
 // targets see while it runs, and that the system recovers at the end.
-#include <fcntl.h>
 #include <popt.h>
-#include <spawn.h>
-#include <sys/wait.h>
 
 #include <csignal>
 #include <cstdio>
@@ -14,11 +11,10 @@
 #include <optional>
 #include <vector>
 
+#include "standins/entry_process.h"
 #include "standins/entry_world.h"
 #include "standins/tcp_proxy.h"
 
-extern char** environ;
-
 namespace rosemaryreach {
 namespace {
 
@@ -35,69 +31,6 @@
   bool check_times = true;
 };
 
-// One rosemaryreach-entry, started again whenever it ends.
-class entry_process {
- public:
-  entry_process(const soak_options& options, std::string settings, int index)
-      : options_(options), settings_(std::move(settings)), index_(index) {
-    Start();
-  }
-  ~entry_process() {
-    kill(pid_, SIGCONT);
-    kill(pid_, SIGKILL);
-    waitpid(pid_, nullptr, 0);
-  }
-  entry_process(const entry_process&) = delete;
-  entry_process& operator=(const entry_process&) = delete;
-
-  void Signal(int signal) const { kill(pid_, signal); }
-
-  // Starts the process again if it has ended; returns whether it ended.
-  bool Reap() {
-    int status = 0;
-    if (waitpid(pid_, &status, WNOHANG) != pid_) {
-      return false;
-    }
-    crashed_ = WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL;
-    failed_ = WIFEXITED(status) && WEXITSTATUS(status) != 0;
-    Start();
-    return true;
-  }
-
-  // Whether the last end was its own fault.
-  bool ended_badly() const { return crashed_ || failed_; }
-
- private:
-  void Start() {
-    ++starts_;
-    const std::string log = options_.directory + "/e" + std::to_string(index_) +
-                            "." + std::to_string(starts_) + ".log";
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
-                                     O_CREAT | O_WRONLY, 0644);
-    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-    std::string program = options_.program;
-    std::string option = "--settings";
-    std::array<char*, 4> arguments = {program.data(), option.data(),
-                                      settings_.data(), nullptr};
-    if (posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments.data(),
-                    environ) != 0) {
-      std::perror(program.c_str());
-      std::exit(2);
-    }
-    posix_spawn_file_actions_destroy(&files);
-  }
-
-  const soak_options& options_;
-  std::string settings_;
-  int index_;
-  int starts_ = 0;
-  pid_t pid_ = 0;
-  bool crashed_ = false;
-  bool failed_ = false;
-};
-
 class soak {
  public:
   explicit soak(const soak_options& options)
@@ -119,9 +52,9 @@
     }
     for (int i = 0; i < options.processes; ++i) {
       processes_.push_back(std::make_unique<entry_process>(
-          options_,
+          options_.program,
           world_.WriteSettings(static_cast<std::size_t>(i), options.directory),
-          i));
+          options.directory + "/e" + std::to_string(i)));
     }
   }
 
