Judge data centres out of reach by samples of their targets

Ruled out: the routers, they moved callers within a second of the first refusals. Change: six targets out of reach, or all of fewer, and no answer from the rest put a data centre out of reach; two failures have the sample probed, not the whole data centre. Tests in reach_test play a data centre of 100 targets.

--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -96,6 +96,7 @@
   void ForgetWaiting(time_point now);
 
   const target_contact& contact(target_index target) const;
+  bool AnyDoubted() const;
   std::size_t size() const { return flows_.size(); }
 
  private:
--- a/include/rosemaryreach/reach.h
+++ b/include/rosemaryreach/reach.h
@@ -1,20 +1,57 @@
-// Tells whether an instance is cut off from targets that others may reach.
+// Which data centres an instance reaches, judged by samples of their targets.
 #ifndef ROSEMARYREACH_REACH_H_
 #define ROSEMARYREACH_REACH_H_
 
+#include <cstddef>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "rosemaryreach/flow_ledger.h"
 #include "rosemaryreach/target_directory.h"
 
 namespace rosemaryreach {
 
-// Returns whether the instance should leave its callers to other instances: it
-// reaches no target of any other data centre, and none for one of the
-// services. A service that failed everywhere is no reason to leave.
-bool CutOff(const target_directory& directory,
-            const flow_ledger& ledger,
-            const std::string& data_centre);
+// A data centre is out of reach when this many of its targets are, or all if
+// there are fewer, and no other one answers. So many failures of their own at
+// once are unlikely, and so few probes are cheap in large data centres.
+inline constexpr std::size_t kReachSample = 6;
+// Two failures make it worth while to probe the rest of the sample.
+inline constexpr std::size_t kReachSuspicion = 2;
+// An answer this recent speaks against a cut.
+inline constexpr duration kRecentAnswer = std::chrono::milliseconds(400);
+
+class centre_reach {
+ public:
+  centre_reach(const target_directory& directory,
+               const flow_ledger& ledger,
+               std::string data_centre);
+
+  // Judges all data centres anew. Returns targets to doubt, so that probes
+  // complete the samples of data centres under suspicion.
+  std::vector<target_index> Update(time_point now);
+
+  bool OutOfReach(const std::string& data_centre) const {
+    return out_of_reach_.contains(data_centre);
+  }
+
+  // Returns whether the instance should leave its callers to other instances:
+  // it reaches no other data centre, and no target of some service. A service
+  // that failed everywhere is no reason to leave.
+  bool CutOff() const;
+
+ private:
+  // Returns whether the data centre may be judged by its failed targets, and
+  // adds what its sample lacks to `to_doubt`.
+  bool Judge(const std::vector<target_index>& targets,
+             time_point now,
+             std::vector<target_index>& to_doubt) const;
+
+  const target_directory& directory_;
+  const flow_ledger& ledger_;
+  std::string data_centre_;
+  std::set<std::string> out_of_reach_;
+};
 
 }  // namespace rosemaryreach
 
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "rosemaryreach/flow_ledger.h"
+#include "rosemaryreach/reach.h"
 #include "rosemaryreach/target_directory.h"
 
 namespace rosemaryreach {
@@ -33,6 +34,7 @@
  public:
   target_picker(const target_directory& directory,
                 flow_ledger& ledger,
+                const centre_reach& reach,
                 std::string data_centre,
                 entry_bounds bounds,
                 fleet_hooks fleet,
@@ -66,6 +68,7 @@
 
   const target_directory& directory_;
   flow_ledger& ledger_;
+  const centre_reach& reach_;
   std::string data_centre_;
   entry_bounds bounds_;
   fleet_hooks fleet_;
--- a/src/entry/flow_ledger.cc
+++ b/src/entry/flow_ledger.cc
@@ -39,6 +39,12 @@
   return target < contacts_.size() ? contacts_[target] : kUnknown;
 }
 
+bool flow_ledger::AnyDoubted() const {
+  return std::any_of(
+      contacts_.begin(), contacts_.end(),
+      [](const target_contact& contact) { return contact.doubted; });
+}
+
 target_contact& flow_ledger::Contact(target_index target) {
   if (target >= contacts_.size()) {
     contacts_.resize(target + 1);
--- a/src/entry/reach.cc
+++ b/src/entry/reach.cc
@@ -2,46 +2,100 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace rosemaryreach {
 namespace {
 
-// Targets that may get new flows, and those of them that are reached.
-struct reach_count {
-  std::size_t usable = 0;
-  std::size_t reached = 0;
-
-  bool none_reached() const { return usable > 0 && reached == 0; }
+// Targets that may get new flows, and whether one of them is reached.
+struct service_reach {
+  bool usable = false;
+  bool reached = false;
 };
 
 }  // namespace
 
-bool CutOff(const target_directory& directory,
-            const flow_ledger& ledger,
-            const std::string& data_centre) {
-  std::map<std::string, reach_count> services;
-  reach_count elsewhere;
-  for (target_index i = 0; i < directory.targets().size(); ++i) {
-    const known_target* target = directory.Find(i);
+centre_reach::centre_reach(const target_directory& directory,
+                           const flow_ledger& ledger,
+                           std::string data_centre)
+    : directory_(directory),
+      ledger_(ledger),
+      data_centre_(std::move(data_centre)) {}
+
+std::vector<target_index> centre_reach::Update(time_point now) {
+  out_of_reach_.clear();
+  if (!ledger_.AnyDoubted()) {
+    return {};
+  }
+  std::map<std::string, std::vector<target_index>> centres;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
+    if (target != nullptr && target->listing != target_listing::kGone) {
+      centres[target->record.data_centre].push_back(i);
+    }
+  }
+  std::vector<target_index> to_doubt;
+  for (const auto& [data_centre, targets] : centres) {
+    if (Judge(targets, now, to_doubt)) {
+      out_of_reach_.insert(data_centre);
+    }
+  }
+  return to_doubt;
+}
+
+bool centre_reach::Judge(const std::vector<target_index>& targets,
+                         time_point now,
+                         std::vector<target_index>& to_doubt) const {
+  std::size_t unreachable = 0;
+  std::size_t doubted = 0;
+  std::vector<target_index> others;
+  for (const target_index target : targets) {
+    const target_contact& contact = ledger_.contact(target);
+    if (Unreachable(contact)) {
+      ++unreachable;
+    } else if (now - contact.answered < kRecentAnswer) {
+      return false;
+    }
+    doubted += contact.doubted ? 1 : 0;
+    if (!contact.doubted) {
+      others.push_back(target);
+    }
+  }
+  const std::size_t sample = std::min(kReachSample, targets.size());
+  if (unreachable >= kReachSuspicion && doubted < sample) {
+    const std::size_t lacking = std::min(sample - doubted, others.size());
+    to_doubt.insert(to_doubt.end(), others.begin(),
+                    others.begin() + static_cast<std::ptrdiff_t>(lacking));
+  }
+  return unreachable > 0 && unreachable >= sample;
+}
+
+bool centre_reach::CutOff() const {
+  if (!ledger_.AnyDoubted()) {
+    return false;
+  }
+  std::map<std::string, service_reach> services;
+  bool elsewhere = false;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
     if (target == nullptr || target->listing == target_listing::kGone) {
       continue;
     }
     const target_record& record = target->record;
-    const std::size_t reached = Unreachable(ledger.contact(i)) ? 0 : 1;
-    if (record.data_centre != data_centre) {
-      ++elsewhere.usable;
-      elsewhere.reached += reached;
-    }
+    const bool reached =
+        !OutOfReach(record.data_centre) && !Unreachable(ledger_.contact(i));
+    elsewhere = elsewhere || (reached && record.data_centre != data_centre_);
     if (record.state == target_state::kActive &&
-        !directory.evacuated(record.data_centre)) {
-      reach_count& service = services[record.service];
-      ++service.usable;
-      service.reached += reached;
+        !directory_.evacuated(record.data_centre)) {
+      service_reach& service = services[record.service];
+      service.usable = true;
+      service.reached = service.reached || reached;
     }
   }
-  return elsewhere.none_reached() &&
-         std::any_of(services.begin(), services.end(),
-                     [](const auto& one) { return one.second.none_reached(); });
+  return !elsewhere &&
+         std::any_of(services.begin(), services.end(), [](const auto& one) {
+           return one.second.usable && !one.second.reached;
+         });
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -34,12 +34,14 @@
 
 target_picker::target_picker(const target_directory& directory,
                              flow_ledger& ledger,
+                             const centre_reach& reach,
                              std::string data_centre,
                              entry_bounds bounds,
                              fleet_hooks fleet,
                              std::uint64_t seed)
     : directory_(directory),
       ledger_(ledger),
+      reach_(reach),
       data_centre_(std::move(data_centre)),
       bounds_(bounds),
       fleet_(std::move(fleet)),
@@ -93,7 +95,8 @@
                                                      : grade::kNever;
   }
   ledger_.CheckOpening(index, now);
-  if (Unreachable(ledger_.contact(index))) {
+  if (Unreachable(ledger_.contact(index)) ||
+      reach_.OutOfReach(target.record.data_centre)) {
     return grade::kUnreachable;
   }
   if (ledger_.contact(index).doubted) {
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -98,6 +98,7 @@
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(time).count());
            }}),
+      reach_(directory_, ledger_, settings.data_centre),
       targets_(
           loop_,
           directory_,
@@ -116,6 +117,7 @@
       picker_(
           directory_,
           ledger_,
+          reach_,
           settings.data_centre,
           settings.bounds,
           {[this] { return sync_.peers().InstancesHere(); },
@@ -175,7 +177,7 @@
   if (!directory_.complete()) {
     return {false, "configuration and targets"};
   }
-  if (cut_off_) {
+  if (reach_.CutOff()) {
     return {false, "a way to the targets"};
   }
   return {true, ""};
@@ -214,6 +216,12 @@
   late_until_ = now + kLateMemory;
 }
 
+void entry_task::NoteReach(time_point now) {
+  for (const target_index target : reach_.Update(now)) {
+    ledger_.Doubt(target, "others of its data centre are out of reach");
+  }
+}
+
 void entry_task::OnChanged(std::span<const store_item> items) {
   const time_point now = BootTimeNow();
   lines_left_ = kLinesForChanges;
@@ -330,7 +338,7 @@
   directory_.Tick(sync_.store_away(), now);
   targets_.Tick();
   sync_.Tick();
-  cut_off_ = CutOff(directory_, ledger_, settings_.data_centre);
+  NoteReach(now);
   CheckStop(now);
   const readiness state = Readiness();
   if (state.ready != std::exchange(was_ready_, state.ready)) {
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -48,6 +48,7 @@
   view_trust Trust();
   void NotePause(time_point now);
   void NoteLateness(time_point now);
+  void NoteReach(time_point now);
   void ReleasePackets(const char* why);
   void OnChanged(std::span<const store_item> items);
   void OnDirectoryChange(const directory_change& change);
@@ -71,6 +72,7 @@
   entry_metrics metrics_;
   target_directory directory_;
   flow_ledger ledger_;
+  centre_reach reach_;
   target_watch targets_;
   store_sync sync_;
   target_picker picker_;
@@ -86,7 +88,6 @@
   time_point late_until_{};
   time_point untrusted_since_{};
   bool untrusted_ = false;
-  bool cut_off_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
   std::size_t lines_left_ = 0;  // of the items being applied
--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -16,11 +16,6 @@
 constexpr duration kFirstPause = std::chrono::milliseconds(40);
 constexpr duration kHighestPause = std::chrono::seconds(1);
 
-// Two that can't be reached, and none that answered for this long, make a cut
-// more likely than two failures.
-constexpr std::uint32_t kUnreachableOfCentre = 2;
-constexpr duration kCentreSilence = std::chrono::milliseconds(250);
-
 // Returns the pause before the next probe: doubling, so that a target that
 // stays away costs one a second.
 duration PauseAfter(std::uint32_t failures) {
@@ -126,34 +121,6 @@
   found->second.next = now + PauseAfter(failures);
   if (failures == kUnreachableProbes) {
     Log(index, "target_unreachable", "probes got no answer", doubted_for);
-    CheckDataCentre(data_centre, now);
-  }
-}
-
-void target_watch::CheckDataCentre(const std::string& data_centre,
-                                   time_point now) {
-  std::vector<target_index> others;
-  std::uint32_t unreachable = 0;
-  for (target_index i = 0; i < directory_.targets().size(); ++i) {
-    const known_target* target = directory_.Find(i);
-    if (target == nullptr || target->listing == target_listing::kGone ||
-        target->record.data_centre != data_centre) {
-      continue;
-    }
-    const target_contact& contact = ledger_.contact(i);
-    if (Unreachable(contact)) {
-      ++unreachable;
-    } else if (now - contact.answered < kCentreSilence) {
-      return;
-    } else if (!contact.doubted) {
-      others.push_back(i);
-    }
-  }
-  if (unreachable < kUnreachableOfCentre) {
-    return;
-  }
-  for (const target_index other : others) {
-    ledger_.Doubt(other, "nothing in its data centre answers");
   }
 }
 
--- a/src/entryd/target_watch.h
+++ b/src/entryd/target_watch.h
@@ -42,9 +42,6 @@
   };
 
   void Probe(target_index index, doubt& doubt);
-  // Doubts the rest of a data centre when nothing there answers, so that its
-  // targets are found out by probes and not by callers' flows.
-  void CheckDataCentre(const std::string& data_centre, time_point now);
   // Probes the rest of a data centre at once when one target is back.
   void ProbeDataCentre(const std::string& data_centre, time_point now);
   void OnProbe(target_index index, std::uint32_t cookie, bool reached);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -96,8 +96,10 @@
        [](duration) {}}};
   std::uint32_t instances_here = 1;
   bool owns = true;
+  centre_reach reach{directory, ledger, "dc-a"};
   target_picker picker{directory,
                        ledger,
+                       reach,
                        "dc-a",
                        entry_bounds{},
                        {[this] { return instances_here; },
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -7,35 +7,94 @@
 namespace rosemaryreach {
 namespace {
 
-bool IsCutOff(const entry_scene& scene) {
-  return CutOff(scene.directory, scene.ledger, "dc-a");
-}
+// A scene whose reach is judged at some time without recent answers.
+struct reach_scene : entry_scene {
+  // Adds `count` targets and returns their indices.
+  std::vector<target_index> AddMany(const std::string& data_centre, int count) {
+    std::vector<target_index> added;
+    for (int i = 0; i < count; ++i) {
+      const std::uint32_t host = static_cast<std::uint32_t>(++hosts);
+      added.push_back(
+          Add(Target("l" + std::to_string(host), host, data_centre)));
+    }
+    return added;
+  }
+
+  std::vector<target_index> Update() { return reach.Update(At(10'000)); }
+
+  bool CutOff() {
+    Update();
+    return reach.CutOff();
+  }
+
+  int hosts = 0;
+};
 
 TEST_CASE("An instance with targets of its own is not cut off") {
-  entry_scene scene;
-  scene.Add(Target("l1", 1));
-  scene.CutOffTarget(scene.Add(Target("l2", 2, "dc-b")), At(0));
-  CHECK_FALSE(IsCutOff(scene));
+  reach_scene scene;
+  scene.AddMany("dc-a", 1);
+  scene.CutOffTarget(scene.AddMany("dc-b", 1)[0], At(0));
+  CHECK_FALSE(scene.CutOff());
 }
 
 TEST_CASE("An instance that reaches no usable target is cut off") {
-  entry_scene scene;
-  scene.Add(Target("l1", 1));
+  reach_scene scene;
+  scene.AddMany("dc-a", 1);
   scene.Evacuate("dc-a", true, At(0));
-  const target_index remote = scene.Add(Target("l2", 2, "dc-b"));
-  CHECK_FALSE(IsCutOff(scene));
+  const target_index remote = scene.AddMany("dc-b", 1)[0];
+  CHECK_FALSE(scene.CutOff());
   scene.CutOffTarget(remote, At(0));
-  CHECK(IsCutOff(scene));
+  CHECK(scene.CutOff());
   scene.ledger.TakeProbe(remote, true, At(100));
-  CHECK_FALSE(IsCutOff(scene));
+  CHECK_FALSE(scene.CutOff());
 }
 
 TEST_CASE("A service that failed everywhere is no reason to leave") {
-  entry_scene scene;
-  scene.CutOffTarget(scene.Add(Target("l1", 1)), At(0));
-  scene.CutOffTarget(scene.Add(Target("l2", 2, "dc-b")), At(0));
-  scene.Add(Target("f1", 3, "dc-b", "files"));
-  CHECK_FALSE(IsCutOff(scene));
+  reach_scene scene;
+  scene.CutOffTarget(scene.AddMany("dc-a", 1)[0], At(0));
+  scene.CutOffTarget(scene.AddMany("dc-b", 1)[0], At(0));
+  scene.Add(Target("f1", 100, "dc-b", "files"));
+  CHECK_FALSE(scene.CutOff());
+}
+
+TEST_CASE("Two failures have a sample probed, not the whole data centre") {
+  reach_scene scene;
+  const std::vector<target_index> targets = scene.AddMany("dc-b", 100);
+  scene.CutOffTarget(targets[0], At(0));
+  CHECK(scene.Update().empty());
+  scene.CutOffTarget(targets[1], At(0));
+  CHECK(scene.Update().size() == kReachSample - 2);
+  CHECK_FALSE(scene.reach.OutOfReach("dc-b"));
+}
+
+TEST_CASE("A data centre is out of reach by its sample, back by one answer") {
+  reach_scene scene;
+  scene.AddMany("dc-a", 1);
+  scene.Evacuate("dc-a", true, At(0));
+  const std::vector<target_index> targets = scene.AddMany("dc-b", 100);
+  for (std::size_t i = 0; i < kReachSample; ++i) {
+    scene.CutOffTarget(targets[i], At(0));
+  }
+  scene.Update();
+  CHECK(scene.reach.OutOfReach("dc-b"));
+  CHECK(scene.CutOff());
+  CHECK(scene.picker.Pick("ledger", {}, At(10'000)).target == kNoTarget);
+  scene.ledger.TakeProbe(targets[0], true, At(10'000));
+  scene.Update();
+  CHECK_FALSE(scene.reach.OutOfReach("dc-b"));
+  CHECK_FALSE(scene.reach.CutOff());
+}
+
+TEST_CASE("Failures in a data centre that answers are no cut") {
+  reach_scene scene;
+  const std::vector<target_index> targets = scene.AddMany("dc-b", 20);
+  for (std::size_t i = 0; i < kReachSample; ++i) {
+    scene.CutOffTarget(targets[i], At(0));
+  }
+  scene.ledger.See(Later(Flow(1), 9, 1'001, 5'001, 10), targets[10], At(9'800));
+  scene.ledger.See(Later(Flow(1), 9, 1'011, 6'001, 0), targets[10], At(9'900));
+  scene.Update();
+  CHECK_FALSE(scene.reach.OutOfReach("dc-b"));
 }
 
 }  // namespace
