Reset flows that wait for a lost target at once

Change: when probes find a target out of reach, the flows that wait for it and may be repeated are reset then. The configuration's log line names bounds of cold targets, none so far.

--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -78,6 +78,14 @@
   // Notes a later packet of a flow whose cookie names `target`.
   void See(const flow_packet& packet, target_index target, time_point now);
 
+  // A flow with a request at `target` that got no answer yet, and what its
+  // caller acknowledged last.
+  struct waiting_flow {
+    flow_key key;
+    std::uint32_t acknowledged = 0;
+  };
+  std::vector<waiting_flow> WaitingAt(target_index target) const;
+
   // Drops a flow, as after a reset.
   void Drop(const flow_key& key);
 
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -4,6 +4,7 @@
 #define ROSEMARYREACH_PACKET_DIRECTOR_H_
 
 #include <cstdint>
+#include <vector>
 
 #include "rosemaryreach/flow_ledger.h"
 #include "rosemaryreach/flow_packet.h"
@@ -44,6 +45,11 @@
                          const view_trust& trust,
                          time_point now);
 
+  // Gives up the flows that wait for a target found out of reach, and returns
+  // a packet of each for its reset: their callers would send again only after
+  // up to 1.6 s.
+  std::vector<flow_packet> GiveUpWaiting(target_index target);
+
  private:
   packet_decision Open(const flow_packet& packet,
                        const view_trust& trust,
@@ -52,6 +58,8 @@
                          const entry_route& route,
                          time_point now);
   packet_decision Continue(const flow_packet& packet, time_point now);
+  // Whether requests to `address` may be sent again elsewhere.
+  bool Repeatable(const ipv4_endpoint& address) const;
   // Returns why an open flow is given up; nullptr if it isn't.
   const char* WhyReset(const flow_packet& packet,
                        const known_target& target,
--- a/src/entry/flow_ledger.cc
+++ b/src/entry/flow_ledger.cc
@@ -153,6 +153,17 @@
   }
 }
 
+std::vector<flow_ledger::waiting_flow> flow_ledger::WaitingAt(
+    target_index target) const {
+  std::vector<waiting_flow> waiting;
+  for (const auto& [key, flow] : flows_) {
+    if (flow.target == target && flow.phase == flow_phase::kRunning) {
+      waiting.push_back({key, flow.acknowledged});
+    }
+  }
+  return waiting;
+}
+
 void flow_ledger::Drop(const flow_key& key) {
   const auto found = flows_.find(key);
   if (found != flows_.end()) {
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -97,8 +97,7 @@
   if (packet.data_bytes == 0 || packet.resets) {
     return nullptr;
   }
-  const entry_route* route = directory_.FindRoute(packet.flow.destination);
-  if (route == nullptr || route->kind == request_kind::kNonIdempotent) {
+  if (!Repeatable(packet.flow.destination)) {
     return nullptr;
   }
   if (target.address_reused) {
@@ -107,6 +106,25 @@
   return Unreachable(contact) ? "target_unreachable" : nullptr;
 }
 
+bool packet_director::Repeatable(const ipv4_endpoint& address) const {
+  const entry_route* route = directory_.FindRoute(address);
+  return route != nullptr && route->kind != request_kind::kNonIdempotent;
+}
+
+std::vector<flow_packet> packet_director::GiveUpWaiting(target_index target) {
+  std::vector<flow_packet> given_up;
+  for (const flow_ledger::waiting_flow& waiting : ledger_.WaitingAt(target)) {
+    if (Repeatable(waiting.key.destination)) {
+      flow_packet packet;
+      packet.flow = waiting.key;
+      packet.acknowledged = waiting.acknowledged;
+      given_up.push_back(packet);
+      ledger_.Drop(waiting.key);
+    }
+  }
+  return given_up;
+}
+
 packet_decision packet_director::ToTarget(target_index target,
                                           const char* rule) const {
   return {packet_verdict::kForward, target, directory_.Find(target)->cookie,
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -25,6 +25,17 @@
          record.data_centre;
 }
 
+std::string DescribeColdRates(const entry_config& config) {
+  std::string text;
+  for (const entry_service& service : config.services) {
+    if (service.cold_flows_per_s > 0) {
+      text += ", cold " + service.name + " bears " +
+              std::to_string(service.cold_flows_per_s) + " a second";
+    }
+  }
+  return text;
+}
+
 }  // namespace
 
 std::uint32_t MakeCookie(std::string_view id, std::uint64_t incarnation) {
@@ -84,7 +95,8 @@
   report_({"configuration", "version_in_force",
            "version " + std::to_string(config.version) + " after " +
                std::to_string(config_.version) + ", " +
-               std::to_string(config.routes.size()) + " routes"});
+               std::to_string(config.routes.size()) + " routes" +
+               DescribeColdRates(config)});
   config_ = config;
 }
 
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -104,6 +104,7 @@
           directory_,
           ledger_,
           [this] { return BootTimeNow() < late_until_; },
+          [this](target_index target) { packets_.GiveUpWaiting(target); },
           log_,
           metrics_),
       sync_(
--- a/src/entryd/packet_port.cc
+++ b/src/entryd/packet_port.cc
@@ -67,6 +67,17 @@
   }
 }
 
+void packet_port::GiveUpWaiting(target_index target) {
+  const packet_decision decision{packet_verdict::kReset, target, 0,
+                                 "target_unreachable"};
+  for (const flow_packet& packet : director_.GiveUpWaiting(target)) {
+    metrics_.Packets(decision.rule).Add();
+    Log(packet, decision, BootTimeNow());
+    Reset(packet);
+  }
+  sending_->Flush();
+}
+
 void packet_port::Handle(std::span<std::uint8_t> bytes,
                          const view_trust& trust,
                          time_point now) {
--- a/src/entryd/packet_port.h
+++ b/src/entryd/packet_port.h
@@ -31,6 +31,9 @@
   void Release();
   bool released() const { return watch_ != nullptr; }
 
+  // Resets the flows that wait for a target that is out of reach.
+  void GiveUpWaiting(target_index target);
+
   // When the last packet of a caller came; the start before the first.
   time_point last_packet() const { return last_packet_; }
 
--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -29,12 +29,14 @@
                            const target_directory& directory,
                            flow_ledger& ledger,
                            std::function<bool()> late,
+                           std::function<void(target_index)> unreachable,
                            entry_log& log,
                            entry_metrics& metrics)
     : loop_(loop),
       directory_(directory),
       ledger_(ledger),
       late_(std::move(late)),
+      unreachable_(std::move(unreachable)),
       log_(log),
       metrics_(metrics),
       prober_(loop, kMaxProbes) {}
@@ -121,6 +123,7 @@
   found->second.next = now + PauseAfter(failures);
   if (failures == kUnreachableProbes) {
     Log(index, "target_unreachable", "probes got no answer", doubted_for);
+    unreachable_(index);
   }
 }
 
--- a/src/entryd/target_watch.h
+++ b/src/entryd/target_watch.h
@@ -18,11 +18,13 @@
 class target_watch {
  public:
   // `late` tells whether this process ran late itself: a probe that fails then
-  // says nothing of its target.
+  // says nothing of its target. `unreachable` is called when a target turns
+  // out to be out of reach.
   target_watch(event_loop& loop,
                const target_directory& directory,
                flow_ledger& ledger,
                std::function<bool()> late,
+               std::function<void(target_index)> unreachable,
                entry_log& log,
                entry_metrics& metrics);
 
@@ -55,6 +57,7 @@
   const target_directory& directory_;
   flow_ledger& ledger_;
   std::function<bool()> late_;
+  std::function<void(target_index)> unreachable_;
   entry_log& log_;
   entry_metrics& metrics_;
   connect_prober prober_;
--- a/tests/packet_director_test.cc
+++ b/tests/packet_director_test.cc
@@ -118,6 +118,22 @@
         packet_verdict::kReset);
 }
 
+TEST_CASE("Requests that wait for a lost target are given up at once") {
+  entry_scene scene;
+  const target_index target = scene.Add(Target("l1", 1));
+  const std::uint32_t cookie = MakeCookie("l1", 1);
+  scene.Direct(Later(Flow(1), cookie, 1'001, 5'001, 100), At(0));
+  scene.Direct(Later(Flow(2, kBookAddress), cookie, 1'001, 5'001, 100), At(0));
+  scene.Direct(Later(Flow(3), cookie, 1'001, 5'001, 100), At(0));
+  scene.Direct(Later(Flow(3), cookie, 1'101, 5'601, 0), At(30));
+  const std::vector<flow_packet> given_up =
+      scene.director.GiveUpWaiting(target);
+  REQUIRE(given_up.size() == 1);
+  CHECK(given_up[0].flow == Flow(1));
+  CHECK(given_up[0].acknowledged == 5'001);
+  CHECK(scene.director.GiveUpWaiting(target).empty());
+}
+
 TEST_CASE("A flow whose target's address was given away is reset") {
   entry_scene scene;
   scene.Add(Target("l1", 1));
