Take in large listings in linear time, name the flows of a lost target

Also: when a target is lost, a line names the flows there, since a download that waits for data sends nothing that could be logged.

--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -78,13 +78,13 @@
   // Notes a later packet of a flow whose cookie names `target`.
   void See(const flow_packet& packet, target_index target, time_point now);
 
-  // A flow with a request at `target` that got no answer yet, and what its
-  // caller acknowledged last.
-  struct waiting_flow {
+  // A flow at some target, and what its caller acknowledged last.
+  struct placed_flow {
     flow_key key;
+    flow_phase phase = flow_phase::kOpening;
     std::uint32_t acknowledged = 0;
   };
-  std::vector<waiting_flow> WaitingAt(target_index target) const;
+  std::vector<placed_flow> FlowsAt(target_index target) const;
 
   // Drops a flow, as after a reset.
   void Drop(const flow_key& key);
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -101,9 +101,9 @@
                   target_listing listing,
                   const char* reason,
                   time_point now);
-  void MarkReusedAddress(const known_target& newer);
+  void TakeAddress(target_index newer);
   void Forget(target_index index);
-  void IndexServices();
+  void IndexServices() const;
 
   duration forget_after_;
   report report_;
@@ -113,7 +113,12 @@
   std::vector<std::optional<known_target>> targets_;
   std::map<std::string, target_index> by_id_;  // newest incarnation
   std::map<std::uint32_t, target_index> by_cookie_;
-  std::map<std::string, std::vector<target_index>> by_service_;
+  std::map<ipv4_endpoint, target_index> by_address_;  // listed last
+  std::vector<target_index> free_;
+  // Made anew when it is asked for after a change, since changes come in
+  // batches of up to all targets.
+  mutable std::map<std::string, std::vector<target_index>> by_service_;
+  mutable bool services_indexed_ = false;
   bool store_away_ = false;
   time_point store_returned_{};
 };
--- a/src/entry/flow_ledger.cc
+++ b/src/entry/flow_ledger.cc
@@ -153,15 +153,15 @@
   }
 }
 
-std::vector<flow_ledger::waiting_flow> flow_ledger::WaitingAt(
+std::vector<flow_ledger::placed_flow> flow_ledger::FlowsAt(
     target_index target) const {
-  std::vector<waiting_flow> waiting;
+  std::vector<placed_flow> placed;
   for (const auto& [key, flow] : flows_) {
-    if (flow.target == target && flow.phase == flow_phase::kRunning) {
-      waiting.push_back({key, flow.acknowledged});
+    if (flow.target == target) {
+      placed.push_back({key, flow.phase, flow.acknowledged});
     }
   }
-  return waiting;
+  return placed;
 }
 
 void flow_ledger::Drop(const flow_key& key) {
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -113,13 +113,14 @@
 
 std::vector<flow_packet> packet_director::GiveUpWaiting(target_index target) {
   std::vector<flow_packet> given_up;
-  for (const flow_ledger::waiting_flow& waiting : ledger_.WaitingAt(target)) {
-    if (Repeatable(waiting.key.destination)) {
+  for (const flow_ledger::placed_flow& placed : ledger_.FlowsAt(target)) {
+    if (placed.phase == flow_phase::kRunning &&
+        Repeatable(placed.key.destination)) {
       flow_packet packet;
-      packet.flow = waiting.key;
-      packet.acknowledged = waiting.acknowledged;
+      packet.flow = placed.key;
+      packet.acknowledged = placed.acknowledged;
       given_up.push_back(packet);
-      ledger_.Drop(waiting.key);
+      ledger_.Drop(placed.key);
     }
   }
   return given_up;
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -120,7 +120,7 @@
            record.state == target_state::kActive ? "target_added"
                                                  : "target_added_draining",
            DescribeTarget(record)});
-  MarkReusedAddress(*targets_[added]);
+  TakeAddress(added);
 }
 
 target_index target_directory::Add(const target_record& record,
@@ -133,16 +133,16 @@
   if (record.state == target_state::kDraining) {
     target.draining_since = now;
   }
-  const auto free = std::find(targets_.begin(), targets_.end(), std::nullopt);
-  const target_index index =
-      static_cast<target_index>(std::distance(targets_.begin(), free));
-  if (free == targets_.end()) {
+  if (free_.empty()) {
+    free_.push_back(static_cast<target_index>(targets_.size()));
     targets_.emplace_back();
   }
+  const target_index index = free_.back();
+  free_.pop_back();
   target.cookie_taken = !by_cookie_.emplace(target.cookie, index).second;
   targets_[index] = target;
   by_id_[record.id] = index;
-  IndexServices();
+  services_indexed_ = false;
   return index;
 }
 
@@ -160,7 +160,7 @@
   }
   target.record = record;
   SetListing(target, target_listing::kListed, "entry is back", now);
-  IndexServices();
+  services_indexed_ = false;
 }
 
 void target_directory::ApplyRemoval(const std::string& id,
@@ -200,16 +200,20 @@
   target.listing_changed = now;
   report_({target.record.id, kOutcomes.at(static_cast<std::size_t>(listing)),
            reason});
-  IndexServices();
+  services_indexed_ = false;
 }
 
-void target_directory::MarkReusedAddress(const known_target& newer) {
-  for (std::optional<known_target>& other : targets_) {
-    if (other && other->cookie != newer.cookie &&
-        other->record.address == newer.record.address) {
-      other->address_reused = true;
-    }
+void target_directory::TakeAddress(target_index newer) {
+  const auto [known, added] =
+      by_address_.emplace(targets_[newer]->record.address, newer);
+  if (added || known->second == newer) {
+    return;
+  }
+  std::optional<known_target>& before = targets_[known->second];
+  if (before && before->record.address == known->first) {
+    before->address_reused = true;
   }
+  known->second = newer;
 }
 
 void target_directory::Tick(bool store_away, time_point now) {
@@ -243,11 +247,17 @@
   if (cookie != by_cookie_.end() && cookie->second == index) {
     by_cookie_.erase(cookie);
   }
+  const auto address = by_address_.find(target.record.address);
+  if (address != by_address_.end() && address->second == index) {
+    by_address_.erase(address);
+  }
   targets_[index].reset();
-  IndexServices();
+  free_.push_back(index);
+  services_indexed_ = false;
 }
 
-void target_directory::IndexServices() {
+void target_directory::IndexServices() const {
+  services_indexed_ = true;
   by_service_.clear();
   for (const auto& [id, index] : by_id_) {
     const known_target& target = *targets_[index];
@@ -283,6 +293,9 @@
 
 std::span<const target_index> target_directory::TargetsOf(
     const std::string& service) const {
+  if (!services_indexed_) {
+    IndexServices();
+  }
   const auto found = by_service_.find(service);
   return found == by_service_.end() ? std::span<const target_index>()
                                     : found->second;
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -22,6 +22,8 @@
 // Lines for one batch of changes: a listing of hundreds of targets would keep
 // a small instance from serving for its first tenths of a second.
 constexpr std::size_t kLinesForChanges = 24;
+// Flows named when their target is lost; the rest is counted.
+constexpr std::size_t kFlowsInLine = 64;
 // Ticks late by more than this mean that the process stood still.
 constexpr duration kPause = std::chrono::seconds(1);
 // Packets that come before the first view wait this long for it: less than
@@ -104,7 +106,7 @@
           directory_,
           ledger_,
           [this] { return BootTimeNow() < late_until_; },
-          [this](target_index target) { packets_.GiveUpWaiting(target); },
+          [this](target_index target) { OnUnreachable(target); },
           log_,
           metrics_),
       sync_(
@@ -259,6 +261,20 @@
   log_.Belief("directory", fields);
 }
 
+void entry_task::OnUnreachable(target_index target) {
+  const std::vector<flow_ledger::placed_flow> flows = ledger_.FlowsAt(target);
+  std::string names;
+  for (std::size_t i = 0; i < std::min(flows.size(), kFlowsInLine); ++i) {
+    names += (i == 0 ? "" : " ") + FormatFlow(flows[i].key);
+  }
+  const std::array<log_field, 3> fields = {
+      log_field{"target", directory_.Find(target)->record.id},
+      log_field{"count", static_cast<std::int64_t>(flows.size())},
+      log_field{"flows", names}};
+  log_.Belief("flows_at_lost_target", fields);
+  packets_.GiveUpWaiting(target);
+}
+
 void entry_task::OnStalled(const flow_key& key,
                            target_index target,
                            duration waited) {
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -52,6 +52,7 @@
   void ReleasePackets(const char* why);
   void OnChanged(std::span<const store_item> items);
   void OnDirectoryChange(const directory_change& change);
+  void OnUnreachable(target_index target);
   void OnStalled(const flow_key& key, target_index target, duration waited);
   void OnSignal();
   void BeginStop();
--- a/tests/entry_explain_test.cc
+++ b/tests/entry_explain_test.cc
@@ -154,6 +154,8 @@
   REQUIRE(scene.Until([&] {
     return scene.Logged({{"target", id}, {"outcome", "target_unreachable"}});
   }));
+  CHECK(scene.Logged(
+      {{"event", "flows_at_lost_target"}, {"target", id}, {"flows", flow.id}}));
   CHECK(scene.Metrics().find("rosemaryreach_entry_stalled_total 1") !=
         std::string::npos);
 }
--- a/tests/entry_path_fixture.h
+++ b/tests/entry_path_fixture.h
@@ -3,6 +3,8 @@
 #define ROSEMARYREACH_TESTS_ENTRY_PATH_FIXTURE_H_
 
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -110,6 +112,9 @@
     json_log log{{log_level::kInfo, 1}, "e", [this](const std::string& line) {
                    const std::lock_guard<std::mutex> lock(mutex);
                    lines.push_back(nlohmann::json::parse(line));
+                   if (std::getenv("PRINT_LOG") != nullptr) {
+                     std::puts(line.c_str());
+                   }
                  }};
     entry_task task;
     std::thread thread;
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -96,6 +96,17 @@
   CHECK(scene.Add(Target("l2", 2), At(75'001)) == target);
 }
 
+// Taken in quadratic time these would keep a small instance from serving for
+// minutes after a start.
+TEST_CASE("A listing of twelve thousand targets is taken in") {
+  entry_scene scene;
+  constexpr std::uint32_t kTargets = 12'000;
+  for (std::uint32_t i = 1; i <= kTargets; ++i) {
+    scene.Add(Target("l" + std::to_string(i), i));
+  }
+  CHECK(scene.directory.TargetsOf("ledger").size() == kTargets);
+}
+
 TEST_CASE("An entry that another writer spoilt names no target") {
   entry_scene scene;
   const target_index target = scene.Add(Target("l1", 1));
