--- a/tests/entry_explain_test.cc
+++ b/tests/entry_explain_test.cc
@@ -33,6 +33,7 @@
                     const std::string& service,
                     int requests) {
     std::vector<std::string> asked;
+    asked.reserve(static_cast<std::size_t>(requests));
     for (int i = 0; i < requests; ++i) {
       asked.push_back(service + " ask " + std::to_string(i));
     }
