--- a/include/rosemaryreach/store_follower.h
+++ b/include/rosemaryreach/store_follower.h
@@ -6,7 +6,7 @@
 
 #include <cstdint>
 
-#include "adapters/platform_budget.h"
+#include "rosemaryreach/retry_backoff.h"
 #include "rosemaryreach/types.h"
 
 namespace rosemaryreach {
--- a/include/rosemaryreach/types.h
+++ b/include/rosemaryreach/types.h
@@ -15,6 +15,11 @@
 
 using duration = std::chrono::microseconds;
 
+// Returns whole milliseconds, for logs and for the wire.
+constexpr std::int64_t ToMillis(duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 // Names the clock that time_point counts on. Decision modules never read it:
 // the caller passes the time in.
 struct monotonic_clock {};
--- a/src/adapters/platform_http.h
+++ b/src/adapters/platform_http.h
@@ -11,6 +11,7 @@
 #include "adapters/http_get.h"
 #include "adapters/platform_budget.h"
 #include "rosemaryreach/platform_source.h"
+#include "rosemaryreach/retry_backoff.h"
 
 namespace rosemaryreach {
 
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -5,7 +5,6 @@
 #include <csignal>
 #include <memory>
 #include <optional>
-#include <random>
 #include <utility>
 
 #include "adapters/admin_documents.h"
@@ -16,6 +15,7 @@
 #include "adapters/json_log.h"
 #include "adapters/platform_directory.h"
 #include "adapters/platform_http.h"
+#include "adapters/random_seed.h"
 #include "adapters/signal_descriptor.h"
 #include "adapters/target_prober.h"
 #include "daemon/packet_plane.h"
@@ -40,11 +40,6 @@
           .count());
 }
 
-std::uint64_t RandomSeed() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32) | device();
-}
-
 std::unique_ptr<platform_source> MakePlatform(event_loop& loop,
                                               const platform_settings& platform,
                                               std::uint64_t seed) {
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -42,10 +42,6 @@
 // Flows may outlive a target's entry this much longer than their lifetime.
 constexpr duration kForgetSlack = std::chrono::seconds(15);
 
-std::int64_t Millis(duration value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 std::int64_t ChangeTime(const std::string& path) {
   constexpr std::int64_t kNanosPerSecond = 1'000'000'000;
   struct stat info {};
@@ -205,7 +201,8 @@
   untrusted_since_ = now;
   ledger_.ForgetWaiting(now);
   sync_.Refresh();
-  LogLife("paused", "stood still for " + std::to_string(Millis(turn)) + " ms");
+  LogLife("paused",
+          "stood still for " + std::to_string(ToMillis(turn)) + " ms");
 }
 
 void entry_task::NoteLateness(time_point now) {
@@ -214,7 +211,7 @@
     return;
   }
   if (now >= late_until_) {
-    LogLife("late", "ran " + std::to_string(Millis(late)) + " ms late");
+    LogLife("late", "ran " + std::to_string(ToMillis(late)) + " ms late");
   }
   late_until_ = now + kLateMemory;
 }
@@ -257,7 +254,7 @@
       log_field{"subject", change.subject},
       log_field{"outcome", change.outcome}, log_field{"detail", change.detail},
       log_field{"revision", static_cast<std::int64_t>(sync_.revision())},
-      log_field{"age_ms", Millis(sync_.age())}};
+      log_field{"age_ms", ToMillis(sync_.age())}};
   log_.Belief("directory", fields);
 }
 
@@ -287,7 +284,7 @@
       log_field{"flow", flow},
       log_field{"target", directory_.Find(target)->record.id},
       log_field{"rule", "no_answer"}, log_field{"outcome", "stalled"},
-      log_field{"waited_ms", Millis(waited)}};
+      log_field{"waited_ms", ToMillis(waited)}};
   log_.Flow(fields);
 }
 
@@ -374,7 +371,7 @@
 std::string entry_task::MetricsText() {
   metrics_.configuration_version.Set(
       static_cast<std::int64_t>(directory_.config().version));
-  metrics_.view_age_ms.Set(Millis(sync_.age()));
+  metrics_.view_age_ms.Set(ToMillis(sync_.age()));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
   metrics_.flows.Set(static_cast<std::int64_t>(ledger_.size()));
   return registry_->PrometheusText();
@@ -394,7 +391,7 @@
           {"waiting_for", state.waiting_for},
           {"configuration_version", directory_.config().version},
           {"store_revision", sync_.revision()},
-          {"view_age_ms", Millis(sync_.age())},
+          {"view_age_ms", ToMillis(sync_.age())},
           {"store_away", sync_.store_away()},
           {"flows", ledger_.size()},
           {"peers", std::move(peers)}};
@@ -429,7 +426,7 @@
 void entry_task::LogLife(const char* event, const std::string& detail) {
   const std::array<log_field, 3> fields = {
       log_field{"outcome", event}, log_field{"detail", detail},
-      log_field{"uptime_ms", Millis(BootTimeNow() - started_)}};
+      log_field{"uptime_ms", ToMillis(BootTimeNow() - started_)}};
   log_.Belief("instance", fields);
 }
 
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -7,11 +7,11 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "adapters/json_log.h"
+#include "adapters/random_seed.h"
 #include "adapters/signal_descriptor.h"
 #include "entryd/entry_task.h"
 #include "platform_settings_file.h"
@@ -101,11 +101,6 @@
   return read;
 }
 
-std::uint64_t RandomSeed() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32) | device();
-}
-
 int Serve(const entry_settings& settings,
           const entry_options& options,
           log_level level) {
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -41,10 +41,6 @@
   return self;
 }
 
-std::int64_t Millis(duration value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 std::string_view AsText(std::span<const std::uint8_t> bytes) {
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
@@ -113,7 +109,7 @@
   const bool lost = follower_.listed() && store_away();
   if (lost != std::exchange(store_lost_, lost)) {
     LogStore(lost ? "store_lost" : "store_regained",
-             "the view is " + std::to_string(Millis(age())) + " ms old");
+             "the view is " + std::to_string(ToMillis(age())) + " ms old");
   }
 }
 
@@ -333,7 +329,7 @@
   const std::array<log_field, 4> fields = {
       log_field{"outcome", outcome}, log_field{"detail", detail},
       log_field{"revision", static_cast<std::int64_t>(cache_.revision())},
-      log_field{"age_ms", Millis(age())}};
+      log_field{"age_ms", ToMillis(age())}};
   log_.Belief("store", fields);
 }
 
--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -152,10 +152,7 @@
       log_field{"reason", reason},
       log_field{"opening", contact.opening},
       log_field{"running", contact.running},
-      log_field{
-          "doubted_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(doubted_for)
-              .count()}};
+      log_field{"doubted_ms", ToMillis(doubted_for)}};
   log_.Belief("target", fields);
 }
 
--- a/tests/platform_budget_test.cc
+++ b/tests/platform_budget_test.cc
@@ -1,4 +1,5 @@
 #include "adapters/platform_budget.h"
+#include "rosemaryreach/retry_backoff.h"
 
 #include <catch2/catch.hpp>
 
