Forget a target's contact with its index, probe lost targets that return

And a doubted target that was gone and came back was probed no more. Change: the ledger forgets with the directory; targets that are gone and out of reach rest and are probed again once listed.

--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -100,6 +100,9 @@
   // Sends a target no new flows until a probe reaches it.
   void Doubt(target_index target, const char* reason);
 
+  // Drops all that is known of a target whose index goes to another one.
+  void Forget(target_index target);
+
   // Forgets all waiting, since time passed that this process didn't see.
   void ForgetWaiting(time_point now);
 
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -58,9 +58,14 @@
  public:
   using report = std::function<void(const directory_change&)>;
 
+  // Called when an index becomes free for another target.
+  using forgotten = std::function<void(target_index)>;
+
   // Targets that are gone keep their cookies for `forget_after`, since their
   // flows may go on.
-  target_directory(duration forget_after, report report_change);
+  target_directory(duration forget_after,
+                   report report_change,
+                   forgotten on_forgotten);
 
   void Apply(const store_item& item,
              const item_meaning& meaning,
@@ -107,6 +112,7 @@
 
   duration forget_after_;
   report report_;
+  forgotten forgotten_;
   entry_config config_;
   std::map<ipv4_endpoint, std::size_t> routes_;
   std::set<std::string> evacuated_;
--- a/src/entry/flow_ledger.cc
+++ b/src/entry/flow_ledger.cc
@@ -238,6 +238,13 @@
   }
 }
 
+void flow_ledger::Forget(target_index target) {
+  absl::erase_if(flows_, [target](const auto& entry) {
+    return entry.second.target == target;
+  });
+  Contact(target) = {};
+}
+
 void flow_ledger::ForgetWaiting(time_point now) {
   for (target_contact& contact : contacts_) {
     contact.opening_since = now;
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -57,8 +57,12 @@
   return HashPair(meaning.index(), 0);
 }
 
-target_directory::target_directory(duration forget_after, report report_change)
-    : forget_after_(forget_after), report_(std::move(report_change)) {}
+target_directory::target_directory(duration forget_after,
+                                   report report_change,
+                                   forgotten on_forgotten)
+    : forget_after_(forget_after),
+      report_(std::move(report_change)),
+      forgotten_(std::move(on_forgotten)) {}
 
 void target_directory::Apply(const store_item& item,
                              const item_meaning& meaning,
@@ -253,6 +257,7 @@
   }
   targets_[index].reset();
   free_.push_back(index);
+  forgotten_(index);
   services_indexed_ = false;
 }
 
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -76,10 +76,10 @@
       log_(log),
       registry_(MakeMetricsRegistry()),
       metrics_(*registry_),
-      directory_(settings.bounds.flow_lifetime + kForgetSlack,
-                 [this](const directory_change& change) {
-                   OnDirectoryChange(change);
-                 }),
+      directory_(
+          settings.bounds.flow_lifetime + kForgetSlack,
+          [this](const directory_change& change) { OnDirectoryChange(change); },
+          [this](target_index target) { ledger_.Forget(target); }),
       ledger_(
           kMaxFlows,
           {[this](target_index target, const char* reason) {
--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -63,7 +63,8 @@
       one = doubts_.erase(one);
       continue;
     }
-    if (!one->second.probing && now >= one->second.next) {
+    if (!one->second.probing && !IsParked(one->first) &&
+        now >= one->second.next) {
       Probe(one->first, one->second);
     }
     ++one;
@@ -73,10 +74,14 @@
 bool target_watch::IsOver(target_index index, const doubt& doubt) const {
   const known_target* known = directory_.Find(index);
   return known == nullptr || known->cookie != doubt.cookie ||
-         known->listing == target_listing::kGone ||
          !ledger_.contact(index).doubted;
 }
 
+bool target_watch::IsParked(target_index index) const {
+  return directory_.Find(index)->listing == target_listing::kGone &&
+         Unreachable(ledger_.contact(index));
+}
+
 void target_watch::Probe(target_index index, doubt& doubt) {
   const known_target& target = *directory_.Find(index);
   const std::uint32_t cookie = doubt.cookie;
--- a/src/entryd/target_watch.h
+++ b/src/entryd/target_watch.h
@@ -48,6 +48,9 @@
   void ProbeDataCentre(const std::string& data_centre, time_point now);
   void OnProbe(target_index index, std::uint32_t cookie, bool reached);
   bool IsOver(target_index index, const doubt& doubt) const;
+  // Whether probes pause: the target is lost for its open flows, and gets no
+  // new ones unless it is listed again.
+  bool IsParked(target_index index) const;
   void Log(target_index index,
            const char* outcome,
            const char* reason,
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -86,7 +86,8 @@
   std::vector<target_index> doubted;
   target_directory directory{
       std::chrono::seconds(75),
-      [this](const directory_change& change) { changes.push_back(change); }};
+      [this](const directory_change& change) { changes.push_back(change); },
+      [this](target_index target) { ledger.Forget(target); }};
   flow_ledger ledger{
       1'000,
       {[this](target_index target, const char* /*reason*/) {
--- a/tests/flow_ledger_test.cc
+++ b/tests/flow_ledger_test.cc
@@ -103,6 +103,17 @@
   CHECK(scene.doubted.size() == 1);
 }
 
+TEST_CASE("Nothing of a forgotten target is left to the next one") {
+  ledger_scene scene;
+  scene.ledger.Open(Flow(1), kOne, At(0));
+  scene.ledger.See(Later(Flow(2), 9, 1'001, 5'001, 100), kOne, At(0));
+  scene.ledger.Doubt(kOne, "test");
+  scene.ledger.Forget(kOne);
+  CHECK(scene.ledger.size() == 0);
+  CHECK_FALSE(scene.ledger.contact(kOne).doubted);
+  CHECK(scene.ledger.contact(kOne).open == 0);
+}
+
 TEST_CASE("A flood of first packets stays within the limit") {
   ledger_scene scene;
   for (std::uint16_t port = 0; port < 1'000; ++port) {
--- a/tests/target_picker_test.cc
+++ b/tests/target_picker_test.cc
@@ -95,6 +95,18 @@
   CHECK(scene.picker.Pick("ledger", {}, At(3'601)).target == kNoTarget);
 }
 
+TEST_CASE("A target is not judged by the one that had its index before") {
+  entry_scene scene;
+  const target_index before = scene.Add(Target("l1", 1));
+  scene.CutOffTarget(before, At(0));
+  scene.Drain(Target("l1", 1), At(0));
+  scene.Remove("l1", At(0));
+  scene.directory.Tick(false, At(75'000));
+  const target_index after = scene.Add(Target("l2", 2), At(75'001));
+  REQUIRE(after == before);
+  CHECK(scene.picker.Pick("ledger", {}, At(75'002)).target == after);
+}
+
 TEST_CASE("Cold targets get no more than their rate in any second") {
   constexpr double kRate = 10;
   entry_scene scene;
