--- a/src/entryd/target_watch.cc
+++ b/src/entryd/target_watch.cc
@@ -4,7 +4,6 @@
 #include <array>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace rosemaryreach {
 namespace {
@@ -32,8 +31,7 @@
                            std::function<void(target_index)> unreachable,
                            entry_log& log,
                            entry_metrics& metrics)
-    : loop_(loop),
-      directory_(directory),
+    : directory_(directory),
       ledger_(ledger),
       late_(std::move(late)),
       unreachable_(std::move(unreachable)),
--- a/src/entryd/target_watch.h
+++ b/src/entryd/target_watch.h
@@ -56,7 +56,6 @@
            const char* reason,
            duration doubted_for);
 
-  event_loop& loop_;
   const target_directory& directory_;
   flow_ledger& ledger_;
   std::function<bool()> late_;
