Read the first listing in turns, take first views from wide links

Cause: at a start of all instances each one listed all targets itself.

Ruled out: the store's rate of calls (no call was refused), the order in which instances start.

Change: on a link below 100 Mbit/s the first read waits 60 to 160 ms for a peer; after the first of several pages each instance waits a random turn and drops its listing when a peer's view is on its way. Beacons say of each instance whether it has a view; the first view is taken from one of the same data centre, larger ones more often.

--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -122,6 +122,7 @@
   std::string instance;
   std::string data_centre;
   std::uint32_t capacity = 1'000;  // thousandths of a core
+  double link_mbps = 1'000;        // of this instance's own link
   endpoint packets;                // UDP, from the fabric
   endpoint ready;                  // HTTP, readiness
   endpoint control;                // HTTP, what peers and operators ask
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -25,6 +25,7 @@
   std::uint32_t data_centre = 0;  // hash of its name
   std::uint32_t capacity = 0;     // thousandths of a core
   bool leaving = false;
+  std::uint64_t changed = 0;  // item_cache::changed(); 0 without a view
 
   bool operator==(const peer_summary&) const = default;
 };
@@ -33,7 +34,6 @@
 struct beacon {
   peer_summary from;
   bool wants_answer = false;
-  std::uint64_t changed = 0;   // item_cache::changed()
   std::uint64_t revision = 0;  // item_cache::revision()
   duration age{};              // how old the sender's view of the store is
   std::vector<peer_summary> others;
@@ -77,8 +77,9 @@
   // Takes what a beacon says of its sender and of others.
   void Hear(const beacon& heard, time_point now);
 
-  // Returns the next beacon's summaries of this instance and of others.
-  beacon MakeBeacon();
+  // Returns the next beacon's summaries of this instance, which knows the
+  // store up to the change `changed`, and of others.
+  beacon MakeBeacon(std::uint64_t changed);
 
   // Returns whom the periodic beacon goes to; now and then a seed or a lost
   // peer is among them, so that the sides of a healed cut find each other.
@@ -93,6 +94,14 @@
   // so that it crosses to each data centre only a few times.
   std::vector<std::uint32_t> PassOnRecipients();
 
+  // Returns peers that had no view of the store when they were last heard.
+  std::vector<std::uint32_t> WithoutView();
+
+  // Returns a peer to take the first view from: of this data centre if one has
+  // a view, larger ones more often. Not `failed` unless no other one is known;
+  // 0 if there is none.
+  std::uint32_t ViewSource(std::uint32_t failed);
+
   // Drops peers that are silent.
   void Tick(time_point now);
 
@@ -125,6 +134,7 @@
   void AddSample(const address_list& from, std::size_t count, address_list& to);
   void AddFirstReaders(address_list& to) const;
   std::uint32_t RandomOf(std::span<const std::uint32_t> addresses);
+  std::uint32_t RandomSource(bool here, std::uint32_t excluded);
 
   peer_summary self_;
   std::vector<std::uint32_t> seeds_;
--- a/include/rosemaryreach/store_follower.h
+++ b/include/rosemaryreach/store_follower.h
@@ -4,7 +4,9 @@
 #ifndef ROSEMARYREACH_STORE_FOLLOWER_H_
 #define ROSEMARYREACH_STORE_FOLLOWER_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <random>
 
 #include "rosemaryreach/retry_backoff.h"
 #include "rosemaryreach/types.h"
@@ -27,18 +29,28 @@
 // kRankStep, so that a waiting reader is not taken for a lost one.
 inline constexpr duration kWatchWait = std::chrono::milliseconds(50);
 
+// Below this a listing is left to others for a while: one of 12,000 targets,
+// 7 MB, takes half a second at this rate.
+inline constexpr double kThinLinkMbps = 100;
+
 enum class read_kind : std::uint8_t { kList, kWatch };
 
 class store_follower {
  public:
-  // `start` is when the process began; `seed` spreads the first reads.
-  store_follower(time_point start, std::uint64_t seed);
+  // `start` is when the process began; `seed` spreads the first reads, which
+  // come later on a thin link.
+  store_follower(time_point start, double link_mbps, std::uint64_t seed);
 
   // Returns when this instance should read next. `rank` counts the instances
   // that come before it.
   time_point NextRead(std::uint32_t rank) const;
   read_kind NextKind(time_point now) const;
 
+  // Returns how long to wait before the next page of a listing of which
+  // `pages` were read. The first view of a fleet with many pages is read in
+  // turns, so that most instances hear of one that has it before they go on.
+  duration PagePause(std::size_t pages);
+
   // Notes this instance's own reads.
   void TakeAnswer(read_kind kind, time_point asked, time_point now);
   void TakeFailure(bool history_gone, time_point now);
@@ -56,11 +68,15 @@
   bool away(time_point now) const { return now - known_at_ >= kStoreAway; }
 
  private:
+  duration RandomBelow(duration limit);
+
   time_point known_at_;
   time_point first_read_;
   time_point listed_at_{};
   bool listed_ = false;
   bool hurry_ = false;
+  bool thin_link_ = false;
+  std::mt19937_64 random_;
   retry_backoff backoff_;
 };
 
--- a/src/adapters/admin_server.cc
+++ b/src/adapters/admin_server.cc
@@ -88,6 +88,12 @@
                   : ErrorAnswer(kBadRequest, question.error());
 }
 
+answer ItemsAnswer(std::optional<std::string> items) {
+  return items ? answer{kOk, kBinaryType, std::move(*items)}
+               : ErrorAnswer(kUnavailable, {errc::kLimit, "/v1/items",
+                                            "busy with other peers"});
+}
+
 // Returns the document hook for `path`, or nullptr.
 const std::function<json()>* DocumentHook(const admin_hooks& hooks,
                                           const std::string& path) {
@@ -120,7 +126,7 @@
     return {kOk, kTextType, hooks.metrics()};
   }
   if (path == "/v1/items" && hooks.items) {
-    return {kOk, kBinaryType, hooks.items(query.Number("after"))};
+    return ItemsAnswer(hooks.items(query.Number("after")));
   }
   if (path == "/v1/flows/explain" && hooks.explain_flow) {
     return ExplainFlow(hooks, query);
--- a/src/adapters/admin_server.h
+++ b/src/adapters/admin_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "adapters/event_loop.h"
@@ -51,8 +52,9 @@
   std::function<nlohmann::json()> configuration;
   std::function<nlohmann::json()> verdicts;
   std::function<nlohmann::json()> targets;
-  // What a peer asks: the items that changed after a revision, deflated.
-  std::function<std::string(std::uint64_t after)> items;
+  // What a peer asks: the items that changed after a revision, deflated;
+  // nothing if the peer should ask another instance.
+  std::function<std::optional<std::string>(std::uint64_t after)> items;
   std::function<result<nlohmann::json>(const flow_question&)> explain_flow;
   std::function<result<nlohmann::json>(const request_question&)>
       explain_request;
--- a/src/entry/beacon_codec.cc
+++ b/src/entry/beacon_codec.cc
@@ -8,13 +8,14 @@
 
 using json = nlohmann::json;
 
-constexpr int kFormat = 2;
-constexpr std::size_t kBeaconMembers = 7;
-constexpr std::size_t kSummaryMembers = 6;
+constexpr int kFormat = 3;
+constexpr std::size_t kBeaconMembers = 6;
+constexpr std::size_t kSummaryMembers = 7;
 
 json ToJson(const peer_summary& summary) {
   return json::array({summary.address, summary.incarnation, summary.beats,
-                      summary.data_centre, summary.capacity, summary.leaving});
+                      summary.data_centre, summary.capacity, summary.leaving,
+                      summary.changed});
 }
 
 peer_summary ToSummary(const json& array) {
@@ -23,21 +24,21 @@
   }
   return {array.at(0).get<std::uint32_t>(), array.at(1).get<std::uint64_t>(),
           array.at(2).get<std::uint32_t>(), array.at(3).get<std::uint32_t>(),
-          array.at(4).get<std::uint32_t>(), array.at(5).get<bool>()};
+          array.at(4).get<std::uint32_t>(), array.at(5).get<bool>(),
+          array.at(6).get<std::uint64_t>()};
 }
 
 beacon ToBeacon(const json& array) {
   if (array.size() != kBeaconMembers || array.at(0) != kFormat ||
-      array.at(6).size() > kMaxBeaconPeers) {
+      array.at(5).size() > kMaxBeaconPeers) {
     throw std::invalid_argument("wrong format");
   }
   beacon read;
   read.from = ToSummary(array.at(1));
   read.wants_answer = array.at(2).get<bool>();
-  read.changed = array.at(3).get<std::uint64_t>();
-  read.revision = array.at(4).get<std::uint64_t>();
-  read.age = duration(array.at(5).get<std::uint64_t>());
-  for (const json& other : array.at(6)) {
+  read.revision = array.at(3).get<std::uint64_t>();
+  read.age = duration(array.at(4).get<std::uint64_t>());
+  for (const json& other : array.at(5)) {
     read.others.push_back(ToSummary(other));
   }
   return read;
@@ -50,9 +51,9 @@
   for (const peer_summary& other : beacon.others) {
     others.push_back(ToJson(other));
   }
-  const json array = json::array(
-      {kFormat, ToJson(beacon.from), beacon.wants_answer, beacon.changed,
-       beacon.revision, beacon.age.count(), std::move(others)});
+  const json array =
+      json::array({kFormat, ToJson(beacon.from), beacon.wants_answer,
+                   beacon.revision, beacon.age.count(), std::move(others)});
   std::string bytes;
   json::to_cbor(array, bytes);
   return bytes;
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -19,6 +19,9 @@
 // Summaries in a beacon of a large fleet; each second some 6 beacons bring
 // news of some 50 peers.
 constexpr std::size_t kLargeFleetSummaries = 8;
+// Peers without a view that are told when one is there: at a start of all
+// instances everyone asks the seeds, and what these tell spreads from there.
+constexpr std::size_t kToldOfView = 64;
 // Lost peers are tried again for this long.
 constexpr duration kLostMemory = std::chrono::seconds(90);
 
@@ -88,8 +91,9 @@
   }
 }
 
-beacon peer_group::MakeBeacon() {
+beacon peer_group::MakeBeacon(std::uint64_t changed) {
   ++self_.beats;
+  self_.changed = changed;
   beacon made;
   made.from = self_;
   address_list told;
@@ -146,6 +150,49 @@
   return to;
 }
 
+std::vector<std::uint32_t> peer_group::WithoutView() {
+  address_list waiting;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.summary.changed == 0) {
+      waiting.push_back(address);
+    }
+  }
+  address_list told;
+  AddSample(waiting, kToldOfView, told);
+  return told;
+}
+
+std::uint32_t peer_group::ViewSource(std::uint32_t failed) {
+  // Twice, so that the only source may be asked again.
+  for (const std::uint32_t excluded : {failed, std::uint32_t{0}}) {
+    for (const bool here : {true, false}) {
+      const std::uint32_t source = RandomSource(here, excluded);
+      if (source != 0) {
+        return source;
+      }
+    }
+  }
+  return 0;
+}
+
+std::uint32_t peer_group::RandomSource(bool here, std::uint32_t excluded) {
+  address_list sources;
+  std::vector<double> weights;
+  for (const auto& [address, peer] : peers_) {
+    const peer_summary& summary = peer.summary;
+    if (summary.changed > 0 && address != excluded &&
+        (summary.data_centre == self_.data_centre) == here) {
+      sources.push_back(address);
+      weights.push_back(summary.capacity + 1.0);
+    }
+  }
+  if (sources.empty()) {
+    return 0;
+  }
+  std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+  return sources[draw(random_)];
+}
+
 void peer_group::Tick(time_point now) {
   const duration silence =
       small() ? kPeerSilence
--- a/src/entry/store_follower.cc
+++ b/src/entry/store_follower.cc
@@ -10,16 +10,40 @@
 // Peers that know the store answer within a few milliseconds; the rest of this
 // spreads a start of all instances at once.
 constexpr duration kFirstReadLowest = std::chrono::milliseconds(5);
-constexpr duration::rep kFirstReadSpread = 15'000;  // microseconds
+constexpr duration kFirstReadSpread = std::chrono::milliseconds(15);
+// Time for an instance with a wider link to list the store and to tell of it:
+// less than until callers send again.
+constexpr duration kThinReadLowest = std::chrono::milliseconds(60);
+constexpr duration kThinReadSpread = std::chrono::milliseconds(100);
+// Turns at the second page. Reading some ten pages and passing them on takes
+// about a tenth of a second, on thin links several times that.
+constexpr duration kTurnSpread = std::chrono::milliseconds(150);
+constexpr duration kThinTurnSpread = std::chrono::milliseconds(600);
 
 }  // namespace
 
-store_follower::store_follower(time_point start, std::uint64_t seed)
+store_follower::store_follower(time_point start,
+                               double link_mbps,
+                               std::uint64_t seed)
     : known_at_(start),
-      first_read_(start + kFirstReadLowest +
-                  duration(static_cast<duration::rep>(
-                      seed % static_cast<std::uint64_t>(kFirstReadSpread)))),
-      backoff_(kFirstBackoff, kHighestBackoff, seed) {}
+      thin_link_(link_mbps < kThinLinkMbps),
+      random_(seed),
+      backoff_(kFirstBackoff, kHighestBackoff, seed) {
+  first_read_ = start + (thin_link_ ? kThinReadLowest : kFirstReadLowest) +
+                RandomBelow(thin_link_ ? kThinReadSpread : kFirstReadSpread);
+}
+
+duration store_follower::RandomBelow(duration limit) {
+  std::uniform_int_distribution<duration::rep> draw(0, limit.count() - 1);
+  return duration(draw(random_));
+}
+
+duration store_follower::PagePause(std::size_t pages) {
+  if (listed_ || pages != 1) {
+    return duration(0);
+  }
+  return RandomBelow(thin_link_ ? kThinTurnSpread : kTurnSpread);
+}
 
 time_point store_follower::NextRead(std::uint32_t rank) const {
   if (hurry_ || !listed_) {
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -17,8 +17,15 @@
 constexpr duration kNewsCountsAsBeacon = std::chrono::milliseconds(900);
 // Peers named in one line; the rest is counted.
 constexpr std::size_t kPeersInLine = 8;
-// Until a peer is known, seeds are asked this often.
-constexpr duration kSeedPeriod = std::chrono::milliseconds(300);
+// A first view of 12,000 targets, 400 KB, over a link of 10 Mbit/s, twice.
+constexpr duration kFirstPullDeadline = std::chrono::milliseconds(800);
+// Pause before another peer is asked.
+constexpr duration kPullPause = std::chrono::milliseconds(30);
+// Then the next beacon says whom to ask.
+constexpr std::size_t kPullTries = 5;
+// Until a peer is known, seeds are asked this often: instances that start
+// together do so within 0.3 s.
+constexpr duration kSeedPeriod = std::chrono::milliseconds(100);
 
 std::vector<std::uint32_t> SeedAddresses(const entry_settings& settings) {
   std::vector<std::uint32_t> addresses;
@@ -60,7 +67,7 @@
       log_(log),
       metrics_(metrics),
       cache_(std::move(fingerprint)),
-      follower_(BootTimeNow(), seed),
+      follower_(BootTimeNow(), settings.link_mbps, seed),
       peers_(SelfSummary(settings),
              SeedAddresses(settings),
              seed,
@@ -68,7 +75,10 @@
                OnPeerChange(address, outcome);
              }),
       store_(std::make_unique<store_client>(loop, settings.store)),
+      budget_(settings.link_mbps),
       read_timer_(loop, [this] { Read(); }),
+      page_timer_(loop, [this] { ReadPage(); }),
+      pull_timer_(loop, [this] { PullElsewhere(); }),
       beacon_timer_(loop, [this] { OnBeaconTime(); }) {}
 
 result<void> store_sync::Start() {
@@ -113,7 +123,7 @@
   }
 }
 
-const std::string& store_sync::ItemsAfter(std::uint64_t revision) {
+std::optional<std::string> store_sync::ItemsAfter(std::uint64_t revision) {
   const bool same = revision == served_after_ &&
                     cache_.changed() == served_changed_ && !served_.empty();
   if (!same) {
@@ -121,11 +131,13 @@
     served_after_ = revision;
     served_changed_ = cache_.changed();
   }
-  return served_;
+  return budget_.Take(served_.size(), BootTimeNow())
+             ? std::optional<std::string>(served_)
+             : std::nullopt;
 }
 
 void store_sync::Arm() {
-  if (reading_) {
+  if (reading_ || (Pulling() && !follower_.listed())) {
     return;
   }
   const time_point now = BootTimeNow();
@@ -146,8 +158,10 @@
   asked_ = now;
   if (follower_.NextKind(now) == read_kind::kList) {
     pages_.clear();
+    page_count_ = 0;
+    listing_is_first_ = !follower_.listed();
     listing_revision_ = 0;
-    ReadPage("");
+    ReadPage();
     return;
   }
   store_->Watch(
@@ -155,7 +169,14 @@
       [this](const result<store_answer>& answer) { OnWatch(answer); });
 }
 
-void store_sync::ReadPage(const std::string& after) {
+void store_sync::ReadPage() {
+  if (listing_is_first_ && (Pulling() || follower_.listed())) {
+    // A peer's view is on its way or here, at a fraction of the bytes.
+    reading_ = false;
+    Arm();
+    return;
+  }
+  const std::string after = pages_.empty() ? "" : pages_.back().key;
   store_->List(after, kReadDeadline,
                [this](const result<store_answer>& answer) { OnPage(answer); });
 }
@@ -171,8 +192,7 @@
     listing_revision_ = page.revision;
   }
   if (page.more && !page.items.empty()) {
-    const std::string last = page.items.back().key;
-    loop_.Post([this, last] { ReadPage(last); });
+    page_timer_.Start(follower_.PagePause(++page_count_));
     return;
   }
   const std::vector<store_item> changed =
@@ -181,6 +201,7 @@
   Succeed(read_kind::kList);
   Deliver(changed);
   SendNews();
+  TellOfView();
 }
 
 void store_sync::OnWatch(const result<store_answer>& answer) {
@@ -235,39 +256,75 @@
     const std::array<std::uint32_t, 1> to = {heard.from.address};
     SendBeacon(to, false);
   }
-  const time_point known_at = now - heard.age;
-  if (heard.changed > cache_.changed()) {
-    Pull(heard.from.address, known_at);
-  } else if (heard.changed > 0 && heard.revision >= cache_.changed()) {
+  const peer_view view{heard.from.changed, now - heard.age};
+  if (view.changed > cache_.changed()) {
+    wanted_ = view;
+    pull_failures_ = 0;
+    PullFrom(heard.from.address);
+  } else if (view.changed > 0 && heard.revision >= cache_.changed()) {
     cache_.SeeRevision(heard.revision);
-    follower_.TakePeer(known_at);
+    follower_.TakePeer(view.known_at);
     Arm();
   }
 }
 
-void store_sync::Pull(std::uint32_t peer, time_point known_at) {
-  if (peer_ != nullptr && peer_->busy()) {
+bool store_sync::Pulling() const {
+  return peer_ != nullptr && peer_->busy();
+}
+
+void store_sync::PullFrom(std::uint32_t sender) {
+  if (Pulling()) {
     return;
   }
-  const endpoint address = ToEndpoint({peer, settings_.control.port});
+  // Many want their first view at once, and small changes are known to few.
+  const bool first = cache_.changed() == 0;
+  Pull(first ? peers_.ViewSource(failed_source_) : sender);
+}
+
+void store_sync::Pull(std::uint32_t source) {
+  const endpoint address = ToEndpoint({source, settings_.control.port});
+  const bool first = cache_.changed() == 0;
   peer_ = std::make_unique<store_client>(loop_, address);
-  peer_->AskPeer(cache_.changed(), kPeerDeadline,
-                 [this, known_at](const result<store_answer>& answer) {
-                   OnPulled(answer, known_at);
+  peer_->AskPeer(cache_.changed(), first ? kFirstPullDeadline : kPeerDeadline,
+                 [this, source](const result<store_answer>& answer) {
+                   OnPulled(answer, source);
                  });
 }
 
+void store_sync::PullElsewhere() {
+  const std::uint32_t source = peers_.ViewSource(failed_source_);
+  if (!Pulling() && source != 0 && wanted_.changed > cache_.changed()) {
+    Pull(source);
+  }
+}
+
 void store_sync::OnPulled(const result<store_answer>& answer,
-                          time_point known_at) {
+                          std::uint32_t source) {
   if (!answer) {
     LogStore("peer_pull_failed", FormatError(answer.error()));
+    failed_source_ = source;
+    if (++pull_failures_ < kPullTries) {
+      pull_timer_.Start(kPullPause);
+    }
+    Arm();
     return;
   }
+  failed_source_ = 0;
+  const bool first = cache_.changed() == 0;
   const std::vector<store_item> changed = cache_.MergePeer(answer.value());
-  follower_.TakePeer(known_at);
+  // Another peer than the one that told may know less than it.
+  const bool whole = cache_.changed() >= wanted_.changed;
+  follower_.TakePeer(whole ? wanted_.known_at : follower_.known_at());
   Arm();
   Deliver(changed);
   SendBeacon(peers_.PassOnRecipients(), false);
+  if (first) {
+    TellOfView();
+  }
+}
+
+void store_sync::TellOfView() {
+  SendBeacon(peers_.WithoutView(), false);
 }
 
 void store_sync::SendBeacon(std::span<const std::uint32_t> to,
@@ -275,9 +332,8 @@
   if (to.empty() || !socket_) {
     return;
   }
-  beacon made = peers_.MakeBeacon();
+  beacon made = peers_.MakeBeacon(cache_.changed());
   made.wants_answer = wants_answer;
-  made.changed = cache_.changed();
   made.revision = cache_.revision();
   made.age = std::max(age(), duration(0));
   const std::string bytes = EncodeBeacon(made);
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -17,6 +17,7 @@
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/item_cache.h"
 #include "rosemaryreach/peer_group.h"
+#include "rosemaryreach/serving_budget.h"
 #include "rosemaryreach/store_follower.h"
 #include "store_client.h"
 
@@ -52,8 +53,9 @@
   // Writes one line for the peers found and lost since the last call.
   void LogPeers();
 
-  // Returns what a peer asks for, deflated. After a change many ask the same.
-  const std::string& ItemsAfter(std::uint64_t revision);
+  // Returns what a peer asks for, deflated; nothing while the link is full of
+  // such answers. After a change many ask the same.
+  std::optional<std::string> ItemsAfter(std::uint64_t revision);
 
   const peer_group& peers() const { return peers_; }
   time_point known_at() const { return follower_.known_at(); }
@@ -62,9 +64,15 @@
   std::uint64_t revision() const { return cache_.revision(); }
 
  private:
+  // What a beacon says of the store, for the time of a pull that it caused.
+  struct peer_view {
+    std::uint64_t changed = 0;
+    time_point known_at{};
+  };
+
   void Arm();
   void Read();
-  void ReadPage(const std::string& after);
+  void ReadPage();
   void OnPage(const result<store_answer>& answer);
   void OnWatch(const result<store_answer>& answer);
   void Fail(const error& error);
@@ -72,8 +80,13 @@
   void Deliver(const std::vector<store_item>& changed);
   void OnDatagrams();
   void OnBeacon(const beacon& heard);
-  void Pull(std::uint32_t peer, time_point known_at);
-  void OnPulled(const result<store_answer>& answer, time_point known_at);
+  // Asks the sender of a beacon, or for the first view any peer that has one.
+  void PullFrom(std::uint32_t sender);
+  void Pull(std::uint32_t source);
+  void PullElsewhere();
+  bool Pulling() const;
+  void OnPulled(const result<store_answer>& answer, std::uint32_t source);
+  void TellOfView();
   void SendBeacon(std::span<const std::uint32_t> to, bool wants_answer);
   void SendNews();
   void OnBeaconTime();
@@ -94,17 +107,25 @@
   std::unique_ptr<store_client> store_;
   std::unique_ptr<store_client> peer_;
   std::vector<store_item> pages_;
+  std::size_t page_count_ = 0;
+  bool listing_is_first_ = false;
   std::uint64_t listing_revision_ = 0;
   time_point asked_{};
   bool reading_ = false;
   bool store_lost_ = false;
+  serving_budget budget_;
   std::string served_;  // the last answer of ItemsAfter()
   std::uint64_t served_after_ = 0;
   std::uint64_t served_changed_ = 0;
+  peer_view wanted_;  // what the last pull is for
+  std::uint32_t failed_source_ = 0;
+  std::size_t pull_failures_ = 0;  // in a row
   time_point last_news_{};
   std::string peer_changes_;  // the first ones since the last line
   std::size_t peer_change_count_ = 0;
   loop_timer read_timer_;
+  loop_timer page_timer_;
+  loop_timer pull_timer_;
   loop_timer beacon_timer_;
 };
 
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -39,7 +39,7 @@
   void Run(std::int64_t seconds) {
     for (std::int64_t i = 0; i < seconds; ++i, now += 1'000) {
       for (auto& [address, group] : groups) {
-        const beacon made = group.MakeBeacon();
+        const beacon made = group.MakeBeacon(1);
         for (const std::uint32_t to : group.Recipients()) {
           if (groups.contains(to) && !(cut && address % 3 != to % 3)) {
             groups.at(to).Hear(made, At(now));
@@ -138,7 +138,7 @@
   fleet fleet(40);
   fleet.Run(10);
   constexpr std::size_t kDatagram = 1'200;
-  CHECK(EncodeBeacon(fleet.groups.at(1).MakeBeacon()).size() < kDatagram);
+  CHECK(EncodeBeacon(fleet.groups.at(1).MakeBeacon(1)).size() < kDatagram);
 }
 
 TEST_CASE("What an instance sends stays bounded as the fleet grows") {
@@ -180,11 +180,64 @@
   CHECK(group.Rank() == 4);
 }
 
+// Returns a group in data centre 1 that heard `count` peers from `first` on.
+peer_group Hearing(std::uint32_t first,
+                   std::uint32_t count,
+                   std::uint32_t data_centre,
+                   std::uint64_t changed) {
+  peer_group group(Summary(1), {}, 7, [](std::uint32_t, const char*) {});
+  for (std::uint32_t i = 0; i < count; ++i) {
+    beacon other;
+    other.from = Summary(first + i, data_centre);
+    other.from.changed = changed;
+    group.Hear(other, At(0));
+  }
+  return group;
+}
+
+TEST_CASE("The first view comes from this data centre if one has it there") {
+  peer_group group = Hearing(10, 5, 2, 40);
+  CHECK(group.ViewSource(0) >= 10);
+  beacon near;
+  near.from = Summary(3);
+  near.from.changed = 30;
+  group.Hear(near, At(0));
+  CHECK(group.ViewSource(0) == 3);
+  CHECK(group.ViewSource(3) >= 10);
+}
+
+TEST_CASE("Peers without a view are no source, and are told of one") {
+  peer_group group = Hearing(10, 5, 1, 0);
+  CHECK(group.ViewSource(0) == 0);
+  CHECK(group.WithoutView().size() == 5);
+  CHECK(Hearing(10, 5, 1, 40).WithoutView().empty());
+  CHECK(Hearing(10, 300, 1, 0).WithoutView().size() == 64);
+}
+
+TEST_CASE("A source that failed is asked again if there is no other") {
+  peer_group group = Hearing(10, 1, 1, 40);
+  CHECK(group.ViewSource(10) == 10);
+}
+
+TEST_CASE("Large instances give most of the first views") {
+  peer_group group = Hearing(10, 20, 1, 40);
+  beacon large;
+  large.from = Summary(2);
+  large.from.changed = 40;
+  large.from.capacity = 500;
+  group.Hear(large, At(0));
+  int from_large = 0;
+  for (int i = 0; i < 100; ++i) {
+    from_large += group.ViewSource(0) == 2 ? 1 : 0;
+  }
+  CHECK(from_large > 80);
+}
+
 TEST_CASE("Beacons survive their encoding") {
   beacon made;
   made.from = Summary(0xC0A80001);
   made.wants_answer = true;
-  made.changed = 1'000'000'000'000;
+  made.from.changed = 1'000'000'000'000;
   made.revision = 1'000'000'000'007;
   made.age = std::chrono::milliseconds(35);
   made.others = {Summary(7), Summary(8)};
