Explain flows and the reasons for targets' states on the entry program

Cause: an engineer on call could ask a running instance for its status and targets, but not for a flow, and a target's state came without its reason (open part of the issue on explaining failures).

Change: packet_director::Explain() tells what Direct() would decide and changes nothing; a test compares the two over seven states and three addresses. target_picker::Survey() and RuleFor() give the rule by which a new flow finds each target. rosemaryreachctl flows explain SOURCE DESTINATION asks for it; service and protocol may be left out. The documents moved out of entry_task.cc. A target keeps the reason of its last doubt.

--- a/include/rosemaryreach/flow_ledger.h
+++ b/include/rosemaryreach/flow_ledger.h
@@ -32,6 +32,7 @@
   time_point answered{};       // last sign of an answer
   bool doubted = false;        // gets no new flows until a probe reaches it
   std::uint32_t failed_probes = 0;  // in a row, since it is doubted
+  const char* doubt_reason = "";    // of the last doubt, also when it is over
 };
 
 enum class flow_phase : std::uint8_t { kOpening, kOpen, kRunning };
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -4,6 +4,8 @@
 #define ROSEMARYREACH_PACKET_DIRECTOR_H_
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "rosemaryreach/flow_ledger.h"
@@ -35,6 +37,17 @@
   bool recent = false;
 };
 
+// What would happen to a flow's next packet, for an operator who asks.
+struct flow_explanation {
+  const entry_route* route = nullptr;    // nullptr if the address has none
+  std::string service;                   // that a new flow would go to
+  const flow_state* followed = nullptr;  // nullptr if it isn't known here
+  // The decision on the next data of a followed flow, or on a first packet;
+  // which of the good targets that gets depends on their load then.
+  packet_decision next;
+  std::vector<rule_count> targets;  // of the service, as a new flow finds them
+};
+
 class packet_director {
  public:
   packet_director(const target_directory& directory,
@@ -45,6 +58,12 @@
                          const view_trust& trust,
                          time_point now);
 
+  // Returns what Direct() would decide, and changes nothing. The pointers are
+  // good until the next call of another function.
+  flow_explanation Explain(const flow_key& flow,
+                           const view_trust& trust,
+                           time_point now) const;
+
   // Gives up the flows that wait for a target found out of reach, and returns
   // a packet of each for its reset: their callers would send again only after
   // up to 1.6 s.
@@ -60,6 +79,13 @@
   packet_decision Continue(const flow_packet& packet, time_point now);
   // Whether requests to `address` may be sent again elsewhere.
   bool Repeatable(const ipv4_endpoint& address) const;
+  packet_decision ExplainOpening(const flow_explanation& found,
+                                 const view_trust& trust) const;
+  packet_decision ExplainData(const flow_key& flow, target_index target) const;
+  // Returns the decision on a first packet that no target can be looked for;
+  // nothing if one can.
+  std::optional<packet_decision> RefuseOpening(const entry_route* route,
+                                               const view_trust& trust) const;
   // Returns why an open flow is given up; nullptr if it isn't.
   const char* WhyReset(const flow_packet& packet,
                        const known_target& target,
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "rosemaryreach/flow_ledger.h"
 #include "rosemaryreach/reach.h"
@@ -24,6 +25,13 @@
   std::function<bool(std::uint32_t cookie)> owns;
 };
 
+// How many targets of a service a new flow would find under one rule.
+struct rule_count {
+  const char* rule = "";
+  std::size_t targets = 0;
+  bool usable = false;  // whether a flow may go to one of them
+};
+
 // Why a target was chosen, or none.
 struct pick {
   target_index target = kNoTarget;
@@ -46,6 +54,14 @@
             std::span<const target_index> tried,
             time_point now);
 
+  // Returns the rule by which a new flow would find this target now:
+  // "least_load" for one that is good.
+  const char* RuleFor(target_index index, time_point now) const;
+
+  // Returns the targets of `service` by rule, the rule that wins first.
+  std::vector<rule_count> Survey(const std::string& service,
+                                 time_point now) const;
+
  private:
   // Lower is better; kNever can't be used at all.
   enum class grade : std::uint8_t {
@@ -60,7 +76,7 @@
 
   grade Grade(target_index index,
               std::span<const target_index> tried,
-              time_point now);
+              time_point now) const;
   double Score(target_index index, time_point now);
   bool ColdAllows(const known_target& target, time_point now) const;
   duration ColdInterval(const std::string& service) const;
--- a/src/ctl/ctl_help.cc
+++ b/src/ctl/ctl_help.cc
@@ -35,7 +35,7 @@
   status                  number, digest, readiness, peers, data centres
   verdicts                the latest verdicts on published entries
   targets                 targets and what is thought of their health
-  flows explain SERVICE PROTOCOL SOURCE DESTINATION
+  flows explain [SERVICE PROTOCOL] SOURCE DESTINATION
                           where a packet goes, by which rule and owner
   requests explain SERVICE METHOD PATH
                           where a request goes; with --caller and --key
--- a/src/ctl/instance_commands.cc
+++ b/src/ctl/instance_commands.cc
@@ -100,11 +100,15 @@
 }
 
 int ExplainFlow(const ctl_options& options, ctl_arguments arguments) {
+  // Service and protocol may be left out.
+  const bool whole = arguments.size() == 4;
+  const ctl_arguments ends = arguments.last(2);
   return ShowAll(
-      options, "/v1/flows/explain" + QueryOf({{"service", arguments[0]},
-                                              {"protocol", arguments[1]},
-                                              {"source", arguments[2]},
-                                              {"destination", arguments[3]}}));
+      options,
+      "/v1/flows/explain" + QueryOf({{"service", whole ? arguments[0] : ""},
+                                     {"protocol", whole ? arguments[1] : "tcp"},
+                                     {"source", ends[0]},
+                                     {"destination", ends[1]}}));
 }
 
 int ExplainRequest(const ctl_options& options, ctl_arguments arguments) {
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -30,6 +30,7 @@
       {{"status"}, 0, 0, ShowStatus},
       {{"verdicts"}, 0, 0, ShowVerdicts},
       {{"targets"}, 0, 0, ShowTargets},
+      {{"flows", "explain"}, 2, 2, ExplainFlow},
       {{"flows", "explain"}, 4, 4, ExplainFlow},
       {{"requests", "explain"}, 3, 3, ExplainRequest},
       {{"metrics"}, 0, 0, ShowMetrics},
--- a/src/entry/flow_ledger.cc
+++ b/src/entry/flow_ledger.cc
@@ -222,6 +222,7 @@
   target_contact& contact = Contact(target);
   if (!contact.doubted) {
     contact.doubted = true;
+    contact.doubt_reason = reason;
     contact.failed_probes = 0;
     hooks_.doubted(target, reason);
   }
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -39,13 +39,10 @@
 packet_decision packet_director::Open(const flow_packet& packet,
                                       const view_trust& trust,
                                       time_point now) {
-  if (!trust.settled || !directory_.complete()) {
-    return {packet_verdict::kDrop, kNoTarget, 0, "view_unsettled"};
-  }
   const entry_route* route = directory_.FindRoute(packet.flow.destination);
-  if (route == nullptr) {
-    return {trust.recent ? packet_verdict::kReset : packet_verdict::kDrop,
-            kNoTarget, 0, "no_route"};
+  const std::optional<packet_decision> refused = RefuseOpening(route, trust);
+  if (refused) {
+    return *refused;
   }
   const flow_state* known = ledger_.Find(packet.flow);
   if (known != nullptr && known->phase != flow_phase::kOpening) {
@@ -57,6 +54,21 @@
   return OpenOn(packet, *route, now);
 }
 
+std::optional<packet_decision> packet_director::RefuseOpening(
+    const entry_route* route,
+    const view_trust& trust) const {
+  if (!trust.settled || !directory_.complete()) {
+    return packet_decision{packet_verdict::kDrop, kNoTarget, 0,
+                           "view_unsettled"};
+  }
+  if (route == nullptr) {
+    return packet_decision{
+        trust.recent ? packet_verdict::kReset : packet_verdict::kDrop,
+        kNoTarget, 0, "no_route"};
+  }
+  return std::nullopt;
+}
+
 packet_decision packet_director::OpenOn(const flow_packet& packet,
                                         const entry_route& route,
                                         time_point now) {
@@ -89,6 +101,50 @@
   return {packet_verdict::kForward, target, 0, "cookie"};
 }
 
+flow_explanation packet_director::Explain(const flow_key& flow,
+                                          const view_trust& trust,
+                                          time_point now) const {
+  flow_explanation found;
+  found.route = directory_.FindRoute(flow.destination);
+  found.followed = ledger_.Find(flow);
+  if (found.route != nullptr) {
+    found.service = ServiceFor(*found.route, flow);
+    found.targets = picker_.Survey(found.service, now);
+  }
+  const bool open = found.followed != nullptr &&
+                    found.followed->phase != flow_phase::kOpening;
+  found.next = open ? ExplainData(flow, found.followed->target)
+                    : ExplainOpening(found, trust);
+  return found;
+}
+
+packet_decision packet_director::ExplainData(const flow_key& flow,
+                                             target_index target) const {
+  flow_packet data;
+  data.flow = flow;
+  data.data_bytes = 1;
+  const char* why =
+      WhyReset(data, *directory_.Find(target), ledger_.contact(target));
+  return why == nullptr
+             ? packet_decision{packet_verdict::kForward, target, 0, "cookie"}
+             : packet_decision{packet_verdict::kReset, target, 0, why};
+}
+
+packet_decision packet_director::ExplainOpening(const flow_explanation& found,
+                                                const view_trust& trust) const {
+  const std::optional<packet_decision> refused =
+      RefuseOpening(found.route, trust);
+  if (refused) {
+    return *refused;
+  }
+  if (found.targets.empty()) {
+    return {packet_verdict::kReset, kNoTarget, 0, "no_target"};
+  }
+  const rule_count& best = found.targets.front();
+  return {best.usable ? packet_verdict::kForward : packet_verdict::kReset,
+          kNoTarget, 0, best.rule};
+}
+
 // A reset lets the caller try elsewhere at once, but ends a request that may
 // not be repeated, so flows with such requests are left to their callers.
 const char* packet_director::WhyReset(const flow_packet& packet,
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -59,6 +59,7 @@
   for (std::size_t i = 0; i < count; ++i) {
     const target_index index =
         all[(start + i * all.size() / count) % all.size()];
+    ledger_.CheckOpening(index, now);
     const grade graded = Grade(index, tried, now);
     if (graded > best_grade || graded == grade::kNever) {
       continue;
@@ -84,7 +85,7 @@
 
 target_picker::grade target_picker::Grade(target_index index,
                                           std::span<const target_index> tried,
-                                          time_point now) {
+                                          time_point now) const {
   const known_target& target = *directory_.Find(index);
   if (target.cookie_taken || directory_.evacuated(target.record.data_centre) ||
       !ColdAllows(target, now)) {
@@ -94,7 +95,6 @@
     return now - target.draining_since < kLeavingUse ? grade::kLeaving
                                                      : grade::kNever;
   }
-  ledger_.CheckOpening(index, now);
   if (Unreachable(ledger_.contact(index)) ||
       reach_.OutOfReach(target.record.data_centre)) {
     return grade::kUnreachable;
@@ -111,6 +111,26 @@
   return grade::kGood;
 }
 
+const char* target_picker::RuleFor(target_index index, time_point now) const {
+  return kRules.at(static_cast<std::size_t>(Grade(index, {}, now)));
+}
+
+std::vector<rule_count> target_picker::Survey(const std::string& service,
+                                              time_point now) const {
+  std::array<std::size_t, kRules.size()> counts{};
+  for (const target_index index : directory_.TargetsOf(service)) {
+    ++counts.at(static_cast<std::size_t>(Grade(index, {}, now)));
+  }
+  std::vector<rule_count> found;
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    if (counts.at(i) > 0) {
+      found.push_back({kRules.at(i), counts.at(i),
+                       static_cast<grade>(i) < grade::kUnreachable});
+    }
+  }
+  return found;
+}
+
 double target_picker::Score(target_index index, time_point now) {
   const known_target& target = *directory_.Find(index);
   const target_contact& contact = ledger_.contact(index);
--- a/src/entryd/entry_task.cc
+++ b/src/entryd/entry_task.cc
@@ -51,18 +51,6 @@
   return info.st_mtim.tv_sec * kNanosPerSecond + info.st_mtim.tv_nsec;
 }
 
-const char* NameOf(target_listing listing) {
-  switch (listing) {
-    case target_listing::kListed:
-      return "listed";
-    case target_listing::kMissing:
-      return "missing";
-    case target_listing::kGone:
-      return "gone";
-  }
-  return "";
-}
-
 }  // namespace
 
 entry_task::entry_task(const entry_settings& settings,
@@ -163,8 +151,11 @@
   admin_hooks hooks;
   hooks.ready = [this] { return Readiness(); };
   hooks.metrics = [this] { return MetricsText(); };
-  hooks.status = [this] { return Status(); };
-  hooks.targets = [this] { return Targets(); };
+  hooks.status = [this] { return StatusDocument(Parts(), Readiness()); };
+  hooks.targets = [this] { return TargetsDocument(Parts()); };
+  hooks.explain_flow = [this](const flow_question& question) {
+    return FlowDocument(Parts(), Trust(), question);
+  };
   hooks.items = [this](std::uint64_t after) { return sync_.ItemsAfter(after); };
   return hooks;
 }
@@ -377,50 +368,8 @@
   return registry_->PrometheusText();
 }
 
-nlohmann::json entry_task::Status() const {
-  nlohmann::json peers = nlohmann::json::array();
-  for (const peer_summary& peer : sync_.peers().peers()) {
-    peers.push_back({{"address", FormatIpv4Endpoint({peer.address, 0})},
-                     {"incarnation", peer.incarnation},
-                     {"leaving", peer.leaving}});
-  }
-  const readiness state = Readiness();
-  return {{"instance", settings_.instance},
-          {"data_centre", settings_.data_centre},
-          {"ready", state.ready},
-          {"waiting_for", state.waiting_for},
-          {"configuration_version", directory_.config().version},
-          {"store_revision", sync_.revision()},
-          {"view_age_ms", ToMillis(sync_.age())},
-          {"store_away", sync_.store_away()},
-          {"flows", ledger_.size()},
-          {"peers", std::move(peers)}};
-}
-
-nlohmann::json entry_task::Targets() const {
-  nlohmann::json all = nlohmann::json::array();
-  const time_point now = BootTimeNow();
-  for (target_index i = 0; i < directory_.targets().size(); ++i) {
-    const known_target* target = directory_.Find(i);
-    if (target == nullptr) {
-      continue;
-    }
-    const target_contact& contact = ledger_.contact(i);
-    all.push_back(
-        {{"id", target->record.id},
-         {"service", target->record.service},
-         {"address", FormatIpv4Endpoint(target->record.address)},
-         {"data_centre", target->record.data_centre},
-         {"listing", NameOf(target->listing)},
-         {"draining", target->record.state == target_state::kDraining},
-         {"cold", now < target->cold_until},
-         {"out", directory_.evacuated(target->record.data_centre)},
-         {"doubted", contact.doubted},
-         {"failed_probes", contact.failed_probes},
-         {"open", contact.open},
-         {"running", contact.running}});
-  }
-  return all;
+entry_parts entry_task::Parts() const {
+  return {settings_, sync_, directory_, ledger_, picker_, director_};
 }
 
 void entry_task::LogLife(const char* event, const std::string& detail) {
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -9,6 +9,7 @@
 #include "adapters/admin_server.h"
 #include "adapters/event_loop.h"
 #include "adapters/signal_descriptor.h"
+#include "entryd/entry_documents.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
 #include "entryd/packet_port.h"
@@ -43,8 +44,7 @@
  private:
   admin_hooks AdminHooks();
   readiness Readiness() const;
-  nlohmann::json Status() const;
-  nlohmann::json Targets() const;
+  entry_parts Parts() const;
   view_trust Trust();
   void NotePause(time_point now);
   void NoteLateness(time_point now);
--- a/tests/entry_explain_test.cc
+++ b/tests/entry_explain_test.cc
@@ -11,6 +11,7 @@
 
 // A flow and how its calls ended.
 struct traced_flow {
+  flow_key key;
   std::string id;
   std::vector<call_report> reports;
 };
@@ -39,10 +40,10 @@
     }
     flows_.push_back(std::make_unique<traced_flow>());
     traced_flow& flow = *flows_.back();
-    flow.id = FormatFlow(
-        world().OpenCall(to, asked, [&flow](const call_report& report) {
-          flow.reports.push_back(report);
-        }));
+    flow.key = world().OpenCall(to, asked, [&flow](const call_report& report) {
+      flow.reports.push_back(report);
+    });
+    flow.id = FormatFlow(flow.key);
     return flow;
   }
 
@@ -50,11 +51,20 @@
     return !scene_.FindLine(0, members).is_null();
   }
 
-  // Returns the metrics of the instance.
-  std::string Metrics() {
+  std::string Metrics() { return Ask("/metrics"); }
+
+  // Returns what the instance says of a flow, as rosemaryreachctl asks it.
+  nlohmann::json Explain(const flow_key& flow) {
+    return nlohmann::json::parse(
+        Ask("/v1/flows/explain?source=" + FormatIpv4Endpoint(flow.caller) +
+            "&destination=" + FormatIpv4Endpoint(flow.destination)));
+  }
+
+  // Returns the instance's answer to a GET of `path`.
+  std::string Ask(const std::string& path) {
     http_getter getter(scene_.loop(), world().ControlAddress(0), 1'000'000);
     std::string text;
-    getter.Get("/metrics", std::chrono::seconds(10),
+    getter.Get(path, std::chrono::seconds(10),
                [&text](const result<http_reply>& reply) {
                  text = reply.value().body;
                });
@@ -112,6 +122,11 @@
   CHECK(scene.Metrics().find(
             "rosemaryreach_entry_packets_total{rule=\"no_target\"} 1") !=
         std::string::npos);
+  const nlohmann::json told = scene.Explain(flow.key);
+  CHECK(told.at("action") == "reset");
+  CHECK(told.at("rule") == "no_target");
+  CHECK(told.at("targets") == nlohmann::json{{"no_target", 3}});
+  CHECK(told.at("configuration_version") == 1);
 }
 
 TEST_CASE("A cut stream leads to the target that left") {
@@ -120,6 +135,10 @@
   const std::string id = target.options().id;
   traced_flow& flow = scene.Open(kWatch, "ledger", 200);
   REQUIRE(scene.Until([&flow] { return flow.reports.size() >= 2; }));
+  const nlohmann::json told = scene.Explain(flow.key);
+  CHECK(told.at("rule") == "cookie");
+  CHECK(told.at("target").at("id") == id);
+  CHECK(told.at("target").at("new_flows") == "least_load");
   target.Drain();
   REQUIRE(scene.Until([&] {
     return scene.Logged({{"subject", id}, {"outcome", "target_draining"}});
@@ -157,6 +176,8 @@
   }));
   CHECK(scene.Logged(
       {{"event", "flows_at_lost_target"}, {"target", id}, {"flows", flow.id}}));
+  const nlohmann::json told = scene.Explain(flow.key);
+  CHECK(told.at("targets").at("targets_unreachable") == 1);
   CHECK(scene.Metrics().find("rosemaryreach_entry_stalled_total 1") !=
         std::string::npos);
 }
--- a/tests/packet_director_test.cc
+++ b/tests/packet_director_test.cc
@@ -1,6 +1,7 @@
 #include "rosemaryreach/packet_director.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 
 #include "entry_fixture.h"
 
@@ -164,5 +165,62 @@
   CHECK(to_ledger < 950);
 }
 
+TEST_CASE("A flow that is not followed is explained as a new one") {
+  entry_scene scene;
+  scene.Add(Target("l1", 1));
+  scene.Add(Target("l2", 2));
+  scene.Drain(Target("l2", 2), At(0));
+  const flow_explanation found =
+      scene.director.Explain(Flow(1), scene.trust, At(5'000));
+  CHECK(found.service == "ledger");
+  CHECK(found.followed == nullptr);
+  CHECK(found.next.verdict == packet_verdict::kForward);
+  CHECK(std::string(found.next.rule) == "least_load");
+  REQUIRE(found.targets.size() == 2);
+  CHECK(found.targets[0].targets == 1);
+  CHECK(std::string(found.targets[1].rule) == "no_target");
+  CHECK(scene.ledger.size() == 0);
+}
+
+TEST_CASE("A followed flow is explained by its own target") {
+  entry_scene scene;
+  const target_index target = scene.Add(Target("l1", 1));
+  scene.Direct(First(Flow(1)), At(0));
+  scene.Direct(Later(Flow(1), MakeCookie("l1", 1), 1'001, 5'001, 100), At(5));
+  const auto explain = [&] {
+    return scene.director.Explain(Flow(1), scene.trust, At(10));
+  };
+  CHECK(explain().followed->phase == flow_phase::kRunning);
+  CHECK(explain().next.target == target);
+  CHECK(std::string(explain().next.rule) == "cookie");
+  scene.CutOffTarget(target, At(10));
+  CHECK(explain().next.verdict == packet_verdict::kReset);
+  CHECK(std::string(explain().next.rule) == "target_unreachable");
+}
+
+TEST_CASE("An explanation agrees with the decision on a first packet") {
+  const std::vector<std::function<void(entry_scene&)>> changes = {
+      [](entry_scene&) {},
+      [](entry_scene& scene) { scene.trust.settled = false; },
+      [](entry_scene& scene) { scene.Remove("l1", At(0)); },
+      [](entry_scene& scene) { scene.Evacuate("dc-a", true, At(0)); },
+      [](entry_scene& scene) { scene.ledger.Doubt(0, "test"); },
+      [](entry_scene& scene) { scene.CutOffTarget(0, At(0)); },
+      [](entry_scene& scene) { scene.Drain(Target("l1", 1), At(0)); }};
+  for (const std::function<void(entry_scene&)>& change : changes) {
+    for (const ipv4_endpoint& to :
+         {kWatchAddress, kFilesAddress, ipv4_endpoint{0xC6120009, 443}}) {
+      entry_scene scene;
+      scene.Add(Target("l1", 1));
+      change(scene);
+      const flow_explanation told =
+          scene.director.Explain(Flow(1, to), scene.trust, At(500));
+      const packet_decision made = scene.Direct(First(Flow(1, to)), At(500));
+      CHECK(told.next.verdict == made.verdict);
+      CHECK(std::string(told.next.rule) == made.rule);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace rosemaryreach
