Outbid a former life whose clock was ahead, step clocks in the soak

Cause: instances order an instance's lives by the time of day at its start. Found by asking what the soak lacked: clocks that jump.

Change: an instance that hears of a life of its own with a higher number takes the next higher one. The soak draws clock steps: a process is killed and started with its time of day off by up to 30 s (--clock-offset). Test addresses go beyond 255, so that some hundreds of processes fit.

--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -69,7 +69,15 @@
 }
 
 void peer_group::Learn(const peer_summary& summary, time_point now) {
-  if (summary.address == self_.address || summary.address == 0) {
+  if (summary.address == self_.address) {
+    // A life before this one, by a clock that was ahead: others would believe
+    // it more than this one, its silence or its leaving too.
+    if (summary.incarnation > self_.incarnation) {
+      self_.incarnation = summary.incarnation + 1;
+    }
+    return;
+  }
+  if (summary.address == 0) {
     return;
   }
   const auto lost = lost_.find(summary.address);
--- a/src/entryd/entry_task.h
+++ b/src/entryd/entry_task.h
@@ -23,6 +23,7 @@
 struct entry_options {
   std::string settings_file;
   std::uint16_t metrics_port = 0;  // on the control address; 0 for none
+  duration clock_offset{};         // added to the time of day, for tests
 };
 
 class entry_task {
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -52,6 +52,7 @@
   char* file = nullptr;
   char* level = nullptr;
   int metrics_port = 0;
+  int clock_offset_ms = 0;
   int check = 0;
   int version = 0;
   const std::vector<poptOption> options = {
@@ -61,6 +62,8 @@
        "FILE"},
       {"metrics-port", 'm', POPT_ARG_INT, &metrics_port, 0,
        "serve /metrics on this port too", "PORT"},
+      {"clock-offset", 0, POPT_ARG_INT, &clock_offset_ms, 0,
+       "milliseconds added to the time of day, for tests", "MS"},
       {"log-level", 'l', POPT_ARG_STRING, &level, 0,
        "debug, info, warning or error; default: info", "LEVEL"},
       {"check-settings", 'c', POPT_ARG_NONE, &check, 0,
@@ -96,6 +99,7 @@
                                         kSettingsVariable + " is needed");
   }
   read.options.metrics_port = static_cast<std::uint16_t>(metrics_port);
+  read.options.clock_offset = std::chrono::milliseconds(clock_offset_ms);
   read.check_only = check != 0;
   read.show_version = version != 0;
   return read;
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -35,12 +35,13 @@
   return addresses;
 }
 
-peer_summary SelfSummary(const entry_settings& settings) {
+peer_summary SelfSummary(const entry_settings& settings,
+                         duration clock_offset) {
   peer_summary self;
   self.address = ToIpv4Endpoint(settings.control).address;
   self.incarnation = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
+          std::chrono::system_clock::now().time_since_epoch() + clock_offset)
           .count());
   self.capacity = settings.capacity;
   self.data_centre =
@@ -60,7 +61,8 @@
                        changed_hook on_changed,
                        entry_log& log,
                        entry_metrics& metrics,
-                       std::uint64_t seed)
+                       std::uint64_t seed,
+                       duration clock_offset)
     : loop_(loop),
       settings_(settings),
       on_changed_(std::move(on_changed)),
@@ -68,7 +70,7 @@
       metrics_(metrics),
       cache_(std::move(decode)),
       follower_(BootTimeNow(), settings.link_mbps, seed),
-      peers_(SelfSummary(settings),
+      peers_(SelfSummary(settings, clock_offset),
              SeedAddresses(settings),
              seed,
              [this](std::uint32_t address, const char* outcome) {
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -28,13 +28,15 @@
   // Called with the items whose meaning changed.
   using changed_hook = std::function<void(std::span<const changed_item>)>;
 
+  // `clock_offset` is added to the time of day.
   store_sync(event_loop& loop,
              const entry_settings& settings,
              item_decoder decode,
              changed_hook on_changed,
              entry_log& log,
              entry_metrics& metrics,
-             std::uint64_t seed);
+             std::uint64_t seed,
+             duration clock_offset);
 
   // Binds the socket of the peers and begins to read.
   result<void> Start();
--- a/tests/own_address.h
+++ b/tests/own_address.h
@@ -13,12 +13,15 @@
 
 // Returns a loopback address that no other test of this machine listens on.
 inline ip_address OwnAddress() {
-  static std::atomic<std::uint8_t> next = 0;
+  static std::atomic<std::uint16_t> next = 0;
+  const unsigned number = ++next;
   const unsigned process = static_cast<unsigned>(getpid());
   ip_address address = ParseIp("127.64.0.0").value();
   address.bytes[13] = static_cast<std::uint8_t>(64 + ((process >> 8) & 0x7f));
-  address.bytes[14] = static_cast<std::uint8_t>(process);
-  address.bytes[15] = ++next;
+  // More than 255 run into the range of the next process, which is unlikely
+  // to run beside a test of that size.
+  address.bytes[14] = static_cast<std::uint8_t>(process + (number >> 8));
+  address.bytes[15] = static_cast<std::uint8_t>(number);
   return address;
 }
 
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -28,9 +28,10 @@
     }
   }
 
-  void Start(std::uint32_t address) {
+  // `clock_ms` is how far the instance's time of day is off.
+  void Start(std::uint32_t address, std::int64_t clock_ms = 0) {
     peer_summary self = Summary(address, address % 3);
-    self.incarnation = static_cast<std::uint64_t>(now) + 1;
+    self.incarnation = static_cast<std::uint64_t>(kEpochMs + now + clock_ms);
     groups.erase(address);
     groups.emplace(address, peer_group(self, {1, 2, 3}, address,
                                        [](std::uint32_t, const char*) {}));
@@ -50,6 +51,21 @@
     }
   }
 
+  // How many others know the life that `address` is in now.
+  std::size_t KnownBy(std::uint32_t address) {
+    const std::uint64_t life =
+        groups.at(address).MakeBeacon(1).from.incarnation;
+    std::size_t count = 0;
+    for (const auto& [other, group] : groups) {
+      for (const peer_summary& peer : group.peers()) {
+        count += peer.address == address && peer.incarnation == life ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+  static constexpr std::int64_t kEpochMs = 1'000'000;
+
   std::map<std::uint32_t, peer_group> groups;
   std::int64_t now = 0;
   bool cut = false;
@@ -134,6 +150,14 @@
   CHECK(group.size() == 1);
 }
 
+TEST_CASE("A restart with an earlier clock is known all over a large fleet") {
+  fleet fleet(90);
+  fleet.Run(20);
+  fleet.Start(50, -60'000);
+  fleet.Run(10);
+  CHECK(fleet.KnownBy(50) >= 85);
+}
+
 TEST_CASE("Beacons of a large fleet fit one datagram") {
   fleet fleet(40);
   fleet.Run(10);
--- a/tests/standins/entry_process.h
+++ b/tests/standins/entry_process.h
@@ -39,6 +39,11 @@
 
   void Signal(int signal) const { kill(pid_, signal); }
 
+  // Sets how far the clock is off from the next start on, in milliseconds.
+  void SetClockOffset(int offset_ms) {
+    clock_offset_ = std::to_string(offset_ms);
+  }
+
   // Starts the process again if it has ended; returns whether it ended.
   bool Reap() {
     if (!Ended()) {
@@ -71,9 +76,10 @@
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                      O_CREAT | O_RDWR, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-    std::string option = "--settings";
-    std::array<char*, 4> arguments = {program_.data(), option.data(),
-                                      settings_.data(), nullptr};
+    std::string settings = "--settings";
+    std::string clock = "--clock-offset=" + clock_offset_;
+    std::array<char*, 5> arguments = {program_.data(), settings.data(),
+                                      settings_.data(), clock.data(), nullptr};
     if (posix_spawn(&pid_, program_.c_str(), &files, nullptr, arguments.data(),
                     environ) != 0) {
       std::perror(program_.c_str());
@@ -85,6 +91,7 @@
   std::string program_;
   std::string settings_;
   std::string log_;
+  std::string clock_offset_ = "0";
   int starts_ = 0;
   pid_t pid_ = 0;
   bool ended_badly_ = false;
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -193,7 +193,7 @@
   }
 
   fault DrawFault() {
-    switch (Draw(10)) {
+    switch (Draw(11)) {
       case 0:
         return SignalFault("kill", false, SIGKILL, 0, 300, 800);
       case 1:
@@ -212,6 +212,8 @@
         return SilenceFault();
       case 8:
         return EvacuationFault();
+      case 9:
+        return ClockFault();
       default:
         return {"configuration", true,
                 [this] {
@@ -241,6 +243,19 @@
             }};
   }
 
+  // The process dies and its clock is off when it starts again.
+  fault ClockFault() {
+    entry_process& process = AnyProcess();
+    const int offset_ms = static_cast<int>(Draw(60'000)) - 30'000;
+    return {"clock step", false,
+            [this, &process, offset_ms] {
+              process.SetClockOffset(offset_ms);
+              process.Signal(SIGKILL);
+              return Between(300, 800);
+            },
+            [] {}};
+  }
+
   fault LinkFault() {
     const link_fault how = static_cast<link_fault>(1 + Draw(4));
     return {"store link", false,
