Check in the soak that configurations come into force

Cause: the soak checked drains, evacuations, resets, answers and repeats, but not that a configuration is in force within 3 s and stays.

Change: every second configuration has a further route. Flows to its address must not be answered 3 s after it went, and not be refused 3 s after it came, unless a fault or a change came meanwhile or a data centre is out.

--- a/tests/standins/entry_world.h
+++ b/tests/standins/entry_world.h
@@ -57,9 +57,11 @@
   }
 
   // Publishes a configuration with routes for the services "ledger" (watches
-  // and bookings) and "files".
+  // and bookings) and "files"; each second one has a further route to "files".
   void Configure() {
     ++version_;
+    spare_route_ = version_ % 2 == 0;
+    spare_route_since_ = loop_.now();
     const auto route = [](const char* name, const char* host, const char* port,
                           const char* type, const char* service) {
       return nlohmann::json{{"name", name},
@@ -68,12 +70,17 @@
                             {"type", type},
                             {"service", service}};
     };
+    nlohmann::json routes = {
+        route("watch", "198.18.0.1", "/8443/", "idempotent", "ledger"),
+        route("book", "198.18.0.1", "/8080/", "non_idempotent", "ledger"),
+        route("files", "198.18.0.2", "/8443/", "download", "files")};
+    if (spare_route_) {
+      routes.push_back(
+          route("spare", "198.18.0.3", "/8443/", "download", "files"));
+    }
     const nlohmann::json config = {
         {"version", version_},
-        {"routes",
-         {route("watch", "198.18.0.1", "/8443/", "idempotent", "ledger"),
-          route("book", "198.18.0.1", "/8080/", "non_idempotent", "ledger"),
-          route("files", "198.18.0.2", "/8443/", "download", "files")}},
+        {"routes", std::move(routes)},
         {"services", {{{"name", "ledger"}}, {{"name", "files"}}}}};
     store_->Put("op/config", config.dump());
   }
@@ -113,8 +120,13 @@
     }
   }
 
-  // Opens a flow: a watch with several requests, a booking or a file.
+  // Opens a flow: a watch with several requests, a booking or a file, now and
+  // then by the route that comes and goes.
   void OpenFlow() {
+    if (random_() % kSpareRouteShare == 0) {
+      OpenSpareFlow();
+      return;
+    }
     static constexpr ipv4_endpoint kWatch{0xC6120001, 8443};
     static constexpr ipv4_endpoint kBook{0xC6120001, 8080};
     static constexpr ipv4_endpoint kFiles{0xC6120002, 8443};
@@ -210,8 +222,37 @@
   // Bounds of the promises, in the words of the brief "a few seconds".
   static constexpr duration kDrainBound = std::chrono::seconds(3);
   static constexpr duration kEvacuationBound = std::chrono::seconds(5);
+  static constexpr duration kConfigBound = std::chrono::seconds(3);
+  static constexpr std::uint64_t kSpareRouteShare = 15;
   static constexpr duration kCalm = std::chrono::seconds(4);
 
+  // Opens a flow by the route that comes and goes. What the configuration of
+  // some seconds ago forbids must not be answered, what it allows not refused.
+  void OpenSpareFlow() {
+    static constexpr ipv4_endpoint kSpare{0xC6120003, 8443};
+    const bool settled = check_times_ && Calm() &&
+                         loop_.now() - spare_route_since_ > kConfigBound;
+    const std::uint64_t version = version_;
+    const std::string name = "files spare " + std::to_string(++flows_opened_);
+    callers_[random_() % callers_.size()]->Open(
+        kSpare, {name}, std::chrono::milliseconds(150),
+        [this, settled, version](const call_report& report) {
+          // Judged only if nothing changed and no fault came meanwhile.
+          if (settled && Calm() && version == version_) {
+            OnSpareCall(report);
+          }
+        });
+  }
+
+  void OnSpareCall(const call_report& report) {
+    if (report.end == call_end::kAnswered && !spare_route_) {
+      Violate("\"" + report.request + "\" was answered without a route");
+    } else if (report.end == call_end::kReset && !report.opened &&
+               spare_route_ && evacuated_.empty()) {
+      Violate("\"" + report.request + "\" was refused though it has a route");
+    }
+  }
+
   void Violate(const std::string& what) { violations_.push_back(what); }
 
   void OnOpened(const entry_target& target) {
@@ -285,6 +326,8 @@
   bool disturbed_ = false;
   time_point calm_since_{};
   std::uint64_t version_ = 0;
+  bool spare_route_ = false;
+  time_point spare_route_since_{};
   std::uint64_t targets_made_ = 0;
   std::uint64_t flows_opened_ = 0;
 };
