Forget deleted items after ten minutes

Cause: item_cache kept each deleted item for ever, about 300 bytes, and handed all of them to newcomers.

Change: deletions are dropped 10 to 20 minutes after the store's revision passed them. A peer that asks from before that gets the whole view, and what this lacks counts as deleted.

Figures: new cases in item_cache_test: deletions are gone and listed items stay; a peer that missed a forgotten deletion learns of it.

--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -83,6 +83,7 @@
   std::uint64_t revision = 0;  // the store's when it answered
   std::uint64_t changed = 0;   // last change in meaning, from peers only
   bool more = false;           // a listing goes on after the last item
+  bool whole = false;          // from peers: items it lacks are deleted
 };
 
 // What an item means. Items that can't be read are `unreadable_item`.
--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -37,8 +37,12 @@
   // Notes that nothing changed in meaning up to `revision`.
   void SeeRevision(std::uint64_t revision);
 
+  // Forgets the items that were deleted up to `revision`, since each start of
+  // a target brings a new one.
+  void ForgetDeleted(std::uint64_t revision);
+
   // Returns the items that changed in meaning after `revision`, with the
-  // revision of that change.
+  // revision of that change; all items if deletions after it are forgotten.
   store_answer ChangedAfter(std::uint64_t revision) const;
 
   // The last revision at which a meaning changed; 0 before the first listing.
@@ -60,6 +64,7 @@
   std::map<std::string, known_item> items_;
   std::uint64_t changed_ = 0;
   std::uint64_t revision_ = 0;
+  std::uint64_t forgotten_ = 0;  // deletions up to this revision
 };
 
 }  // namespace rosemaryreach
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -39,7 +39,8 @@
 
 std::vector<changed_item> item_cache::MergePeer(const store_answer& answer) {
   std::vector<changed_item> changed =
-      MergeChanges(answer.items, answer.revision);
+      answer.whole ? MergeListing(answer.items, answer.revision)
+                   : MergeChanges(answer.items, answer.revision);
   changed_ = std::max(changed_, answer.changed);
   return changed;
 }
@@ -48,12 +49,20 @@
   revision_ = std::max(revision_, revision);
 }
 
+void item_cache::ForgetDeleted(std::uint64_t revision) {
+  forgotten_ = std::max(forgotten_, revision);
+  std::erase_if(items_, [revision](const auto& entry) {
+    return entry.second.item.deleted && entry.second.item.revision <= revision;
+  });
+}
+
 store_answer item_cache::ChangedAfter(std::uint64_t revision) const {
   store_answer answer;
   answer.revision = revision_;
   answer.changed = changed_;
+  answer.whole = revision < forgotten_;
   for (const auto& [key, known] : items_) {
-    if (known.changed > revision) {
+    if (answer.whole ? !known.item.deleted : known.changed > revision) {
       answer.items.push_back(known.item);
       answer.items.back().revision = known.changed;
     }
--- a/src/entry/view_codec.cc
+++ b/src/entry/view_codec.cc
@@ -12,7 +12,7 @@
 using json = nlohmann::json;
 
 constexpr int kFormat = 1;
-constexpr std::size_t kViewMembers = 4;
+constexpr std::size_t kViewMembers = 5;
 constexpr std::size_t kItemMembers = 4;
 
 json ToJson(const store_item& item) {
@@ -39,7 +39,8 @@
   store_answer answer;
   answer.revision = array.at(1).get<std::uint64_t>();
   answer.changed = array.at(2).get<std::uint64_t>();
-  for (const json& item : array.at(3)) {
+  answer.whole = array.at(3).get<bool>();
+  for (const json& item : array.at(4)) {
     answer.items.push_back(ToItem(item));
   }
   return answer;
@@ -52,8 +53,8 @@
   for (const store_item& item : answer.items) {
     items.push_back(ToJson(item));
   }
-  const json array =
-      json::array({kFormat, answer.revision, answer.changed, std::move(items)});
+  const json array = json::array({kFormat, answer.revision, answer.changed,
+                                  answer.whole, std::move(items)});
   std::string bytes;
   json::to_cbor(array, bytes);
   return bytes;
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kPeersInLine = 8;
 // A first view of 12,000 targets, 400 KB, over a link of 10 Mbit/s, twice.
 constexpr duration kFirstPullDeadline = std::chrono::milliseconds(800);
+// Deleted items are kept this long at least, for peers that were cut off.
+constexpr duration kDeletionMemory = std::chrono::minutes(10);
 // Pause before another peer is asked.
 constexpr duration kPullPause = std::chrono::milliseconds(30);
 // Then the next beacon says whom to ask.
@@ -117,7 +119,9 @@
 }
 
 void store_sync::Tick() {
-  peers_.Tick(BootTimeNow());
+  const time_point now = BootTimeNow();
+  peers_.Tick(now);
+  ForgetDeleted(now);
   const bool lost = follower_.listed() && store_away();
   if (lost != std::exchange(store_lost_, lost)) {
     LogStore(lost ? "store_lost" : "store_regained",
@@ -125,6 +129,13 @@
   }
 }
 
+void store_sync::ForgetDeleted(time_point now) {
+  if (now - marked_ >= kDeletionMemory) {
+    cache_.ForgetDeleted(std::exchange(mark_, cache_.revision()));
+    marked_ = now;
+  }
+}
+
 std::optional<std::string> store_sync::ItemsAfter(std::uint64_t revision) {
   const bool same = revision == served_after_ &&
                     cache_.changed() == served_changed_ && !served_.empty();
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -89,6 +89,7 @@
   bool Pulling() const;
   void OnPulled(const result<store_answer>& answer, std::uint32_t source);
   void TellOfView();
+  void ForgetDeleted(time_point now);
   void SendBeacon(std::span<const std::uint32_t> to, bool wants_answer);
   void SendNews();
   void OnBeaconTime();
@@ -122,6 +123,8 @@
   peer_view wanted_;  // what the last pull is for
   std::uint32_t failed_source_ = 0;
   std::size_t pull_failures_ = 0;  // in a row
+  time_point marked_{};  // when mark_ was the store's revision
+  std::uint64_t mark_ = 0;
   time_point last_news_{};
   std::string peer_changes_;  // the first ones since the last line
   std::size_t peer_change_count_ = 0;
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -71,6 +71,35 @@
   CHECK(one.ChangedAfter(two.changed()).items.empty());
 }
 
+TEST_CASE("Deleted items are forgotten, listed ones stay") {
+  item_cache cache(Decode);
+  const std::vector<store_item> all = {
+      Item("a", "x", 3), {"b", "", 5, true}, {"c", "", 9, true}};
+  cache.MergeChanges(all, 9);
+  cache.ForgetDeleted(6);
+  const store_answer left = cache.ChangedAfter(0);
+  REQUIRE(left.items.size() == 1);
+  CHECK(left.items[0].key == "a");
+  CHECK(cache.ChangedAfter(7).items.size() == 1);
+}
+
+TEST_CASE("A peer that missed a forgotten deletion learns of it all the same") {
+  item_cache one(Decode);
+  item_cache away(Decode);
+  const std::vector<store_item> before = {Item("a", "x", 3), Item("b", "y", 4)};
+  one.MergeChanges(before, 4);
+  away.MergePeer(one.ChangedAfter(0));
+  const std::vector<store_item> deleted = {{"b", "", 8, true}};
+  one.MergeChanges(deleted, 8);
+  one.ForgetDeleted(8);
+  const std::vector<changed_item> learned =
+      away.MergePeer(one.ChangedAfter(away.changed()));
+  REQUIRE(learned.size() == 1);
+  CHECK(learned[0].item.key == "b");
+  CHECK(learned[0].item.deleted);
+  CHECK(away.changed() == one.changed());
+}
+
 TEST_CASE("Instances agree in whatever order they hear of changes") {
   CHECK(rc::check([](const std::vector<std::uint8_t>& writes) {
     std::vector<store_item> items;
--- a/tests/view_codec_test.cc
+++ b/tests/view_codec_test.cc
@@ -12,11 +12,13 @@
                   {"b", "", 9, true}};
   answer.revision = 1'000'000'000'012;
   answer.changed = 9;
+  answer.whole = true;
   const result<store_answer> read = DecodeView(EncodeView(answer));
   REQUIRE(read);
   CHECK(read.value().items == answer.items);
   CHECK(read.value().revision == answer.revision);
   CHECK(read.value().changed == 9);
+  CHECK(read.value().whole);
 }
 
 TEST_CASE("Bytes that are no view are errors") {
