--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -123,7 +123,7 @@
   peer_view wanted_;  // what the last pull is for
   std::uint32_t failed_source_ = 0;
   std::size_t pull_failures_ = 0;  // in a row
-  time_point marked_{};  // when mark_ was the store's revision
+  time_point marked_{};            // when mark_ was the store's revision
   std::uint64_t mark_ = 0;
   time_point last_news_{};
   std::string peer_changes_;  // the first ones since the last line
