--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -36,7 +36,6 @@
 
 struct entry_service {
   std::string name;
-  std::string health_path;
   // New flows a second that a cold target bears; 0 if none is declared.
   double cold_flows_per_s = 0;
 
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -28,7 +28,7 @@
       {"watch", kWatchAddress, {{"ledger", 1}}, request_kind::kIdempotent},
       {"book", kBookAddress, {{"ledger", 1}}, request_kind::kNonIdempotent},
       {"files", kFilesAddress, {{"files", 1}}, request_kind::kBulk}};
-  config.services = {{"ledger", "/healthz", 0}, {"files", "/healthz", 0}};
+  config.services = {{"ledger", 0}, {"files", 0}};
   return config;
 }
 
--- a/tests/store_documents_test.cc
+++ b/tests/store_documents_test.cc
@@ -74,8 +74,7 @@
   CHECK(config->routes[0].kind == request_kind::kIdempotent);
   CHECK(config->routes[1].kind == request_kind::kBulk);
   CHECK(config->routes[2].kind == request_kind::kNonIdempotent);
-  CHECK(config->services ==
-        std::vector<entry_service>{{"a", "/h", 2.5}, {"b", "/healthz", 0}});
+  CHECK(config->services == std::vector<entry_service>{{"a", 2.5}, {"b", 0}});
 }
 
 TEST_CASE("Evacuations are told by their keys") {
