Send whole views only to peers that may miss a deletion

A view counted as incomplete below the revision up to which deletions were forgotten, and heartbeats raise that revision, so after ten quiet minutes every change would have sent the whole view to each instance. A pull tried elsewhere after a failure could go to a peer that knew no more than the asker. Besides, a new address of the store left the turn at the next page armed.

Change: the limit is the newest deletion that was forgotten; another source must know of later changes; the turn ends with the old address.

--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -64,7 +64,7 @@
   std::map<std::string, known_item> items_;
   std::uint64_t changed_ = 0;
   std::uint64_t revision_ = 0;
-  std::uint64_t forgotten_ = 0;  // deletions up to this revision
+  std::uint64_t forgotten_ = 0;  // the newest deletion that is forgotten
 };
 
 }  // namespace rosemaryreach
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -97,10 +97,10 @@
   // Returns peers that had no view of the store when they were last heard.
   std::vector<std::uint32_t> WithoutView();
 
-  // Returns a peer to take the first view from: of this data centre if one has
-  // a view, larger ones more often. Not `failed` unless no other one is known;
-  // 0 if there is none.
-  std::uint32_t ViewSource(std::uint32_t failed);
+  // Returns a peer that knows of changes after `known`: of this data centre if
+  // there is one, larger ones more often. Not `failed` unless no other one is
+  // known; 0 if there is none.
+  std::uint32_t ViewSource(std::uint64_t known, std::uint32_t failed);
 
   // Drops peers that are silent.
   void Tick(time_point now);
@@ -134,7 +134,9 @@
   void AddSample(const address_list& from, std::size_t count, address_list& to);
   void AddFirstReaders(address_list& to) const;
   std::uint32_t RandomOf(std::span<const std::uint32_t> addresses);
-  std::uint32_t RandomSource(bool here, std::uint32_t excluded);
+  std::uint32_t RandomSource(std::uint64_t known,
+                             bool here,
+                             std::uint32_t excluded);
 
   peer_summary self_;
   std::vector<std::uint32_t> seeds_;
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -50,9 +50,13 @@
 }
 
 void item_cache::ForgetDeleted(std::uint64_t revision) {
-  forgotten_ = std::max(forgotten_, revision);
-  std::erase_if(items_, [revision](const auto& entry) {
-    return entry.second.item.deleted && entry.second.item.revision <= revision;
+  std::erase_if(items_, [this, revision](const auto& entry) {
+    const known_item& known = entry.second;
+    if (!known.item.deleted || known.item.revision > revision) {
+      return false;
+    }
+    forgotten_ = std::max(forgotten_, known.changed);
+    return true;
   });
 }
 
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -170,11 +170,12 @@
   return told;
 }
 
-std::uint32_t peer_group::ViewSource(std::uint32_t failed) {
+std::uint32_t peer_group::ViewSource(std::uint64_t known,
+                                     std::uint32_t failed) {
   // Twice, so that the only source may be asked again.
   for (const std::uint32_t excluded : {failed, std::uint32_t{0}}) {
     for (const bool here : {true, false}) {
-      const std::uint32_t source = RandomSource(here, excluded);
+      const std::uint32_t source = RandomSource(known, here, excluded);
       if (source != 0) {
         return source;
       }
@@ -183,12 +184,14 @@
   return 0;
 }
 
-std::uint32_t peer_group::RandomSource(bool here, std::uint32_t excluded) {
+std::uint32_t peer_group::RandomSource(std::uint64_t known,
+                                       bool here,
+                                       std::uint32_t excluded) {
   address_list sources;
   std::vector<double> weights;
   for (const auto& [address, peer] : peers_) {
     const peer_summary& summary = peer.summary;
-    if (summary.changed > 0 && address != excluded &&
+    if (summary.changed > known && address != excluded &&
         (summary.data_centre == self_.data_centre) == here) {
       sources.push_back(address);
       weights.push_back(summary.capacity + 1.0);
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -102,6 +102,7 @@
   peers_.SetSeeds(SeedAddresses(settings));
   if (settings.store != settings_.store) {
     reading_ = false;
+    page_timer_.Stop();
     store_ = std::make_unique<store_client>(loop_, settings.store);
   }
   settings_ = settings;
@@ -291,7 +292,7 @@
   }
   // Many want their first view at once, and small changes are known to few.
   const bool first = cache_.changed() == 0;
-  Pull(first ? peers_.ViewSource(failed_source_) : sender);
+  Pull(first ? peers_.ViewSource(0, failed_source_) : sender);
 }
 
 void store_sync::Pull(std::uint32_t source) {
@@ -305,8 +306,9 @@
 }
 
 void store_sync::PullElsewhere() {
-  const std::uint32_t source = peers_.ViewSource(failed_source_);
-  if (!Pulling() && source != 0 && wanted_.changed > cache_.changed()) {
+  const std::uint32_t source =
+      peers_.ViewSource(cache_.changed(), failed_source_);
+  if (!Pulling() && source != 0) {
     Pull(source);
   }
 }
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -83,6 +83,16 @@
   CHECK(cache.ChangedAfter(7).items.size() == 1);
 }
 
+TEST_CASE("Only a peer that may miss a deletion gets the whole view") {
+  item_cache cache(Decode);
+  const std::vector<store_item> all = {Item("a", "x", 3), {"b", "", 5, true}};
+  cache.MergeChanges(all, 5);
+  // Heartbeats alone raised the revision since.
+  cache.ForgetDeleted(90);
+  CHECK(cache.ChangedAfter(4).whole);
+  CHECK_FALSE(cache.ChangedAfter(5).whole);
+}
+
 TEST_CASE("A peer that missed a forgotten deletion learns of it all the same") {
   item_cache one(Decode);
   item_cache away(Decode);
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -221,18 +221,18 @@
 
 TEST_CASE("The first view comes from this data centre if one has it there") {
   peer_group group = Hearing(10, 5, 2, 40);
-  CHECK(group.ViewSource(0) >= 10);
+  CHECK(group.ViewSource(0, 0) >= 10);
   beacon near;
   near.from = Summary(3);
   near.from.changed = 30;
   group.Hear(near, At(0));
-  CHECK(group.ViewSource(0) == 3);
-  CHECK(group.ViewSource(3) >= 10);
+  CHECK(group.ViewSource(0, 0) == 3);
+  CHECK(group.ViewSource(0, 3) >= 10);
 }
 
 TEST_CASE("Peers without a view are no source, and are told of one") {
   peer_group group = Hearing(10, 5, 1, 0);
-  CHECK(group.ViewSource(0) == 0);
+  CHECK(group.ViewSource(0, 0) == 0);
   CHECK(group.WithoutView().size() == 5);
   CHECK(Hearing(10, 5, 1, 40).WithoutView().empty());
   CHECK(Hearing(10, 300, 1, 0).WithoutView().size() == 64);
@@ -240,7 +240,13 @@
 
 TEST_CASE("A source that failed is asked again if there is no other") {
   peer_group group = Hearing(10, 1, 1, 40);
-  CHECK(group.ViewSource(10) == 10);
+  CHECK(group.ViewSource(0, 10) == 10);
+}
+
+TEST_CASE("A peer that knows no more than this instance is no source") {
+  peer_group group = Hearing(10, 1, 1, 40);
+  CHECK(group.ViewSource(39, 0) == 10);
+  CHECK(group.ViewSource(40, 0) == 0);
 }
 
 TEST_CASE("Large instances give most of the first views") {
@@ -252,7 +258,7 @@
   group.Hear(large, At(0));
   int from_large = 0;
   for (int i = 0; i < 100; ++i) {
-    from_large += group.ViewSource(0) == 2 ? 1 : 0;
+    from_large += group.ViewSource(0, 0) == 2 ? 1 : 0;
   }
   CHECK(from_large > 80);
 }
