Point newcomers to views, shorten the wait on thin links

Newcomers waited 60 to 160 ms, heard only of views that the seeds had themselves, and each instance told up to 64 others of its first view, which costs a small one tens of milliseconds to hear.

Change: a newcomer asks any peer of which it hears that it has a view, also by one that has none; ten peers are told; seeds are asked each 40 ms until a peer is known; the wait is 30 to 90 ms.

--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t kLargeFleetSummaries = 8;
 // Peers without a view that are told when one is there: at a start of all
 // instances everyone asks the seeds, and what these tell spreads from there.
-constexpr std::size_t kToldOfView = 64;
+constexpr std::size_t kToldOfView = 10;
 // Lost peers are tried again for this long.
 constexpr duration kLostMemory = std::chrono::seconds(90);
 
--- a/src/entry/store_follower.cc
+++ b/src/entry/store_follower.cc
@@ -11,10 +11,11 @@
 // spreads a start of all instances at once.
 constexpr duration kFirstReadLowest = std::chrono::milliseconds(5);
 constexpr duration kFirstReadSpread = std::chrono::milliseconds(15);
-// Time for an instance with a wider link to list the store and to tell of it:
-// less than until callers send again.
-constexpr duration kThinReadLowest = std::chrono::milliseconds(60);
-constexpr duration kThinReadSpread = std::chrono::milliseconds(100);
+// Time for an instance with a wider link to list the store and to tell of it.
+// Twice as long serves 300 instances of 3,000 targets sooner and 90 instances
+// of 150 targets later, half as long the other way round.
+constexpr duration kThinReadLowest = std::chrono::milliseconds(30);
+constexpr duration kThinReadSpread = std::chrono::milliseconds(60);
 // Turns at the second page. Reading some ten pages and passing them on takes
 // about a tenth of a second, on thin links several times that.
 constexpr duration kTurnSpread = std::chrono::milliseconds(150);
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -27,7 +27,7 @@
 constexpr std::size_t kPullTries = 5;
 // Until a peer is known, seeds are asked this often: instances that start
 // together do so within 0.3 s.
-constexpr duration kSeedPeriod = std::chrono::milliseconds(100);
+constexpr duration kSeedPeriod = std::chrono::milliseconds(40);
 
 std::vector<std::uint32_t> SeedAddresses(const entry_settings& settings) {
   std::vector<std::uint32_t> addresses;
@@ -275,6 +275,10 @@
     wanted_ = view;
     pull_failures_ = 0;
     PullFrom(heard.from.address);
+  } else if (cache_.changed() == 0) {
+    // The sender has no view, but may know of others that do.
+    wanted_ = {};
+    PullElsewhere();
   } else if (view.changed > 0 && heard.revision >= cache_.changed()) {
     cache_.SeeRevision(heard.revision);
     follower_.TakePeer(view.known_at);
