Take views only from peers that were heard themselves

After a power loss survivors still tell of the former lives of peers, so a newcomer could ask an instance that is dead, which costs its deadline, or back without a view; and an instance without a view answered with an empty one, which the asker took for the whole. Both new cases fail before: the source named is the peer heard of, and the status is 200.

Change: only peers that sent a beacon in their present life are sources; an instance without a view refuses to give one.

--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -94,12 +94,13 @@
   // so that it crosses to each data centre only a few times.
   std::vector<std::uint32_t> PassOnRecipients();
 
-  // Returns peers that had no view of the store when they were last heard.
+  // Returns some peers that had no view of the store when last heard of.
   std::vector<std::uint32_t> WithoutView();
 
-  // Returns a peer that knows of changes after `known`: of this data centre if
-  // there is one, larger ones more often. Not `failed` unless no other one is
-  // known; 0 if there is none.
+  // Returns a peer that knows of changes after `known`, of this data centre if
+  // there is one, larger ones more often; 0 if there is none. Only peers that
+  // were heard themselves: what others tell of them may be of a former life.
+  // Not `failed` unless there is no other one.
   std::uint32_t ViewSource(std::uint64_t known, std::uint32_t failed);
 
   // Drops peers that are silent.
@@ -120,6 +121,7 @@
   struct peer {
     peer_summary summary;
     time_point heard{};
+    bool direct = false;  // heard itself, in this life
   };
 
   void Learn(const peer_summary& summary, time_point now);
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -63,6 +63,10 @@
   }
   lost_.erase(heard.from.address);
   Learn(heard.from, now);
+  const auto sender = peers_.find(heard.from.address);
+  if (sender != peers_.end()) {
+    sender->second.direct = true;
+  }
   for (const peer_summary& other : heard.others) {
     Learn(other, now);
   }
@@ -93,7 +97,8 @@
     return;
   }
   const bool now_leaving = summary.leaving && !known.summary.leaving;
-  known = {summary, now};
+  const bool same_life = known.summary.incarnation == summary.incarnation;
+  known = {summary, now, known.direct && same_life};
   if (is_new || now_leaving) {
     report_(summary.address, summary.leaving ? "leaving" : "found");
   }
@@ -191,7 +196,7 @@
   std::vector<double> weights;
   for (const auto& [address, peer] : peers_) {
     const peer_summary& summary = peer.summary;
-    if (summary.changed > known && address != excluded &&
+    if (peer.direct && summary.changed > known && address != excluded &&
         (summary.data_centre == self_.data_centre) == here) {
       sources.push_back(address);
       weights.push_back(summary.capacity + 1.0);
@@ -215,7 +220,7 @@
       continue;
     }
     report_(one->first, "silent");
-    lost_[one->first] = {one->second.summary, now};
+    lost_[one->first] = {one->second.summary, now, false};
     one = peers_.erase(one);
   }
   std::erase_if(lost_, [now](const auto& one) {
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -138,6 +138,9 @@
 }
 
 std::optional<std::string> store_sync::ItemsAfter(std::uint64_t revision) {
+  if (cache_.changed() == 0) {
+    return std::nullopt;  // A peer would take nothing for the whole view.
+  }
   const bool same = revision == served_after_ &&
                     cache_.changed() == served_changed_ && !served_.empty();
   if (!same) {
@@ -275,10 +278,6 @@
     wanted_ = view;
     pull_failures_ = 0;
     PullFrom(heard.from.address);
-  } else if (cache_.changed() == 0) {
-    // The sender has no view, but may know of others that do.
-    wanted_ = {};
-    PullElsewhere();
   } else if (view.changed > 0 && heard.revision >= cache_.changed()) {
     cache_.SeeRevision(heard.revision);
     follower_.TakePeer(view.known_at);
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -55,8 +55,8 @@
   // Writes one line for the peers found and lost since the last call.
   void LogPeers();
 
-  // Returns what a peer asks for, deflated; nothing while the link is full of
-  // such answers. After a change many ask the same.
+  // Returns what a peer asks for, deflated; nothing without a view, or while
+  // the link is full of such answers. After a change many ask the same.
   std::optional<std::string> ItemsAfter(std::uint64_t revision);
 
   const peer_group& peers() const { return peers_; }
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -1,4 +1,5 @@
 // The whole path over real sockets: store, instances, targets and callers.
+#include "adapters/http_get.h"
 #include "entry_path_fixture.h"
 
 namespace rosemaryreach {
@@ -47,6 +48,20 @@
   CHECK(scene.world().violations().empty());
 }
 
+TEST_CASE("An instance without a view gives none to peers") {
+  path_scene scene(1);
+  scene.world().store().SetFault(store_fault::kSilent);
+  scene.Start(0);
+  http_getter getter(scene.loop(), scene.world().ControlAddress(0), 1'000);
+  int status = 0;
+  getter.Get("/v1/items?after=0", std::chrono::seconds(10),
+             [&status](const result<http_reply>& reply) {
+               status = reply.value().status;
+             });
+  REQUIRE(scene.RunUntil([&status] { return status != 0; }));
+  CHECK(status == 503);
+}
+
 TEST_CASE("A store that forgot its history is listed again") {
   path_scene scene(1);
   scene.Start(0);
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -249,6 +249,20 @@
   CHECK(group.ViewSource(40, 0) == 0);
 }
 
+TEST_CASE("Views come only from instances that were heard themselves") {
+  peer_group group(Summary(1), {}, 7, [](std::uint32_t, const char*) {});
+  beacon survivor;
+  survivor.from = Summary(2, 2);
+  survivor.from.changed = 40;
+  survivor.others = {Summary(3)};
+  survivor.others[0].changed = 40;  // may be dead, or back without a view
+  group.Hear(survivor, At(0));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(group.ViewSource(0, 0) == 2);
+  }
+  CHECK(group.ViewSource(0, 2) == 2);
+}
+
 TEST_CASE("Large instances give most of the first views") {
   peer_group group = Hearing(10, 20, 1, 40);
   beacon large;
