--- a/include/rosemaryreach/types.h
+++ b/include/rosemaryreach/types.h
@@ -55,6 +55,10 @@
 // Formats `endpoint` as ParseEndpoint() reads it.
 std::string FormatEndpoint(const endpoint& endpoint);
 
+// Parses a decimal number of digits only; returns errc::kUnsupported if `text`
+// is anything else or the number does not fit.
+result<std::uint64_t> ParseUint64(std::string_view text);
+
 // Identifies an instance across restarts: a hash of its name.
 struct instance_id {
   std::uint64_t value = 0;
--- a/src/core/types.cc
+++ b/src/core/types.cc
@@ -13,11 +13,18 @@
 constexpr std::array<std::uint8_t, 12> kV4Prefix = {0, 0, 0, 0, 0,    0,
                                                     0, 0, 0, 0, 0xff, 0xff};
 
+// Parses all of `text` as a decimal number; returns whether that succeeded.
+template <typename T>
+bool ParseDigits(std::string_view text, T& number) {
+  const char* end = text.data() + text.size();
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), end, number);
+  return !text.empty() && parsed.ec == std::errc() && parsed.ptr == end;
+}
+
 result<std::uint16_t> ParsePort(std::string_view text) {
   std::uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const std::from_chars_result parsed = std::from_chars(text.data(), end, port);
-  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+  if (!ParseDigits(text, port)) {
     return Fail(
         errc::kInvalidAddress,
         "expected a port from 0 to 65535, got \"" + std::string(text) + "\"");
@@ -56,6 +63,15 @@
   return text.data();
 }
 
+result<std::uint64_t> ParseUint64(std::string_view text) {
+  std::uint64_t number = 0;
+  if (!ParseDigits(text, number)) {
+    return Fail(errc::kUnsupported, "expected a number of digits only, got \"" +
+                                        std::string(text) + "\"");
+  }
+  return number;
+}
+
 result<endpoint> ParseEndpoint(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) {
--- a/src/ctl/config_commands.cc
+++ b/src/ctl/config_commands.cc
@@ -42,8 +42,16 @@
                                  const std::string& text) {
   const fs::path temporary =
       path.parent_path() / ("." + path.filename().string());
-  std::ofstream(temporary, std::ios::binary) << text;
+  std::ofstream file(temporary, std::ios::binary);
+  file << text;
+  file.close();
   std::error_code failure;
+  if (file.fail()) {
+    fs::remove(temporary, failure);
+    return Fail(errc::kIo,
+                "could not write " + std::to_string(text.size()) + " bytes",
+                temporary.string());
+  }
   fs::rename(temporary, path, failure);
   if (failure) {
     return Fail(errc::kIo, failure.message(), path.string());
@@ -95,10 +103,9 @@
 }
 
 int WriteSnapshot(const ctl_options& options, ctl_arguments arguments) {
-  const std::uint64_t sequence =
-      std::strtoull(arguments[1].c_str(), nullptr, 10);
+  const result<std::uint64_t> sequence = ParseUint64(arguments[1]);
   configuration_check check = ReadConfigFile(arguments[2]);
-  if (sequence == 0) {
+  if (!sequence || sequence.value() == 0) {
     check.errors.push_back(
         {errc::kUnsupported, arguments[1], "expected a sequence above 0"});
   }
@@ -111,7 +118,7 @@
   const result<void> written =
       WriteEntries(fs::path(arguments[0]) / "entries",
                    MakeSnapshot(check.value, snapshot_kind::kPublished,
-                                sequence, kPartBytes));
+                                sequence.value(), kPartBytes));
   return written ? kExitOk : PrintError(options, written.error(), kExitUsage);
 }
 
--- a/tests/types_test.cc
+++ b/tests/types_test.cc
@@ -22,5 +22,16 @@
   }
 }
 
+TEST_CASE("ParseUint64 accepts digits only") {
+  CHECK(ParseUint64("0").value() == 0);
+  CHECK(ParseUint64("18446744073709551615").value() == ~std::uint64_t{0});
+  for (const char* text :
+       {"", "12abc", "-1", "+1", " 1", "1.0", "18446744073709551616"}) {
+    const result<std::uint64_t> parsed = ParseUint64(text);
+    REQUIRE(!parsed);
+    CHECK(parsed.error().code == errc::kUnsupported);
+  }
+}
+
 }  // namespace
 }  // namespace rosemaryreach
