Decide by start time which target has an address

Cause: a target that ends leaves its entry in the store for some heartbeats, and its address may go to a new target meanwhile. target_directory took the one that was listed last for the newer.

Change: a target counts as replaced if the other one at its address started later by the start times they state and was not learned of earlier, and unless only the replaced one is still listed. Where start times and order disagree, as after a step of a clock, neither is replaced: a wrong reset cuts live flows, a missing one lets callers wait. The creation revision was not used, since a restored store gives revisions out again. The log says who replaced whom and by how much later it started.

--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -43,7 +43,8 @@
   time_point cold_until{};
   // An older target has the same cookie, so this one gets no flows.
   bool cookie_conflict = false;
-  // Another target was listed later at the same address.
+  time_point added{};  // the same for all targets of one batch of changes
+  // Another target has taken over the address, so flows to this one are dead.
   bool address_reused = false;
 };
 
@@ -106,7 +107,11 @@
                   target_listing listing,
                   const char* reason,
                   time_point now);
-  void ReassignAddress(target_index newer);
+  void IndexAddress(target_index index);
+  void UnindexAddress(target_index index);
+  // Finds out which targets at `address` were replaced by another one there.
+  void UpdateReplaced(const ipv4_endpoint& address);
+  const known_target* FindReplacement(const known_target& target) const;
   void Remove(target_index index);
   void IndexServices() const;
 
@@ -119,7 +124,7 @@
   std::vector<std::optional<known_target>> targets_;
   std::map<std::string, target_index> by_id_;  // newest incarnation
   std::map<std::uint32_t, target_index> by_cookie_;
-  std::map<ipv4_endpoint, target_index> by_address_;  // listed last
+  std::map<ipv4_endpoint, std::vector<target_index>> by_address_;
   std::vector<target_index> free_;
   // Rebuilt lazily after changes, since a batch may change all targets.
   mutable std::map<std::string, std::vector<target_index>> by_service_;
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <compare>
+#include <utility>
 
 namespace rosemaryreach {
 namespace {
@@ -25,6 +27,22 @@
          record.data_centre;
 }
 
+// Whether `later` is known to have taken over the address of `earlier`. Start
+// times come from the targets' clocks, which may step, and a restored store
+// lists dead targets again. So both the start times and the order in which this
+// instance learned of the two count; if they disagree, neither is replaced,
+// since a reset cuts the flows of a live target while flows to a dead one only
+// wait.
+bool TookAddressOf(const known_target& later, const known_target& earlier) {
+  const std::strong_ordering started =
+      later.record.incarnation <=> earlier.record.incarnation;
+  const std::strong_ordering learned = later.added <=> earlier.added;
+  const bool only_earlier_listed = earlier.listing == target_listing::kListed &&
+                                   later.listing != target_listing::kListed;
+  return started >= 0 && learned >= 0 && (started > 0 || learned > 0) &&
+         !only_earlier_listed;
+}
+
 std::string DescribeColdRates(const entry_config& config) {
   std::string text;
   for (const entry_service& service : config.services) {
@@ -124,7 +142,7 @@
            record.state == target_state::kActive ? "target_added"
                                                  : "target_added_draining",
            DescribeTarget(record)});
-  ReassignAddress(added);
+  IndexAddress(added);
 }
 
 target_index target_directory::Add(const target_record& record,
@@ -133,6 +151,7 @@
   target.record = record;
   target.cookie = MakeCookie(record.id, record.incarnation);
   target.listing_changed = now;
+  target.added = now;
   target.cold_until = now + record.cold_left;
   if (record.state == target_state::kDraining) {
     target.draining_since = now;
@@ -162,6 +181,12 @@
   if (record.cold_left > duration::zero()) {
     target.cold_until = now + record.cold_left;
   }
+  if (record.address != target.record.address) {
+    const target_index index = by_id_.at(record.id);
+    UnindexAddress(index);
+    target.record.address = record.address;
+    IndexAddress(index);
+  }
   target.record = record;
   SetListing(target, target_listing::kListed, "entry is back", now);
   services_indexed_ = false;
@@ -205,19 +230,54 @@
   report_({target.record.id, kOutcomes.at(static_cast<std::size_t>(listing)),
            reason});
   services_indexed_ = false;
+  UpdateReplaced(target.record.address);
+}
+
+void target_directory::IndexAddress(target_index index) {
+  const ipv4_endpoint& address = targets_[index]->record.address;
+  by_address_[address].push_back(index);
+  UpdateReplaced(address);
+}
+
+void target_directory::UnindexAddress(target_index index) {
+  const auto known = by_address_.find(targets_[index]->record.address);
+  std::erase(known->second, index);
+  if (known->second.empty()) {
+    by_address_.erase(known);
+  }
 }
 
-void target_directory::ReassignAddress(target_index newer) {
-  const auto [known, added] =
-      by_address_.emplace(targets_[newer]->record.address, newer);
-  if (added || known->second == newer) {
+void target_directory::UpdateReplaced(const ipv4_endpoint& address) {
+  const auto known = by_address_.find(address);
+  if (known == by_address_.end()) {
     return;
   }
-  std::optional<known_target>& before = targets_[known->second];
-  if (before && before->record.address == known->first) {
-    before->address_reused = true;
+  for (const target_index index : known->second) {
+    known_target& target = *targets_[index];
+    const known_target* replacement = FindReplacement(target);
+    const bool reused = replacement != nullptr;
+    if (reused != std::exchange(target.address_reused, reused)) {
+      report_(
+          {target.record.id, reused ? "address_reused" : "address_kept",
+           FormatIpv4Endpoint(address) +
+               (reused
+                    ? " is that of " + replacement->record.id + ", started " +
+                          std::to_string(replacement->record.incarnation -
+                                         target.record.incarnation) +
+                          " ms later"
+                    : " is no other target's any more")});
+    }
   }
-  known->second = newer;
+}
+
+const known_target* target_directory::FindReplacement(
+    const known_target& target) const {
+  for (const target_index index : by_address_.at(target.record.address)) {
+    if (TookAddressOf(*targets_[index], target)) {
+      return &*targets_[index];
+    }
+  }
+  return nullptr;
 }
 
 void target_directory::Tick(bool store_unavailable, time_point now) {
@@ -251,10 +311,7 @@
   if (cookie != by_cookie_.end() && cookie->second == index) {
     by_cookie_.erase(cookie);
   }
-  const auto address = by_address_.find(target.record.address);
-  if (address != by_address_.end() && address->second == index) {
-    by_address_.erase(address);
-  }
+  UnindexAddress(index);
   targets_[index].reset();
   free_.push_back(index);
   on_removed_(index);
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -96,6 +96,68 @@
   CHECK(fixture.Add(Target("l2", 2), At(75'001)) == target);
 }
 
+// A dead target's entry and that of its successor at the same address, started
+// at 1,000 and 6,000 by their clocks.
+target_record Dead() {
+  target_record record = Target("l2", 1);
+  record.incarnation = 1'000;
+  return record;
+}
+target_record Successor() {
+  target_record record = Target("l1", 1, "dc-a", "files");
+  record.incarnation = 6'000;
+  return record;
+}
+
+// Ids are random, so an instance that starts finds the two in either order.
+TEST_CASE("The target that started later has the address, in any order") {
+  for (const bool dead_first : {false, true}) {
+    entry_fixture fixture;
+    fixture.Add(dead_first ? Dead() : Successor());
+    fixture.Add(dead_first ? Successor() : Dead());
+    const target_directory& directory = fixture.directory;
+    const target_index dead = directory.FindCookie(MakeCookie("l2", 1'000));
+    const target_index live = directory.FindCookie(MakeCookie("l1", 6'000));
+    CHECK(directory.Find(dead)->address_reused);
+    CHECK_FALSE(directory.Find(live)->address_reused);
+    CHECK(fixture.changes.back().outcome == "address_reused");
+    CHECK(fixture.changes.back().detail ==
+          "10.128.0.1:8080 is that of l1, started 5000 ms later");
+  }
+}
+
+TEST_CASE("A target replaced twice stays replaced when its successor leaves") {
+  entry_fixture fixture;
+  const target_index dead = fixture.Add(Dead());
+  fixture.Remove("l2", At(1'000));
+  fixture.Add(Successor(), At(2'000));
+  fixture.Remove("l1", At(3'000));
+  CHECK(fixture.directory.Find(dead)->address_reused);
+  CHECK(fixture.directory.FindCookie(MakeCookie("l1", 6'000)) != kNoTarget);
+}
+
+TEST_CASE("Start times that contradict the order of entries replace nobody") {
+  entry_fixture fixture;
+  const target_index dead = fixture.Add(Dead(), At(0));
+  target_record clock_behind = Successor();
+  clock_behind.incarnation = 500;
+  const target_index live = fixture.Add(clock_behind, At(5'000));
+  CHECK_FALSE(fixture.directory.Find(live)->address_reused);
+  CHECK_FALSE(fixture.directory.Find(dead)->address_reused);
+}
+
+TEST_CASE("A listed target is not replaced by one whose entry is gone") {
+  entry_fixture fixture;
+  target_record clock_behind = Successor();
+  clock_behind.incarnation = 500;
+  fixture.Add(Dead());
+  const target_index live = fixture.Add(clock_behind);
+  CHECK(fixture.directory.Find(live)->address_reused);
+  fixture.Remove("l2", At(2'000));
+  CHECK_FALSE(fixture.directory.Find(live)->address_reused);
+  CHECK(fixture.changes.back().outcome == "address_kept");
+}
+
 // In quadratic time this would keep a small instance from serving for minutes
 // after its start.
 TEST_CASE("A listing of twelve thousand targets is applied") {
