Keep targets in use whose entries vanish with an outage or in a wave

Cause: after an outage in which leases ran out, the first listing lacks the targets that run and holds one that has just started.

Change: a missing entry is not held against its target if it vanished while the store was unavailable or within 2.6 s of its return, or together with at least half of the entries of the service. Besides, missing targets are as good as listed ones while the listed ones cannot bear the load that all instances are estimated to put on the service.

--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -20,6 +20,10 @@
 using target_index = std::uint32_t;
 inline constexpr target_index kNoTarget = ~target_index{0};
 
+// Entries that expired while the store was unavailable return within 2 s; the
+// rest of the time is for reading them.
+inline constexpr duration kEntryReturnGrace = std::chrono::milliseconds(2'600);
+
 // Returns the number that identifies an incarnation of a target in packets. It
 // is the same on every instance and never 0.
 std::uint32_t MakeCookie(std::string_view id, std::uint64_t incarnation);
@@ -39,6 +43,8 @@
   std::uint32_t cookie = 0;
   target_listing listing = target_listing::kListed;
   time_point listing_changed{};
+  // Its entry vanished in circumstances that say nothing about the target.
+  bool lapse_excused = false;
   time_point draining_since{};  // when this instance learned of it
   time_point cold_until{};
   // An older target has the same cookie, so this one gets no flows.
@@ -68,6 +74,9 @@
                    report report_change,
                    removed_hook on_removed);
 
+  // Applies the changes that this instance learned of together.
+  void ApplyBatch(std::span<const changed_item> changes, time_point now);
+
   void Apply(const store_item& item,
              const decoded_item& decoded,
              time_point now);
@@ -107,6 +116,13 @@
                   target_listing listing,
                   const char* reason,
                   time_point now);
+  // Excuses the targets of services that lost many entries at `now`.
+  void ExcuseLapses(time_point now);
+  // Whether entries of live targets may be missing, since the store was
+  // unavailable until recently.
+  bool EntriesMayBeMissing(time_point now) const {
+    return store_unavailable_ || now - store_returned_ < kEntryReturnGrace;
+  }
   void IndexAddress(target_index index);
   void UnindexAddress(target_index index);
   // Finds out which targets at `address` were replaced by another one there.
@@ -133,10 +149,6 @@
   time_point store_returned_{};
 };
 
-// Entries that expired while the store was unavailable return within 2 s; the
-// rest of the time is for reading them.
-inline constexpr duration kEntryReturnGrace = std::chrono::milliseconds(2'600);
-
 }  // namespace rosemaryreach
 
 #endif  // ROSEMARYREACH_TARGET_DIRECTORY_H_
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -21,6 +21,8 @@
 struct fleet_hooks {
   // Returns the live instances of this data centre, including this one.
   std::function<std::uint32_t()> local_instances;
+  // Returns the live instances of all data centres, including this one.
+  std::function<std::size_t()> instances;
   // Returns whether this instance is the only one that opens flows to the cold
   // target `cookie`.
   std::function<bool(std::uint32_t cookie)> owns;
@@ -67,7 +69,7 @@
   // Lower is better; kUnreachable and kExcluded targets are never picked.
   enum class grade : std::uint8_t {
     kGood,
-    kMissing,      // its entry disappeared from the store
+    kMissing,      // its entry disappeared, and the listed ones suffice
     kTried,        // did not answer this flow's first packet
     kDraining,     // draining for less than kDrainingGrace
     kSuspected,    // may not answer
@@ -75,9 +77,20 @@
     kExcluded,
   };
 
+  // The last result of ListedTargetsSuffice(), since it is needed for several
+  // targets of one flow.
+  struct sufficiency {
+    std::string service;
+    time_point at{};
+    bool suffices = true;
+  };
+
   grade Grade(target_index index,
               std::span<const target_index> tried,
               time_point now) const;
+  // Returns whether the listed targets of `service` can bear the load that all
+  // instances are estimated to put on the service.
+  bool ListedTargetsSuffice(const std::string& service, time_point now) const;
   double Score(target_index index, time_point now);
   bool ColdRateAllows(const known_target& target, time_point now) const;
   duration ColdInterval(const std::string& service) const;
@@ -91,6 +104,7 @@
   fleet_hooks fleet_;
   std::mt19937_64 random_;
   std::map<std::uint32_t, time_point> cold_next_;  // by cookie
+  mutable sufficiency sufficiency_;
 };
 
 }  // namespace rosemaryreach
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -8,6 +8,12 @@
 namespace rosemaryreach {
 namespace {
 
+// Targets that crash lose their entries one by one, or some of them together;
+// when this many and at least this share of a service's entries vanish at once,
+// it is the listing that is at fault. Load balancers commonly panic at half.
+constexpr std::size_t kMinLapses = 3;
+constexpr double kLapsedShare = 0.5;
+
 std::uint64_t HashText(std::uint64_t seed, std::string_view text) {
   return HashBytes(text, seed);
 }
@@ -103,6 +109,19 @@
   }
 }
 
+void target_directory::ApplyBatch(std::span<const changed_item> changes,
+                                  time_point now) {
+  bool removals = false;
+  for (const changed_item& change : changes) {
+    Apply(change.item, change.decoded, now);
+    removals =
+        removals || std::holds_alternative<removed_target>(change.decoded);
+  }
+  if (removals) {
+    ExcuseLapses(now);
+  }
+}
+
 void target_directory::ApplyConfig(const entry_config& config) {
   if (config.version <= config_.version) {
     report_({"configuration", "older_version_ignored",
@@ -206,6 +225,47 @@
              reason, now);
 }
 
+void target_directory::ExcuseLapses(time_point now) {
+  struct lapse_count {
+    std::size_t before = 0;  // targets listed before this batch
+    std::size_t lapsed = 0;  // of these, entries that vanished in it
+    bool excused = false;
+  };
+  const auto lapsed_now = [now](const known_target& target) {
+    return target.listing == target_listing::kMissing &&
+           target.listing_changed == now;
+  };
+  std::map<std::string, lapse_count> services;
+  for (const std::optional<known_target>& target : targets_) {
+    if (!target || target->listing == target_listing::kGone) {
+      continue;
+    }
+    lapse_count& count = services[target->record.service];
+    const bool lapsed = lapsed_now(*target);
+    const bool stays =
+        target->listing == target_listing::kListed && target->added < now;
+    count.before += lapsed || stays ? 1 : 0;
+    count.lapsed += lapsed ? 1 : 0;
+  }
+  for (auto& [service, count] : services) {
+    const bool many = count.lapsed >= kMinLapses &&
+                      static_cast<double>(count.lapsed) >=
+                          kLapsedShare * static_cast<double>(count.before);
+    count.excused = count.lapsed > 0 && (many || EntriesMayBeMissing(now));
+    if (count.excused) {
+      report_({service, "lapses_excused",
+               std::to_string(count.lapsed) + " of " +
+                   std::to_string(count.before) + " entries vanished" +
+                   (many ? " together" : " while the store was unavailable")});
+    }
+  }
+  for (std::optional<known_target>& target : targets_) {
+    if (target && lapsed_now(*target)) {
+      target->lapse_excused = services[target->record.service].excused;
+    }
+  }
+}
+
 void target_directory::ApplyEvacuation(const evacuation_item& item) {
   const bool changed = item.evacuated
                            ? evacuated_.insert(item.data_centre).second
@@ -227,6 +287,7 @@
       "target_listed", "target_missing", "target_gone"};
   target.listing = listing;
   target.listing_changed = now;
+  target.lapse_excused = false;
   report_({target.record.id, kOutcomes.at(static_cast<std::size_t>(listing)),
            reason});
   services_indexed_ = false;
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -105,10 +105,36 @@
   if (std::find(tried.begin(), tried.end(), index) != tried.end()) {
     return grade::kTried;
   }
-  if (target.listing == target_listing::kMissing) {
-    return grade::kMissing;
+  const bool avoid = target.listing == target_listing::kMissing &&
+                     !target.lapse_excused &&
+                     ListedTargetsSuffice(target.record.service, now);
+  return avoid ? grade::kMissing : grade::kGood;
+}
+
+bool target_picker::ListedTargetsSuffice(const std::string& service,
+                                         time_point now) const {
+  if (sufficiency_.service == service && sufficiency_.at == now) {
+    return sufficiency_.suffices;
+  }
+  double running = 0;
+  double slots = 0;
+  for (const target_index index : directory_.TargetsOf(service)) {
+    const known_target& target = *directory_.Find(index);
+    const target_status& status = tracker_.StatusOf(index);
+    running += status.running + status.opening;
+    const bool usable = target.listing == target_listing::kListed &&
+                        target.record.state == target_state::kActive &&
+                        !status.suspected &&
+                        !directory_.evacuated(target.record.data_centre);
+    if (usable) {
+      slots +=
+          target.record.slots / (now < target.cold_until ? kColdFactor : 1);
+    }
   }
-  return grade::kGood;
+  // Assumes that all instances run as many requests as this one.
+  const double load = running * static_cast<double>(fleet_.instances()) + 1;
+  sufficiency_ = {service, now, load <= slots};
+  return sufficiency_.suffices;
 }
 
 const char* target_picker::RuleFor(target_index index, time_point now) const {
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -116,6 +116,7 @@
           settings.data_centre,
           settings.bounds,
           {[this] { return sync_.peers().LocalInstances(); },
+           [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
       director_(directory_, tracker_, picker_),
@@ -227,9 +228,7 @@
 void entry_instance::OnItemsChanged(std::span<const changed_item> items) {
   const time_point now = BootTimeNow();
   change_lines_left_ = kMaxChangeLines;
-  for (const changed_item& changed : items) {
-    directory_.Apply(changed.item, changed.decoded, now);
-  }
+  directory_.ApplyBatch(items, now);
   if (directory_.complete()) {
     StartForwarding("configuration and targets are loaded");
   }
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -96,16 +96,18 @@
        [](duration) {}, [](const flow_key&, target_index, duration) {},
        [](duration) {}}};
   std::uint32_t local_instances = 1;
+  std::size_t instances = 1;
   bool owns = true;
   data_centre_reachability reachability{directory, tracker, "dc-a"};
-  target_picker picker{directory,
-                       tracker,
-                       reachability,
-                       "dc-a",
-                       entry_bounds{},
-                       {[this] { return local_instances; },
-                        [this](std::uint32_t /*cookie*/) { return owns; }},
-                       7};
+  target_picker picker{
+      directory,
+      tracker,
+      reachability,
+      "dc-a",
+      entry_bounds{},
+      {[this] { return local_instances; }, [this] { return instances; },
+       [this](std::uint32_t /*cookie*/) { return owns; }},
+      7};
   packet_director director{directory, tracker, picker};
   view_freshness freshness{true, true};
 };
--- /dev/null
+++ b/tests/placement_load_test.cc
@@ -0,0 +1,74 @@
+// What callers get when entries of targets vanish from the store.
+#include <catch2/catch.hpp>
+
+#include "load_player.h"
+
+namespace rosemaryreach {
+namespace {
+
+constexpr double kTargetShareInTime = 0.95;
+
+// The store was down while entries ran out: its first listing lacks all targets
+// that run, and has one that has just started.
+TEST_CASE("A listing after an outage does not send all callers to one target") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const played_load load;
+    load_player player(load, seed);
+    CHECK(player.ShareInTime(At(3'000)) >= kTargetShareInTime);
+    player.SetStoreUnavailable(true);
+    player.ShareInTime(At(5'000));
+    std::vector<decoded_item> listing = {player.Listed(load.targets + 1)};
+    player.AddTarget(load.targets + 1);
+    for (std::uint32_t i = 1; i <= load.targets; ++i) {
+      listing.push_back(load_player::Removed(i));
+    }
+    player.ApplyToAll(listing);
+    player.SetStoreUnavailable(false);
+    CHECK(player.ShareInTime(At(7'000)) >= kTargetShareInTime);
+  }
+}
+
+// Most entries vanish at once while the store answers, and return later.
+TEST_CASE("Entries that vanish in a wave do not overload the others") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const played_load load;
+    load_player player(load, seed);
+    CHECK(player.ShareInTime(At(3'000)) >= kTargetShareInTime);
+    std::vector<decoded_item> listing;
+    for (std::uint32_t i = 2; i <= load.targets; ++i) {
+      listing.push_back(load_player::Removed(i));
+    }
+    player.ApplyToAll(listing);
+    CHECK(player.ShareInTime(At(5'000)) >= kTargetShareInTime);
+  }
+}
+
+// The same in small batches, so that no single one is a wave.
+TEST_CASE("Targets without entries serve what the listed ones can't") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const played_load load;
+    load_player player(load, seed);
+    CHECK(player.ShareInTime(At(3'000)) >= kTargetShareInTime);
+    for (std::uint32_t i = 3; i <= load.targets; ++i) {
+      player.ShareInTime(At(3'000 + 20 * i));
+      player.ApplyToAll({load_player::Removed(i)});
+    }
+    CHECK(player.ShareInTime(At(5'000)) >= kTargetShareInTime);
+  }
+}
+
+TEST_CASE("Crashed targets get no new flows while the listed ones suffice") {
+  const played_load load;
+  load_player player(load, 1);
+  player.ShareInTime(At(3'000));
+  player.Crash(1);
+  player.Crash(2);
+  player.ShareInTime(At(5'000));
+  player.ApplyToAll({load_player::Removed(1), load_player::Removed(2)});
+  const std::size_t before = player.FlowsTo(1) + player.FlowsTo(2);
+  CHECK(player.ShareInTime(At(7'000)) >= kTargetShareInTime);
+  CHECK(player.FlowsTo(1) + player.FlowsTo(2) == before);
+}
+
+}  // namespace
+}  // namespace rosemaryreach
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -158,6 +158,47 @@
   CHECK(fixture.changes.back().outcome == "address_kept");
 }
 
+// Removes the entries of targets l1 to l`count` in one batch.
+void Lapse(entry_fixture& fixture, int count, time_point now) {
+  std::vector<changed_item> batch;
+  for (int i = 1; i <= count; ++i) {
+    batch.push_back({{}, removed_target{"l" + std::to_string(i)}});
+  }
+  fixture.directory.ApplyBatch(batch, now);
+}
+
+TEST_CASE("Entries that vanish are excused after an outage and in a wave") {
+  const auto excused = [](int lapsed, bool outage) {
+    entry_fixture fixture;
+    for (std::uint32_t i = 1; i <= 6; ++i) {
+      fixture.Add(Target("l" + std::to_string(i), i));
+    }
+    fixture.directory.Tick(outage, At(60'000));
+    fixture.directory.Tick(false, At(61'000));
+    Lapse(fixture, lapsed, At(62'000));
+    const target_index first =
+        fixture.directory.FindCookie(MakeCookie("l1", 1));
+    return fixture.directory.Find(first)->lapse_excused;
+  };
+  CHECK_FALSE(excused(1, false));
+  CHECK_FALSE(excused(2, false));
+  CHECK(excused(3, false));
+  CHECK(excused(1, true));
+}
+
+TEST_CASE("An excused target is gone all the same if it does not return") {
+  entry_fixture fixture;
+  for (std::uint32_t i = 1; i <= 3; ++i) {
+    fixture.Add(Target("l" + std::to_string(i), i));
+  }
+  fixture.directory.Tick(false, At(60'000));
+  Lapse(fixture, 3, At(60'000));
+  const target_index first = fixture.directory.FindCookie(MakeCookie("l1", 1));
+  CHECK(std::string(fixture.picker.RuleFor(first, At(60'001))) == "least_load");
+  fixture.directory.Tick(false, At(62'600));
+  CHECK(fixture.directory.Find(first)->listing == target_listing::kGone);
+}
+
 // In quadratic time this would keep a small instance from serving for minutes
 // after its start.
 TEST_CASE("A listing of twelve thousand targets is applied") {
