--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -3,7 +3,9 @@
 #ifndef ROSEMARYREACH_ENTRY_TYPES_H_
 #define ROSEMARYREACH_ENTRY_TYPES_H_
 
+#include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -66,11 +68,20 @@
   duration cold_left{};  // rest of the warm-up when the record was written
 };
 
+// A position in the store's history. A restore of the store from a copy starts
+// a new era, in which the revisions since that copy are given out again.
+struct store_cursor {
+  std::uint64_t era = 0;
+  std::uint64_t revision = 0;
+
+  auto operator<=>(const store_cursor&) const = default;
+};
+
 // One item of the store; `value` holds arbitrary bytes.
 struct store_item {
   std::string key;
   std::string value;
-  std::uint64_t revision = 0;
+  std::uint64_t revision = 0;  // in the era of the answer that holds the item
   bool deleted = false;
 
   bool operator==(const store_item&) const = default;
@@ -79,9 +90,9 @@
 // A reply from the store, or from a peer that relays items of the store.
 struct store_answer {
   std::vector<store_item> items;
-  std::uint64_t revision = 0;  // of the store at the time of the reply
-  // From peers: the revision of the last content change, heartbeats excluded.
-  std::uint64_t changed_revision = 0;
+  store_cursor cursor;  // of the store at the time of the reply
+  // From peers: that of the last content change, heartbeats excluded.
+  store_cursor changed;
   bool has_more = false;       // the listing continues after the last item
   bool full_snapshot = false;  // from peers: missing items are deleted
 };
@@ -114,6 +125,22 @@
   decoded_item decoded;
 };
 
+// What a new era of the store brought, compared with the view before it.
+struct era_change {
+  store_cursor before;
+  store_cursor after;
+  std::size_t same = 0;     // items with the content that was known
+  std::size_t taken = 0;    // items with other content, taken from the store
+  std::size_t missing = 0;  // known items that the store lacks
+  std::size_t kept = 0;     // configurations kept, since the store's is older
+};
+
+// Changes of the view that one answer brought.
+struct view_change {
+  std::vector<changed_item> items;
+  std::optional<era_change> era;  // set if the answer began a new era
+};
+
 // Limits that the deployment guarantees, from the settings file.
 struct entry_bounds {
   duration grace_period = std::chrono::seconds(6);  // SIGTERM to SIGKILL
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/types.h"
 
 namespace rosemaryreach {
@@ -26,8 +27,7 @@
   std::uint32_t data_centre = 0;  // hash of its name
   std::uint32_t cpu_millicores = 0;
   bool leaving = false;
-  // item_cache::changed_revision(); 0 without a view of the store.
-  std::uint64_t changed_revision = 0;
+  store_cursor changed;  // item_cache::changed()
 
   bool operator==(const peer_summary&) const = default;
 };
@@ -36,8 +36,8 @@
 struct beacon {
   peer_summary from;
   bool wants_answer = false;
-  std::uint64_t revision = 0;  // item_cache::revision()
-  duration age{};              // of the sender's view of the store
+  store_cursor cursor;  // item_cache::cursor()
+  duration age{};       // of the sender's view of the store
   std::vector<peer_summary> others;
 
   bool operator==(const beacon&) const = default;
@@ -80,8 +80,8 @@
   void ApplyBeacon(const beacon& received, time_point now);
 
   // Returns the next beacon, with the summaries of this instance, whose view of
-  // the store has `changed_revision`, and of others.
-  beacon MakeBeacon(std::uint64_t changed_revision);
+  // the store last changed at `changed`, and of others.
+  beacon MakeBeacon(store_cursor changed);
 
   // Returns the recipients of a periodic beacon. They include timed out peers
   // and seeds from time to time, so that a healed partition merges again.
@@ -103,7 +103,7 @@
   // this data centre and weights by CPU; picks `failed` only if there is no
   // other. Only peers heard directly count: summaries from others may predate a
   // restart.
-  std::uint32_t ViewSource(std::uint64_t known, std::uint32_t failed);
+  std::uint32_t ViewSource(store_cursor known, std::uint32_t failed);
 
   // Removes peers that have timed out.
   void Tick(time_point now);
@@ -138,7 +138,7 @@
   void AddSample(const address_list& from, std::size_t count, address_list& to);
   void AddNextReaders(address_list& to) const;
   std::uint32_t RandomOf(std::span<const std::uint32_t> addresses);
-  std::uint32_t RandomSource(std::uint64_t known,
+  std::uint32_t RandomSource(store_cursor known,
                              bool local,
                              std::uint32_t excluded);
 
--- a/include/rosemaryreach/store_read_scheduler.h
+++ b/include/rosemaryreach/store_read_scheduler.h
@@ -57,6 +57,9 @@
   void OnReadSuccess(read_kind kind, time_point asked, time_point now);
   void OnReadFailure(bool history_gone, time_point now);
 
+  // Makes the next read a listing.
+  void RequireListing(time_point now) { listed_at_ = now - kListInterval; }
+
   // Records that this instance has caught up with a peer whose view is as of
   // `synced_at`.
   void OnPeerSync(time_point synced_at);
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -74,8 +74,11 @@
                    report report_change,
                    removed_hook on_removed);
 
-  // Applies the changes that this instance learned of together.
-  void ApplyBatch(std::span<const changed_item> changes, time_point now);
+  // Applies the changes of one answer. Those of a new era, which come from a
+  // copy of the store that is older than what is known, make no target usable
+  // that was not, and no data centre: they are held until kEntryReturnGrace has
+  // passed, by when their writers have written them again.
+  void ApplyBatch(const view_change& change, time_point now);
 
   void Apply(const store_item& item,
              const decoded_item& decoded,
@@ -95,6 +98,11 @@
   bool evacuated(const std::string& data_centre) const {
     return evacuated_.contains(data_centre);
   }
+  // The items of a new era that are held, and for how long.
+  std::size_t held_items() const { return held_.size(); }
+  duration HeldFor(time_point now) const {
+    return held_.empty() ? duration(0) : now - era_began_;
+  }
   // Returns whether there is a configuration and at least one target.
   bool complete() const { return config_.version > 0 && !by_cookie_.empty(); }
   const entry_config& config() const { return config_; }
@@ -119,10 +127,16 @@
   // Excuses the targets of services that lost many entries at `now`.
   void ExcuseLapses(time_point now);
   // Whether entries of live targets may be missing, since the store was
-  // unavailable until recently.
+  // unavailable or restored until recently.
   bool EntriesMayBeMissing(time_point now) const {
-    return store_unavailable_ || now - store_returned_ < kEntryReturnGrace;
+    return store_unavailable_ || now < entries_due_;
   }
+  // The restored store lacks a target: it may have started since the copy.
+  void ApplyRestoredWithout(const std::string& id, time_point now);
+  // Whether an item of a restored store would make a target or a data centre
+  // usable that is known not to be.
+  bool ContradictsKnown(const decoded_item& decoded) const;
+  void ApplyHeld(time_point now);
   void IndexAddress(target_index index);
   void UnindexAddress(target_index index);
   // Finds out which targets at `address` were replaced by another one there.
@@ -145,8 +159,10 @@
   // Rebuilt lazily after changes, since a batch may change all targets.
   mutable std::map<std::string, std::vector<target_index>> by_service_;
   mutable bool services_indexed_ = false;
+  std::map<std::string, changed_item> held_;  // by key
   bool store_unavailable_ = false;
-  time_point store_returned_{};
+  time_point entries_due_{};  // when entries of live targets are back
+  time_point era_began_{};
 };
 
 }  // namespace rosemaryreach
--- a/src/adapters/admin_server.cc
+++ b/src/adapters/admin_server.cc
@@ -128,7 +128,8 @@
     return {kOk, kTextType, hooks.metrics()};
   }
   if (path == "/v1/items" && hooks.items) {
-    return ItemsResponse(hooks.items(parameters.Number("after")));
+    return ItemsResponse(
+        hooks.items(parameters.Number("era"), parameters.Number("after")));
   }
   if (path == "/v1/flows/explain" && hooks.explain_flow) {
     return ExplainFlowResponse(hooks, parameters);
--- a/src/adapters/admin_server.h
+++ b/src/adapters/admin_server.h
@@ -52,9 +52,12 @@
   std::function<nlohmann::json()> configuration;
   std::function<nlohmann::json()> verdicts;
   std::function<nlohmann::json()> targets;
-  // Returns the items that changed after a revision, deflated, for a peer that
-  // synchronizes; nullopt if the peer should ask another instance.
-  std::function<std::optional<std::string>(std::uint64_t after)> items;
+  // Returns the items that changed after a revision of an era of the store,
+  // deflated, for a peer that synchronizes; nullopt if the peer should ask
+  // another instance.
+  std::function<std::optional<std::string>(std::uint64_t era,
+                                           std::uint64_t after)>
+      items;
   std::function<result<nlohmann::json>(const flow_query&)> explain_flow;
   std::function<result<nlohmann::json>(const request_query&)> explain_request;
 };
--- a/src/adapters/http_get.cc
+++ b/src/adapters/http_get.cc
@@ -3,7 +3,9 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -19,8 +21,30 @@
   return body;
 }
 
+std::vector<std::pair<std::string, std::string>> ReadHeaders(
+    evhttp_request* request) {
+  std::vector<std::pair<std::string, std::string>> headers;
+  const evkeyvalq* received = evhttp_request_get_input_headers(request);
+  for (const evkeyval* one = received->tqh_first; one != nullptr;
+       one = one->next.tqe_next) {
+    headers.emplace_back(one->key, one->value);
+  }
+  return headers;
+}
+
 }  // namespace
 
+std::optional<std::string> http_reply::Header(std::string_view name) const {
+  const auto found =
+      std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
+        return header.first.size() == name.size() &&
+               evutil_ascii_strncasecmp(header.first.data(), name.data(),
+                                        name.size()) == 0;
+      });
+  return found == headers.end() ? std::nullopt
+                                : std::optional<std::string>(found->second);
+}
+
 void http_get_client::connection_deleter::operator()(
     evhttp_connection* connection) const {
   evhttp_connection_free(connection);
@@ -69,7 +93,7 @@
                         FormatEndpoint(client->server_)));
     return;
   }
-  client->Finish(http_reply{status, ReadBody(request)});
+  client->Finish(http_reply{status, ReadBody(request), ReadHeaders(request)});
 }
 
 void http_get_client::OnDeadline() {
--- a/src/adapters/http_get.h
+++ b/src/adapters/http_get.h
@@ -4,7 +4,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "adapters/event_loop.h"
 #include "rosemaryreach/result.h"
@@ -18,6 +22,10 @@
 struct http_reply {
   int status = 0;
   std::string body;
+  std::vector<std::pair<std::string, std::string>> headers;
+
+  // Returns the value of the first header `name`, in any case.
+  std::optional<std::string> Header(std::string_view name) const;
 };
 
 using http_reply_callback = std::function<void(result<http_reply>)>;
--- a/src/entry/beacon_codec.cc
+++ b/src/entry/beacon_codec.cc
@@ -1,6 +1,7 @@
 // Encodes beacons as CBOR arrays, in the order of the structs' members.
 #include <nlohmann/json.hpp>
 
+#include "entry/cursor_codec.h"
 #include "rosemaryreach/peer_group.h"
 
 namespace rosemaryreach {
@@ -16,7 +17,7 @@
   return json::array({summary.address, summary.incarnation,
                       summary.heartbeat_count, summary.data_centre,
                       summary.cpu_millicores, summary.leaving,
-                      summary.changed_revision});
+                      CursorToJson(summary.changed)});
 }
 
 peer_summary ToSummary(const json& array) {
@@ -26,7 +27,7 @@
   return {array.at(0).get<std::uint32_t>(), array.at(1).get<std::uint64_t>(),
           array.at(2).get<std::uint32_t>(), array.at(3).get<std::uint32_t>(),
           array.at(4).get<std::uint32_t>(), array.at(5).get<bool>(),
-          array.at(6).get<std::uint64_t>()};
+          CursorFromJson(array.at(6))};
 }
 
 beacon ToBeacon(const json& array) {
@@ -37,7 +38,7 @@
   beacon read;
   read.from = ToSummary(array.at(1));
   read.wants_answer = array.at(2).get<bool>();
-  read.revision = array.at(3).get<std::uint64_t>();
+  read.cursor = CursorFromJson(array.at(3));
   read.age = duration(array.at(4).get<std::uint64_t>());
   for (const json& other : array.at(5)) {
     read.others.push_back(ToSummary(other));
@@ -52,9 +53,9 @@
   for (const peer_summary& other : beacon.others) {
     others.push_back(ToJson(other));
   }
-  const json array =
-      json::array({kFormat, ToJson(beacon.from), beacon.wants_answer,
-                   beacon.revision, beacon.age.count(), std::move(others)});
+  const json array = json::array(
+      {kFormat, ToJson(beacon.from), beacon.wants_answer,
+       CursorToJson(beacon.cursor), beacon.age.count(), std::move(others)});
   std::string bytes;
   json::to_cbor(array, bytes);
   return bytes;
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -108,9 +108,9 @@
   }
 }
 
-beacon peer_group::MakeBeacon(std::uint64_t changed_revision) {
+beacon peer_group::MakeBeacon(store_cursor changed) {
   ++self_.heartbeat_count;
-  self_.changed_revision = changed_revision;
+  self_.changed = changed;
   beacon next;
   next.from = self_;
   address_list sample;
@@ -170,7 +170,7 @@
 std::vector<std::uint32_t> peer_group::PeersWithoutView() {
   address_list without_view;
   for (const auto& [address, peer] : peers_) {
-    if (peer.summary.changed_revision == 0) {
+    if (peer.summary.changed == store_cursor{}) {
       without_view.push_back(address);
     }
   }
@@ -179,8 +179,7 @@
   return sample;
 }
 
-std::uint32_t peer_group::ViewSource(std::uint64_t known,
-                                     std::uint32_t failed) {
+std::uint32_t peer_group::ViewSource(store_cursor known, std::uint32_t failed) {
   // The second pass allows the failed source if it is the only one.
   for (const std::uint32_t excluded : {failed, std::uint32_t{0}}) {
     for (const bool local : {true, false}) {
@@ -193,15 +192,14 @@
   return 0;
 }
 
-std::uint32_t peer_group::RandomSource(std::uint64_t known,
+std::uint32_t peer_group::RandomSource(store_cursor known,
                                        bool local,
                                        std::uint32_t excluded) {
   address_list sources;
   std::vector<double> weights;
   for (const auto& [address, peer] : peers_) {
     const peer_summary& summary = peer.summary;
-    if (peer.direct && summary.changed_revision > known &&
-        address != excluded &&
+    if (peer.direct && summary.changed > known && address != excluded &&
         (summary.data_centre == self_.data_centre) == local) {
       sources.push_back(address);
       weights.push_back(summary.cpu_millicores + 1.0);
--- a/src/entry/store_read_scheduler.cc
+++ b/src/entry/store_read_scheduler.cc
@@ -74,7 +74,7 @@
 
 void store_read_scheduler::OnReadFailure(bool history_gone, time_point now) {
   if (history_gone) {
-    listed_at_ = now - kListInterval;
+    RequireListing(now);
     expedited_ = true;
     return;
   }
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -109,19 +109,67 @@
   }
 }
 
-void target_directory::ApplyBatch(std::span<const changed_item> changes,
-                                  time_point now) {
+void target_directory::ApplyBatch(const view_change& change, time_point now) {
+  if (change.era) {
+    era_began_ = now;
+    entries_due_ = now + kEntryReturnGrace;
+  }
   bool removals = false;
-  for (const changed_item& change : changes) {
-    Apply(change.item, change.decoded, now);
-    removals =
-        removals || std::holds_alternative<removed_target>(change.decoded);
+  for (const changed_item& changed : change.items) {
+    held_.erase(changed.item.key);
+    const removed_target* removed =
+        std::get_if<removed_target>(&changed.decoded);
+    removals = removals || removed != nullptr;
+    if (change.era && removed != nullptr) {
+      ApplyRestoredWithout(removed->id, now);
+    } else if (change.era && ContradictsKnown(changed.decoded)) {
+      held_[changed.item.key] = changed;
+      report_({changed.item.key, "held", "the restored store contradicts it"});
+    } else {
+      Apply(changed.item, changed.decoded, now);
+    }
   }
   if (removals) {
     ExcuseLapses(now);
   }
 }
 
+void target_directory::ApplyRestoredWithout(const std::string& id,
+                                            time_point now) {
+  const auto known = by_id_.find(id);
+  if (known != by_id_.end() &&
+      targets_[known->second]->listing == target_listing::kListed) {
+    SetListing(*targets_[known->second], target_listing::kMissing,
+               "not in the restored store", now);
+  }
+}
+
+bool target_directory::ContradictsKnown(const decoded_item& decoded) const {
+  if (const evacuation_item* zone = std::get_if<evacuation_item>(&decoded)) {
+    return !zone->evacuated && evacuated(zone->data_centre);
+  }
+  const target_item* target = std::get_if<target_item>(&decoded);
+  if (target == nullptr) {
+    return false;
+  }
+  const auto known = by_id_.find(target->record.id);
+  if (known == by_id_.end()) {
+    return false;
+  }
+  const known_target& before = *targets_[known->second];
+  const bool undrains = before.record.state == target_state::kDraining &&
+                        target->record.state == target_state::kActive;
+  return before.record.incarnation == target->record.incarnation &&
+         (undrains || before.listing != target_listing::kListed);
+}
+
+void target_directory::ApplyHeld(time_point now) {
+  for (const auto& [key, held] : std::exchange(held_, {})) {
+    report_({key, "held_applied", "it was not written again"});
+    Apply(held.item, held.decoded, now);
+  }
+}
+
 void target_directory::ApplyConfig(const entry_config& config) {
   if (config.version <= config_.version) {
     report_({"configuration", "older_version_ignored",
@@ -219,6 +267,9 @@
     return;
   }
   known_target& target = *targets_[known->second];
+  if (target.listing == target_listing::kGone) {
+    return;
+  }
   // A draining target removes its entry when it leaves.
   const bool left = target.record.state == target_state::kDraining;
   SetListing(target, left ? target_listing::kGone : target_listing::kMissing,
@@ -343,17 +394,21 @@
 
 void target_directory::Tick(bool store_unavailable, time_point now) {
   if (store_unavailable_ && !store_unavailable) {
-    store_returned_ = now;
+    entries_due_ = now + kEntryReturnGrace;
   }
   store_unavailable_ = store_unavailable;
+  if (!EntriesMayBeMissing(now)) {
+    ApplyHeld(now);
+  }
   for (target_index i = 0; i < targets_.size(); ++i) {
     if (!targets_[i]) {
       continue;
     }
     known_target& target = *targets_[i];
-    const time_point since = std::max(target.listing_changed, store_returned_);
+    const time_point due =
+        std::max(target.listing_changed + kEntryReturnGrace, entries_due_);
     if (target.listing == target_listing::kMissing && !store_unavailable &&
-        now - since >= kEntryReturnGrace) {
+        now >= due) {
       SetListing(target, target_listing::kGone, "entry did not come back", now);
     } else if (target.listing == target_listing::kGone &&
                now - target.listing_changed >= retention_) {
--- a/src/entry/view_codec.cc
+++ b/src/entry/view_codec.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "entry/cursor_codec.h"
+
 namespace rosemaryreach {
 namespace {
 
@@ -37,8 +39,8 @@
     throw std::invalid_argument("not a view of the supported format");
   }
   store_answer answer;
-  answer.revision = array.at(1).get<std::uint64_t>();
-  answer.changed_revision = array.at(2).get<std::uint64_t>();
+  answer.cursor = CursorFromJson(array.at(1));
+  answer.changed = CursorFromJson(array.at(2));
   answer.full_snapshot = array.at(3).get<bool>();
   for (const json& item : array.at(4)) {
     answer.items.push_back(ToItem(item));
@@ -53,9 +55,9 @@
   for (const store_item& item : answer.items) {
     items.push_back(ToJson(item));
   }
-  const json array =
-      json::array({kFormat, answer.revision, answer.changed_revision,
-                   answer.full_snapshot, std::move(items)});
+  const json array = json::array({kFormat, CursorToJson(answer.cursor),
+                                  CursorToJson(answer.changed),
+                                  answer.full_snapshot, std::move(items)});
   std::string bytes;
   json::to_cbor(array, bytes);
   return bytes;
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -31,7 +31,8 @@
 // explanation.
 json ViewDocument(const entry_components& components) {
   return {{"configuration_version", components.directory.config().version},
-          {"store_revision", components.sync.revision()},
+          {"store_era", components.sync.cursor().era},
+          {"store_revision", components.sync.cursor().revision},
           {"view_age_ms", ToMillis(components.sync.age())},
           {"store_away", components.sync.store_unavailable()}};
 }
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -102,9 +102,7 @@
           loop_,
           settings,
           DecodeItem,
-          [this](std::span<const changed_item> items) {
-            OnItemsChanged(items);
-          },
+          [this](const view_change& change) { OnViewChanged(change); },
           log_,
           metrics_,
           seed,
@@ -166,7 +164,9 @@
   hooks.explain_flow = [this](const flow_query& question) {
     return FlowExplanationDocument(Components(), CheckFreshness(), question);
   };
-  hooks.items = [this](std::uint64_t after) { return sync_.ItemsAfter(after); };
+  hooks.items = [this](std::uint64_t era, std::uint64_t after) {
+    return sync_.ItemsAfter({era, after});
+  };
   return hooks;
 }
 
@@ -225,16 +225,16 @@
   }
 }
 
-void entry_instance::OnItemsChanged(std::span<const changed_item> items) {
+void entry_instance::OnViewChanged(const view_change& change) {
   const time_point now = BootTimeNow();
   change_lines_left_ = kMaxChangeLines;
-  directory_.ApplyBatch(items, now);
+  directory_.ApplyBatch(change, now);
   if (directory_.complete()) {
     StartForwarding("configuration and targets are loaded");
   }
-  if (items.size() > kMaxChangeLines) {
+  if (change.items.size() > kMaxChangeLines) {
     LogLifecycle("changes_taken",
-                 std::to_string(items.size()) +
+                 std::to_string(change.items.size()) +
                      " items changed; only the first ones are logged");
   }
   change_lines_left_ = kMaxChangeLines;
@@ -255,7 +255,7 @@
   const std::array<log_field, 5> fields = {
       log_field{"subject", change.subject},
       log_field{"outcome", change.outcome}, log_field{"detail", change.detail},
-      log_field{"revision", static_cast<std::int64_t>(sync_.revision())},
+      log_field{"revision", static_cast<std::int64_t>(sync_.cursor().revision)},
       log_field{"age_ms", ToMillis(sync_.age())}};
   log_.LogStateChange("directory", fields);
 }
@@ -379,6 +379,9 @@
   metrics_.configuration_version.Set(
       static_cast<std::int64_t>(directory_.config().version));
   metrics_.view_age_ms.Set(ToMillis(sync_.age()));
+  metrics_.store_era.Set(static_cast<std::int64_t>(sync_.cursor().era));
+  metrics_.held_items.Set(static_cast<std::int64_t>(directory_.held_items()));
+  metrics_.held_ms.Set(ToMillis(directory_.HeldFor(BootTimeNow())));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
   metrics_.flows.Set(static_cast<std::int64_t>(tracker_.size()));
   return registry_->PrometheusText();
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -51,7 +51,7 @@
   void DetectLateness(time_point now);
   void UpdateReachability(time_point now);
   void StartForwarding(const char* reason);
-  void OnItemsChanged(std::span<const changed_item> items);
+  void OnViewChanged(const view_change& change);
   void OnDirectoryChange(const directory_change& change);
   void OnTargetUnreachable(target_index target);
   void OnRequestStalled(const flow_key& key,
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -34,6 +34,13 @@
                           "Version of the configuration in force."})),
       view_age_ms(registry.Gauge({"rosemaryreach_entry_view_age_ms",
                                   "Age of what is known of the store."})),
+      store_era(registry.Gauge({"rosemaryreach_entry_store_era",
+                                "Times that the store was restored."})),
+      held_items(registry.Gauge(
+          {"rosemaryreach_entry_held_items",
+           "Items of a restored store that contradict what was known."})),
+      held_ms(registry.Gauge({"rosemaryreach_entry_held_ms",
+                              "How long items of a restored store are held."})),
       peers(registry.Gauge(
           {"rosemaryreach_entry_peers", "Other instances that are heard of."})),
       flows(registry.Gauge(
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -26,6 +26,9 @@
   counter& peer_datagrams_malformed;
   gauge& configuration_version;
   gauge& view_age_ms;
+  gauge& store_era;
+  gauge& held_items;  // of a restored store, not trusted yet
+  gauge& held_ms;     // how long they are held
   gauge& peers;
   gauge& flows;
   // From the first packet of a flow to the caller's next one.
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -135,24 +135,23 @@
 
 void store_sync::PurgeTombstones(time_point now) {
   if (now - tombstone_mark_set_ >= kTombstoneRetention) {
-    cache_.PurgeTombstones(std::exchange(tombstone_mark_, cache_.revision()));
+    cache_.PurgeTombstones(std::exchange(tombstone_mark_, cache_.cursor()));
     tombstone_mark_set_ = now;
   }
 }
 
-std::optional<std::string> store_sync::ItemsAfter(std::uint64_t revision) {
-  if (cache_.changed_revision() == 0) {
+std::optional<std::string> store_sync::ItemsAfter(store_cursor cursor) {
+  if (!cache_.has_view()) {
     // The peer would accept an empty answer as a full view.
     return std::nullopt;
   }
-  const bool cache_valid =
-      revision == cached_answer_after_ &&
-      cache_.changed_revision() == cached_answer_changed_ &&
-      !cached_answer_.empty();
+  const bool cache_valid = cursor == cached_answer_after_ &&
+                           cache_.changed() == cached_answer_changed_ &&
+                           !cached_answer_.empty();
   if (!cache_valid) {
-    cached_answer_ = Deflate(EncodeView(cache_.ChangedAfter(revision)));
-    cached_answer_after_ = revision;
-    cached_answer_changed_ = cache_.changed_revision();
+    cached_answer_ = Deflate(EncodeView(cache_.ChangedAfter(cursor)));
+    cached_answer_after_ = cursor;
+    cached_answer_changed_ = cache_.changed();
   }
   return budget_.TrySpend(cached_answer_.size(), BootTimeNow())
              ? std::optional<std::string>(cached_answer_)
@@ -183,12 +182,12 @@
     listed_items_.clear();
     page_count_ = 0;
     first_listing_ = !read_scheduler_.listed();
-    listing_revision_ = 0;
+    listing_cursor_.reset();
     ReadPage();
     return;
   }
   store_client_->Watch(
-      cache_.revision(), kWatchWait, kReadDeadline,
+      cache_.cursor().revision, kWatchWait, kReadDeadline,
       [this](const result<store_answer>& answer) { OnWatchAnswer(answer); });
 }
 
@@ -213,20 +212,29 @@
     return;
   }
   const store_answer& page = answer.value();
+  const result<void> usable = CheckEra(page.cursor.era);
+  if (!usable) {
+    OnReadFailed(usable.error());
+    return;
+  }
+  if (listing_cursor_.value_or(page.cursor).era != page.cursor.era) {
+    OnReadFailed({errc::kUnavailable, "", "the store was restored meanwhile"});
+    return;
+  }
   listed_items_.insert(listed_items_.end(), page.items.begin(),
                        page.items.end());
-  if (listing_revision_ == 0) {
-    listing_revision_ = page.revision;
-  }
+  listing_cursor_ = listing_cursor_.value_or(page.cursor);
   if (page.has_more && !page.items.empty()) {
     page_timer_.Start(read_scheduler_.PageDelay(++page_count_));
     return;
   }
-  const std::vector<changed_item> changed =
-      cache_.MergeListing(listed_items_, listing_revision_);
+  const bool first = !cache_.has_view();
+  const view_change change =
+      cache_.MergeListing(listed_items_, *listing_cursor_);
+  needs_peer_view_ = needs_peer_view_ || (first && listing_cursor_->era > 0);
   listed_items_.clear();
   OnReadSucceeded(read_kind::kList);
-  NotifyChanged(changed);
+  NotifyChanged(change);
   SendUpdateBeacon();
   AnnounceView();
 }
@@ -236,17 +244,38 @@
     OnReadFailed(answer.error());
     return;
   }
-  const std::vector<changed_item> changed =
-      cache_.MergeChanges(answer.value().items, answer.value().revision);
+  const store_cursor cursor = answer.value().cursor;
+  const result<void> usable = CheckEra(cursor.era);
+  if (!usable) {
+    OnReadFailed(usable.error());
+    return;
+  }
+  if (cursor.era > cache_.cursor().era) {
+    OnReadFailed({errc::kStale, "", "the store was restored from a copy"});
+    return;
+  }
+  const view_change change = cache_.MergeChanges(answer.value().items, cursor);
   OnReadSucceeded(read_kind::kWatch);
-  NotifyChanged(changed);
+  NotifyChanged(change);
   SendUpdateBeacon();
 }
 
+result<void> store_sync::CheckEra(std::uint64_t era) const {
+  if (era >= cache_.cursor().era) {
+    return success();
+  }
+  return Fail(errc::kUnavailable, "answer of era " + std::to_string(era) +
+                                      ", known is era " +
+                                      std::to_string(cache_.cursor().era));
+}
+
 void store_sync::OnReadFailed(const error& error) {
   reading_ = false;
   metrics_.StoreCalls(ErrcName(error.code)).Add();
   LogStore("read_failed", FormatError(error));
+  if (store_client_->newest_era() > cache_.cursor().era) {
+    read_scheduler_.RequireListing(BootTimeNow());
+  }
   read_scheduler_.OnReadFailure(error.code == errc::kStale, BootTimeNow());
   ScheduleRead();
 }
@@ -258,10 +287,30 @@
   ScheduleRead();
 }
 
-void store_sync::NotifyChanged(const std::vector<changed_item>& changed) {
-  if (!changed.empty()) {
-    on_changed_(changed);
+void store_sync::NotifyChanged(const view_change& change) {
+  if (change.era) {
+    LogEra(*change.era);
   }
+  if (change.era || !change.items.empty()) {
+    on_changed_(change);
+  }
+}
+
+void store_sync::LogEra(const era_change& change) {
+  const auto describe = [](const store_cursor& cursor) {
+    return std::to_string(cursor.era) + "/" + std::to_string(cursor.revision);
+  };
+  const std::string before = describe(change.before);
+  const std::string after = describe(change.after);
+  const std::array<log_field, 7> fields = {
+      log_field{"outcome", "new_era"},
+      log_field{"before", before},
+      log_field{"after", after},
+      log_field{"same", static_cast<std::int64_t>(change.same)},
+      log_field{"taken", static_cast<std::int64_t>(change.taken)},
+      log_field{"missing", static_cast<std::int64_t>(change.missing)},
+      log_field{"kept", static_cast<std::int64_t>(change.kept)}};
+  log_.LogStateChange("store", fields);
 }
 
 void store_sync::OnDatagrams() {
@@ -284,14 +333,17 @@
     const std::array<std::uint32_t, 1> to = {received.from.address};
     SendBeacon(to, false);
   }
-  const peer_view view{received.from.changed_revision, now - received.age};
-  if (view.changed > cache_.changed_revision()) {
+  const peer_view view{received.from.changed, now - received.age};
+  const bool complements =
+      needs_peer_view_ && view.changed.era == cache_.cursor().era;
+  if (view.changed > cache_.changed() || complements) {
     pull_goal_ = view;
     pull_failures_ = 0;
     PullAfterBeacon(received.from.address);
-  } else if (view.changed > 0 &&
-             received.revision >= cache_.changed_revision()) {
-    cache_.AdvanceRevision(received.revision);
+  } else if (view.changed != store_cursor{} &&
+             received.cursor.era == cache_.cursor().era &&
+             received.cursor >= cache_.changed()) {
+    cache_.AdvanceCursor(received.cursor);
     read_scheduler_.OnPeerSync(view.synced_at);
     ScheduleRead();
   }
@@ -307,17 +359,18 @@
   }
   // First views are spread over all peers that have one, since many instances
   // need them at once. A small change is known to few peers at first.
-  const bool first = cache_.changed_revision() == 0;
-  Pull(first ? peers_.ViewSource(0, failed_pull_source_) : sender);
+  const bool first = !cache_.has_view();
+  Pull(first ? peers_.ViewSource({}, failed_pull_source_) : sender);
 }
 
 void store_sync::Pull(std::uint32_t source) {
   const endpoint address =
       ToEndpoint({source, settings_.control_endpoint.port});
-  const bool first = cache_.changed_revision() == 0;
+  const bool first = !cache_.has_view();
   peer_client_ = std::make_unique<store_client>(loop_, address);
   peer_client_->PullFromPeer(
-      cache_.changed_revision(), first ? kFirstPullDeadline : kPullDeadline,
+      needs_peer_view_ ? store_cursor{} : cache_.changed(),
+      first ? kFirstPullDeadline : kPullDeadline,
       [this, source](const result<store_answer>& answer) {
         OnPulled(answer, source);
       });
@@ -325,7 +378,7 @@
 
 void store_sync::RetryPull() {
   const std::uint32_t source =
-      peers_.ViewSource(cache_.changed_revision(), failed_pull_source_);
+      peers_.ViewSource(cache_.changed(), failed_pull_source_);
   if (!PullInProgress() && source != 0) {
     Pull(source);
   }
@@ -343,15 +396,16 @@
     return;
   }
   failed_pull_source_ = 0;
-  const bool first = cache_.changed_revision() == 0;
-  const std::vector<changed_item> changed =
-      cache_.MergePeerAnswer(answer.value());
+  const bool first = !cache_.has_view();
+  const view_change change = cache_.MergePeerAnswer(answer.value());
+  needs_peer_view_ =
+      needs_peer_view_ && answer.value().cursor.era != cache_.cursor().era;
   // A retry may reach a peer with an older view than that of the announcement.
-  const bool reaches_goal = cache_.changed_revision() >= pull_goal_.changed;
+  const bool reaches_goal = cache_.changed() >= pull_goal_.changed;
   read_scheduler_.OnPeerSync(reaches_goal ? pull_goal_.synced_at
                                           : read_scheduler_.synced_at());
   ScheduleRead();
-  NotifyChanged(changed);
+  NotifyChanged(change);
   SendBeacon(peers_.RelayRecipients(), false);
   if (first) {
     AnnounceView();
@@ -367,9 +421,9 @@
   if (to.empty() || !socket_) {
     return;
   }
-  beacon outgoing = peers_.MakeBeacon(cache_.changed_revision());
+  beacon outgoing = peers_.MakeBeacon(cache_.changed());
   outgoing.wants_answer = wants_answer;
-  outgoing.revision = cache_.revision();
+  outgoing.cursor = cache_.cursor();
   outgoing.age = std::max(age(), duration(0));
   const std::string bytes = EncodeBeacon(outgoing);
   const std::span<const std::uint8_t> body(
@@ -418,9 +472,11 @@
 }
 
 void store_sync::LogStore(const char* outcome, const std::string& detail) {
-  const std::array<log_field, 4> fields = {
+  const std::array<log_field, 5> fields = {
       log_field{"outcome", outcome}, log_field{"detail", detail},
-      log_field{"revision", static_cast<std::int64_t>(cache_.revision())},
+      log_field{"era", static_cast<std::int64_t>(cache_.cursor().era)},
+      log_field{"revision",
+                static_cast<std::int64_t>(cache_.cursor().revision)},
       log_field{"age_ms", ToMillis(age())}};
   log_.LogStateChange("store", fields);
 }
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -25,8 +25,8 @@
 
 class store_sync {
  public:
-  // Called with the items whose decoded content changed.
-  using changed_hook = std::function<void(std::span<const changed_item>)>;
+  // Called with the changes of one answer.
+  using changed_hook = std::function<void(const view_change&)>;
 
   // `clock_offset` is added to the wall clock.
   store_sync(event_loop& loop,
@@ -56,10 +56,10 @@
   // line.
   void LogPeers();
 
-  // Returns the items changed after `revision`, deflated, for a peer; nothing
+  // Returns the items changed after `cursor`, deflated, for a peer; nothing
   // without a view or while the bandwidth budget for such answers is used up.
   // The last answer is cached, since many peers ask the same after a change.
-  std::optional<std::string> ItemsAfter(std::uint64_t revision);
+  std::optional<std::string> ItemsAfter(store_cursor cursor);
 
   const peer_group& peers() const { return peers_; }
   time_point synced_at() const { return read_scheduler_.synced_at(); }
@@ -67,12 +67,12 @@
   bool store_unavailable() const {
     return read_scheduler_.store_unavailable(BootTimeNow());
   }
-  std::uint64_t revision() const { return cache_.revision(); }
+  store_cursor cursor() const { return cache_.cursor(); }
 
  private:
   // The view that a beacon announced, kept while the pull it triggered runs.
   struct peer_view {
-    std::uint64_t changed = 0;
+    store_cursor changed;
     time_point synced_at{};
   };
 
@@ -81,9 +81,12 @@
   void ReadPage();
   void OnListingPage(const result<store_answer>& answer);
   void OnWatchAnswer(const result<store_answer>& answer);
+  // Returns an error if an answer of this era can't be merged.
+  result<void> CheckEra(std::uint64_t era) const;
   void OnReadFailed(const error& error);
   void OnReadSucceeded(read_kind kind);
-  void NotifyChanged(const std::vector<changed_item>& changed);
+  void NotifyChanged(const view_change& change);
+  void LogEra(const era_change& change);
   void OnDatagrams();
   void OnBeacon(const beacon& received);
   // Pulls from the sender of a beacon; a first view is pulled from any peer
@@ -117,19 +120,21 @@
   std::vector<store_item> listed_items_;
   std::size_t page_count_ = 0;
   bool first_listing_ = false;
-  std::uint64_t listing_revision_ = 0;
+  std::optional<store_cursor> listing_cursor_;  // of its first page
   time_point read_started_{};
   bool reading_ = false;
   bool store_was_unavailable_ = false;
   serving_budget budget_;
   std::string cached_answer_;  // last answer of ItemsAfter()
-  std::uint64_t cached_answer_after_ = 0;
-  std::uint64_t cached_answer_changed_ = 0;
+  store_cursor cached_answer_after_;
+  store_cursor cached_answer_changed_;
   peer_view pull_goal_;  // view that the last pull should reach
+  // The first view came from a restored store, which may lack what peers know.
+  bool needs_peer_view_ = false;
   std::uint32_t failed_pull_source_ = 0;
   std::size_t pull_failures_ = 0;    // consecutive
   time_point tombstone_mark_set_{};  // time of tombstone_mark_
-  std::uint64_t tombstone_mark_ = 0;
+  store_cursor tombstone_mark_;
   time_point last_update_beacon_{};
   std::string peer_changes_;  // the first ones since the last log line
   std::size_t peer_change_count_ = 0;
--- a/tests/ctl_test.cc
+++ b/tests/ctl_test.cc
@@ -32,7 +32,8 @@
 // A directory with a configuration file and a log without entries.
 struct snapshot_fixture {
   snapshot_fixture() {
-    std::ofstream(file) << R"({"number": 1, "data_centres": {"dc-a": {"region": "r"}},
+    std::ofstream(file)
+        << R"({"number": 1, "data_centres": {"dc-a": {"region": "r"}},
                                "services": {}})";
   }
 
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -93,5 +93,42 @@
   CHECK(testbed.violations().empty());
 }
 
+// Revisions are given out again: without eras the instances would ignore all
+// changes until the store has passed the revision that they know.
+TEST_CASE("A store that comes back from a copy is followed at once") {
+  entry_path_fixture fixture(3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    fixture.Start(i);
+  }
+  entry_testbed& testbed = fixture.testbed();
+  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 3; }));
+  // Raises the revision far beyond what is written after the restore.
+  for (int i = 0; i < 500; ++i) {
+    testbed.store().Put("op/other", "x");
+  }
+  const time_point written = fixture.loop().now();
+  REQUIRE(fixture.RunUntil([&] {
+    return fixture.loop().now() - written >= std::chrono::seconds(1);
+  }));
+  testbed.RestoreStore(std::chrono::seconds(30));
+  const std::string added = testbed.AddTarget("ledger", "dc-a");
+  const time_point restored = fixture.loop().now();
+  bool used = false;
+  REQUIRE(fixture.RunUntil([&] {
+    static int turn = 0;
+    if (++turn % 50 == 0) {
+      testbed.OpenFlow();
+    }
+    used = used || testbed.targets().at(added)->flows() > 0;
+    return used;
+  }));
+  CHECK(fixture.loop().now() - restored < std::chrono::seconds(5));
+  CHECK(testbed.violations().empty());
+  CHECK(testbed.counts().reset_open == 0);
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK_FALSE(fixture.FindLogLine(i, {{"outcome", "new_era"}}).is_null());
+  }
+}
+
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/http_server_fixture.h
+++ b/tests/http_server_fixture.h
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include "adapters/event_loop.h"
@@ -16,6 +17,7 @@
 struct scripted_reply {
   int status = 200;  // 0 sends no reply
   std::string body;
+  std::map<std::string, std::string> headers = {};
 };
 
 class http_server_fixture {
@@ -49,6 +51,10 @@
     if (reply.status == 0) {
       return;
     }
+    for (const auto& [name, value] : reply.headers) {
+      evhttp_add_header(evhttp_request_get_output_headers(request),
+                        name.c_str(), value.c_str());
+    }
     evbuffer* body = evbuffer_new();
     evbuffer_add(body, reply.body.data(), reply.body.size());
     evhttp_send_reply(request, reply.status, nullptr, body);
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -22,31 +22,36 @@
   return {key, value, revision, false};
 }
 
+store_cursor Cursor(std::uint64_t revision, std::uint64_t era = 0) {
+  return {era, revision};
+}
+
 TEST_CASE("Heartbeats do not count as content changes") {
   item_cache cache(Decode);
   const std::vector<store_item> first = {Item("a", "x#1", 5)};
-  CHECK(cache.MergeChanges(first, 5).size() == 1);
+  CHECK(cache.MergeChanges(first, Cursor(5)).items.size() == 1);
   const std::vector<store_item> heartbeat = {Item("a", "x#2", 7)};
-  CHECK(cache.MergeChanges(heartbeat, 7).empty());
-  CHECK(cache.changed_revision() == 5);
-  CHECK(cache.revision() == 7);
+  CHECK(cache.MergeChanges(heartbeat, Cursor(7)).items.empty());
+  CHECK(cache.changed() == Cursor(5));
+  CHECK(cache.cursor() == Cursor(7));
 }
 
 TEST_CASE("Older values never replace newer ones") {
   item_cache cache(Decode);
   const std::vector<store_item> newer = {Item("a", "new", 9)};
   const std::vector<store_item> older = {Item("a", "old", 8)};
-  cache.MergeChanges(newer, 9);
-  CHECK(cache.MergeChanges(older, 8).empty());
-  CHECK(cache.ChangedAfter(0).items.at(0).value == "new");
-  CHECK(cache.revision() == 9);
+  cache.MergeChanges(newer, Cursor(9));
+  CHECK(cache.MergeChanges(older, Cursor(8)).items.empty());
+  CHECK(cache.ChangedAfter(Cursor(0)).items.at(0).value == "new");
+  CHECK(cache.cursor() == Cursor(9));
 }
 
 TEST_CASE("A listing deletes missing items that are not newer") {
   item_cache cache(Decode);
   const std::vector<store_item> all = {Item("a", "x", 3), Item("b", "y", 12)};
-  cache.MergeChanges(all, 12);
-  const std::vector<changed_item> deleted = cache.MergeListing({}, 10);
+  cache.MergeChanges(all, Cursor(12));
+  const std::vector<changed_item> deleted =
+      cache.MergeListing({}, Cursor(10)).items;
   REQUIRE(deleted.size() == 1);
   CHECK(deleted[0].item.key == "a");
   CHECK(deleted[0].item.deleted);
@@ -54,9 +59,9 @@
 
 TEST_CASE("A listing of an empty store completes the view") {
   item_cache cache(Decode);
-  CHECK(cache.changed_revision() == 0);
-  cache.MergeListing({}, 1);
-  CHECK(cache.changed_revision() == 1);
+  CHECK(!cache.has_view());
+  cache.MergeListing({}, Cursor(1));
+  CHECK(cache.changed() == Cursor(1));
 }
 
 TEST_CASE("A peer that asks again gets no item twice") {
@@ -64,50 +69,151 @@
   item_cache two(Decode);
   const std::vector<store_item> all = {Item("a", "x#1", 3),
                                        Item("a", "x#2", 6)};
-  one.MergeChanges(all, 6);
-  const store_answer answer = one.ChangedAfter(two.changed_revision());
-  CHECK(two.MergePeerAnswer(answer).size() == 1);
-  CHECK(two.changed_revision() == one.changed_revision());
-  CHECK(one.ChangedAfter(two.changed_revision()).items.empty());
+  one.MergeChanges(all, Cursor(6));
+  const store_answer answer = one.ChangedAfter(two.changed());
+  CHECK(two.MergePeerAnswer(answer).items.size() == 1);
+  CHECK(two.changed() == one.changed());
+  CHECK(one.ChangedAfter(two.changed()).items.empty());
 }
 
 TEST_CASE("Purging tombstones keeps live items") {
   item_cache cache(Decode);
   const std::vector<store_item> all = {
       Item("a", "x", 3), {"b", "", 5, true}, {"c", "", 9, true}};
-  cache.MergeChanges(all, 9);
-  cache.PurgeTombstones(6);
-  const store_answer left = cache.ChangedAfter(0);
+  cache.MergeChanges(all, Cursor(9));
+  cache.PurgeTombstones(Cursor(6));
+  const store_answer left = cache.ChangedAfter(Cursor(0));
   REQUIRE(left.items.size() == 1);
   CHECK(left.items[0].key == "a");
-  CHECK(cache.ChangedAfter(7).items.size() == 1);
+  CHECK(cache.ChangedAfter(Cursor(7)).items.size() == 1);
 }
 
 TEST_CASE("Only a peer that may miss a deletion gets a full snapshot") {
   item_cache cache(Decode);
   const std::vector<store_item> all = {Item("a", "x", 3), {"b", "", 5, true}};
-  cache.MergeChanges(all, 5);
+  cache.MergeChanges(all, Cursor(5));
   // Only heartbeats raised the revision since then.
-  cache.PurgeTombstones(90);
-  CHECK(cache.ChangedAfter(4).full_snapshot);
-  CHECK_FALSE(cache.ChangedAfter(5).full_snapshot);
+  cache.PurgeTombstones(Cursor(90));
+  CHECK(cache.ChangedAfter(Cursor(4)).full_snapshot);
+  CHECK_FALSE(cache.ChangedAfter(Cursor(5)).full_snapshot);
 }
 
 TEST_CASE("A peer that missed a deletion learns of it after the purge") {
   item_cache one(Decode);
   item_cache lagging(Decode);
   const std::vector<store_item> before = {Item("a", "x", 3), Item("b", "y", 4)};
-  one.MergeChanges(before, 4);
-  lagging.MergePeerAnswer(one.ChangedAfter(0));
+  one.MergeChanges(before, Cursor(4));
+  lagging.MergePeerAnswer(one.ChangedAfter(Cursor(0)));
   const std::vector<store_item> deleted = {{"b", "", 8, true}};
-  one.MergeChanges(deleted, 8);
-  one.PurgeTombstones(8);
+  one.MergeChanges(deleted, Cursor(8));
+  one.PurgeTombstones(Cursor(8));
   const std::vector<changed_item> learned =
-      lagging.MergePeerAnswer(one.ChangedAfter(lagging.changed_revision()));
+      lagging.MergePeerAnswer(one.ChangedAfter(lagging.changed())).items;
   REQUIRE(learned.size() == 1);
   CHECK(learned[0].item.key == "b");
   CHECK(learned[0].item.deleted);
-  CHECK(lagging.changed_revision() == one.changed_revision());
+  CHECK(lagging.changed() == one.changed());
+}
+
+// A configuration of the given version, under the key "config".
+decoded_item DecodeWithConfig(const store_item& item) {
+  if (item.key != "config" || item.deleted) {
+    return Decode(item);
+  }
+  entry_config config;
+  config.version = std::stoull(item.value);
+  return config;
+}
+
+TEST_CASE("A new era is listed, and orders items anew") {
+  item_cache cache(Decode);
+  const std::vector<store_item> before = {Item("a", "x", 90),
+                                          Item("b", "y", 95)};
+  cache.MergeListing(before, Cursor(95));
+  const std::vector<store_item> copy = {Item("a", "old", 40)};
+  CHECK(cache.MergeChanges(copy, Cursor(60, 1)).items.empty());
+  const view_change change = cache.MergeListing(copy, Cursor(60, 1));
+  REQUIRE(change.era);
+  CHECK(change.era->before == Cursor(95));
+  CHECK(change.era->after == Cursor(60, 1));
+  CHECK(change.era->taken == 1);
+  CHECK(change.era->missing == 1);
+  REQUIRE(change.items.size() == 2);
+  CHECK(change.items[0].item.value == "old");
+  CHECK(change.items[1].item.deleted);
+  // Revisions are given out again.
+  const std::vector<store_item> written = {Item("b", "z", 61)};
+  CHECK(cache.MergeChanges(written, Cursor(61, 1)).items.size() == 1);
+  CHECK(cache.cursor() == Cursor(61, 1));
+}
+
+TEST_CASE("Answers of an older era change nothing") {
+  item_cache cache(Decode);
+  const std::vector<store_item> copy = {Item("a", "x", 40)};
+  cache.MergeListing(copy, Cursor(60, 2));
+  const std::vector<store_item> stale = {Item("a", "stale", 900)};
+  CHECK(cache.MergeChanges(stale, Cursor(900, 1)).items.empty());
+  CHECK(cache.MergeListing(stale, Cursor(900, 1)).items.empty());
+  store_answer from_peer;
+  from_peer.items = stale;
+  from_peer.cursor = Cursor(900, 1);
+  from_peer.changed = Cursor(900, 1);
+  CHECK(cache.MergePeerAnswer(from_peer).items.empty());
+  cache.AdvanceCursor(Cursor(900, 1));
+  CHECK(cache.cursor() == Cursor(60, 2));
+  CHECK(cache.ChangedAfter({}).items.at(0).value == "x");
+}
+
+TEST_CASE("A first view of any era is no change of era") {
+  item_cache cache(Decode);
+  const std::vector<store_item> all = {Item("a", "x", 3)};
+  CHECK_FALSE(cache.MergeListing(all, Cursor(3, 7)).era);
+  CHECK(cache.cursor() == Cursor(3, 7));
+}
+
+TEST_CASE("Peers of an older era get a full snapshot") {
+  item_cache one(Decode);
+  item_cache two(Decode);
+  const std::vector<store_item> before = {Item("a", "x", 90),
+                                          Item("b", "y", 95)};
+  one.MergeListing(before, Cursor(95));
+  two.MergeListing(before, Cursor(95));
+  const std::vector<store_item> copy = {Item("a", "x", 40)};
+  one.MergeListing(copy, Cursor(60, 1));
+  CHECK(one.changed() > two.changed());
+  const view_change change =
+      two.MergePeerAnswer(one.ChangedAfter(two.changed()));
+  CHECK(change.era->same == 1);
+  CHECK(change.era->missing == 1);
+  CHECK(two.changed() == one.changed());
+  CHECK(two.cursor() == one.cursor());
+}
+
+TEST_CASE("A configuration survives a restore, and newcomers get it") {
+  item_cache cache(DecodeWithConfig);
+  const std::vector<store_item> before = {Item("config", "7", 90)};
+  cache.MergeListing(before, Cursor(95));
+  const std::vector<store_item> copy = {Item("config", "5", 40)};
+  const view_change change = cache.MergeListing(copy, Cursor(60, 1));
+  CHECK(change.era->kept == 1);
+  CHECK(change.items.empty());
+  item_cache newcomer(DecodeWithConfig);
+  newcomer.MergeListing(copy, Cursor(60, 1));
+  newcomer.MergePeerAnswer(cache.ChangedAfter({}));
+  CHECK(newcomer.ChangedAfter({}).items.at(0).value == "7");
+  // Versions in between, written again, are not newer either.
+  const std::vector<store_item> again = {Item("config", "6", 70)};
+  CHECK(cache.MergeChanges(again, Cursor(70, 1)).items.empty());
+  const std::vector<store_item> next = {Item("config", "9", 71)};
+  CHECK(cache.MergeChanges(next, Cursor(71, 1)).items.size() == 1);
+}
+
+TEST_CASE("A configuration that the restored store lacks is kept") {
+  item_cache cache(DecodeWithConfig);
+  const std::vector<store_item> before = {Item("config", "7", 90)};
+  cache.MergeListing(before, Cursor(95));
+  CHECK(cache.MergeListing({}, Cursor(60, 1)).era->kept == 1);
+  CHECK(cache.ChangedAfter({}).items.at(0).value == "7");
 }
 
 TEST_CASE("Caches converge in any order of changes") {
@@ -120,15 +226,15 @@
           {key, std::to_string(write / 8), ++revision, write % 7 == 0});
     }
     item_cache ordered(Decode);
-    ordered.MergeChanges(items, revision);
+    ordered.MergeChanges(items, Cursor(revision));
     item_cache shuffled(Decode);
     std::vector<store_item> reversed(items.rbegin(), items.rend());
-    shuffled.MergeChanges(reversed, revision);
+    shuffled.MergeChanges(reversed, Cursor(revision));
     item_cache peer(Decode);
-    peer.MergePeerAnswer(ordered.ChangedAfter(0));
+    peer.MergePeerAnswer(ordered.ChangedAfter(Cursor(0)));
     const auto values = [](const item_cache& cache) {
       std::vector<std::pair<std::string, std::string>> all;
-      for (const store_item& item : cache.ChangedAfter(0).items) {
+      for (const store_item& item : cache.ChangedAfter(Cursor(0)).items) {
         all.emplace_back(item.key, item.deleted ? "-" : item.value);
       }
       return all;
--- a/tests/load_player.h
+++ b/tests/load_player.h
@@ -52,9 +52,9 @@
 
   // Applies a batch of changes at all instances, as after one listing.
   void ApplyToAll(const std::vector<decoded_item>& changes) {
-    std::vector<changed_item> batch;
+    view_change batch;
     for (const decoded_item& change : changes) {
-      batch.push_back({{}, change});
+      batch.items.push_back({{}, change});
     }
     for (const std::unique_ptr<entry_fixture>& instance : instances_) {
       instance->directory.ApplyBatch(batch, now_);
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -41,7 +41,7 @@
   void Run(std::int64_t seconds) {
     for (std::int64_t i = 0; i < seconds; ++i, now += 1'000) {
       for (auto& [address, group] : groups) {
-        const beacon sent = group.MakeBeacon(1);
+        const beacon sent = group.MakeBeacon({0, 1});
         for (const std::uint32_t to : group.Recipients()) {
           if (groups.contains(to) && !(partitioned && address % 3 != to % 3)) {
             groups.at(to).ApplyBeacon(sent, At(now));
@@ -55,7 +55,7 @@
   // Returns how many other instances know the current incarnation of `address`.
   std::size_t KnownBy(std::uint32_t address) {
     const std::uint64_t incarnation =
-        groups.at(address).MakeBeacon(1).from.incarnation;
+        groups.at(address).MakeBeacon({0, 1}).from.incarnation;
     std::size_t count = 0;
     for (const auto& [other, group] : groups) {
       for (const peer_summary& peer : group.peers()) {
@@ -165,7 +165,7 @@
   fleet fleet(40);
   fleet.Run(10);
   constexpr std::size_t kDatagram = 1'200;
-  CHECK(EncodeBeacon(fleet.groups.at(1).MakeBeacon(1)).size() < kDatagram);
+  CHECK(EncodeBeacon(fleet.groups.at(1).MakeBeacon({0, 1})).size() < kDatagram);
 }
 
 TEST_CASE("The number of recipients stays bounded as the fleet grows") {
@@ -217,7 +217,7 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     beacon other;
     other.from = Summary(first + i, data_centre);
-    other.from.changed_revision = changed;
+    other.from.changed = {0, changed};
     group.ApplyBeacon(other, At(0));
   }
   return group;
@@ -225,18 +225,18 @@
 
 TEST_CASE("The first view comes from a peer of this data centre if possible") {
   peer_group group = GroupWithPeers(10, 5, 2, 40);
-  CHECK(group.ViewSource(0, 0) >= 10);
+  CHECK(group.ViewSource({0, 0}, 0) >= 10);
   beacon near;
   near.from = Summary(3);
-  near.from.changed_revision = 30;
+  near.from.changed = {0, 30};
   group.ApplyBeacon(near, At(0));
-  CHECK(group.ViewSource(0, 0) == 3);
-  CHECK(group.ViewSource(0, 3) >= 10);
+  CHECK(group.ViewSource({0, 0}, 0) == 3);
+  CHECK(group.ViewSource({0, 0}, 3) >= 10);
 }
 
 TEST_CASE("Peers without a view are no source but get notices") {
   peer_group group = GroupWithPeers(10, 5, 1, 0);
-  CHECK(group.ViewSource(0, 0) == 0);
+  CHECK(group.ViewSource({0, 0}, 0) == 0);
   CHECK(group.PeersWithoutView().size() == 5);
   CHECK(GroupWithPeers(10, 5, 1, 40).PeersWithoutView().empty());
   CHECK(GroupWithPeers(10, 300, 1, 0).PeersWithoutView().size() == 10);
@@ -244,40 +244,40 @@
 
 TEST_CASE("A failed source is asked again if there is no other") {
   peer_group group = GroupWithPeers(10, 1, 1, 40);
-  CHECK(group.ViewSource(0, 10) == 10);
+  CHECK(group.ViewSource({0, 0}, 10) == 10);
 }
 
 TEST_CASE("A peer without newer changes is no source") {
   peer_group group = GroupWithPeers(10, 1, 1, 40);
-  CHECK(group.ViewSource(39, 0) == 10);
-  CHECK(group.ViewSource(40, 0) == 0);
+  CHECK(group.ViewSource({0, 39}, 0) == 10);
+  CHECK(group.ViewSource({0, 40}, 0) == 0);
 }
 
 TEST_CASE("Views come only from peers that were heard directly") {
   peer_group group(Summary(1), {}, 7, [](std::uint32_t, const char*) {});
   beacon survivor;
   survivor.from = Summary(2, 2);
-  survivor.from.changed_revision = 40;
+  survivor.from.changed = {0, 40};
   survivor.others = {Summary(3)};
   // That peer may be dead, or restarted without a view.
-  survivor.others[0].changed_revision = 40;
+  survivor.others[0].changed = {0, 40};
   group.ApplyBeacon(survivor, At(0));
   for (int i = 0; i < 20; ++i) {
-    CHECK(group.ViewSource(0, 0) == 2);
+    CHECK(group.ViewSource({0, 0}, 0) == 2);
   }
-  CHECK(group.ViewSource(0, 2) == 2);
+  CHECK(group.ViewSource({0, 0}, 2) == 2);
 }
 
 TEST_CASE("Larger instances serve most of the first views") {
   peer_group group = GroupWithPeers(10, 20, 1, 40);
   beacon large;
   large.from = Summary(2);
-  large.from.changed_revision = 40;
+  large.from.changed = {0, 40};
   large.from.cpu_millicores = 500;
   group.ApplyBeacon(large, At(0));
   int from_large = 0;
   for (int i = 0; i < 100; ++i) {
-    from_large += group.ViewSource(0, 0) == 2 ? 1 : 0;
+    from_large += group.ViewSource({0, 0}, 0) == 2 ? 1 : 0;
   }
   CHECK(from_large > 80);
 }
@@ -286,13 +286,31 @@
   beacon sent;
   sent.from = Summary(0xC0A80001);
   sent.wants_answer = true;
-  sent.from.changed_revision = 1'000'000'000'000;
-  sent.revision = 1'000'000'000'007;
+  sent.from.changed = {0, 1'000'000'000'000};
+  sent.cursor = {0, 1'000'000'000'007};
   sent.age = std::chrono::milliseconds(35);
   sent.others = {Summary(7), Summary(8)};
   CHECK(DecodeBeacon(EncodeBeacon(sent)) == sent);
 }
 
+TEST_CASE("A beacon of a restored store keeps the era") {
+  beacon sent;
+  sent.from = Summary(7);
+  sent.from.changed = {3, 40};
+  sent.cursor = {3, 41};
+  CHECK(DecodeBeacon(EncodeBeacon(sent)) == sent);
+}
+
+TEST_CASE("Views of a newer era are preferred to any of an older one") {
+  peer_group group(Summary(1), {}, 1, [](std::uint32_t, const char*) {});
+  beacon restored;
+  restored.from = Summary(2);
+  restored.from.changed = {1, 40};
+  group.ApplyBeacon(restored, At(0));
+  CHECK(group.ViewSource({0, 900}, 0) == 2);
+  CHECK(group.ViewSource({1, 40}, 0) == 0);
+}
+
 TEST_CASE("Datagrams that are not beacons are refused") {
   CHECK(rc::check(
       [](const std::string& bytes) { RC_ASSERT(!DecodeBeacon(bytes)); }));
--- a/tests/standins/entry_store.h
+++ b/tests/standins/entry_store.h
@@ -6,7 +6,9 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -27,7 +29,8 @@
   entry_store(event_loop& loop, const endpoint& address)
       : loop_(loop),
         server_(evhttp_new(loop.base())),
-        watch_timer_(loop, [this] { AnswerWatches(); }) {
+        watch_timer_(loop, [this] { AnswerWatches(); }),
+        copy_timer_(loop, [this] { KeepCopy(); }) {
     evhttp_bind_socket(server_, FormatIp(address.address).c_str(),
                        address.port);
     evhttp_set_gencb(
@@ -37,6 +40,8 @@
         },
         this);
     watch_timer_.StartEvery(std::chrono::milliseconds(5));
+    KeepCopy();
+    copy_timer_.StartEvery(kCopyPeriod);
   }
   ~entry_store() { evhttp_free(server_); }
   entry_store(const entry_store&) = delete;
@@ -64,11 +69,52 @@
     events_.clear();
   }
 
+  // Goes back to the state of the latest time that is at least `age` ago, or to
+  // the oldest one kept: later writes are lost, their revisions are given out
+  // again, and a new era begins.
+  void Restore(duration age) {
+    const auto copy = std::find_if(
+        copies_.rbegin(), copies_.rend(),
+        [&](const store_copy& one) { return loop_.now() - one.made >= age; });
+    const store_copy& chosen = copy == copies_.rend() ? copies_.front() : *copy;
+    items_ = chosen.items;
+    revision_ = chosen.revision;
+    copies_.clear();
+    KeepCopy();
+    ++era_;
+    Compact();
+  }
+
+  std::uint64_t era() const { return era_; }
+
+  std::vector<std::string> Keys(const std::string& prefix) const {
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+      if (key.starts_with(prefix)) {
+        keys.push_back(key);
+      }
+    }
+    return keys;
+  }
+
   void SetFault(store_fault fault) { fault_ = fault; }
 
   std::uint64_t calls() const { return calls_; }
 
  private:
+  struct store_copy {
+    time_point made{};
+    std::map<std::string, nlohmann::json> items;
+    std::uint64_t revision = 0;
+  };
+
+  void KeepCopy() {
+    copies_.push_back({loop_.now(), items_, revision_});
+    if (copies_.size() > kCopies) {
+      copies_.pop_front();
+    }
+  }
+
   struct pending_watch {
     evhttp_request* request;
     std::uint64_t after;
@@ -81,7 +127,7 @@
       return;  // The connection stays open without an answer.
     }
     if (fault_ == store_fault::kUnavailable) {
-      evhttp_send_reply(request, 503, nullptr, nullptr);
+      Reply(request, 503, "");
       return;
     }
     const http_query query(request);
@@ -91,8 +137,8 @@
       return;
     }
     const std::uint64_t after = query.Number("after");
-    if (after < compacted_) {
-      evhttp_send_reply(request, 410, nullptr, nullptr);
+    if (after < compacted_ || after > revision_) {
+      Reply(request, 410, "");
       return;
     }
     pending_watches_.push_back(
@@ -130,25 +176,37 @@
     }
   }
 
-  static void Reply(evhttp_request* request, const nlohmann::json& body) {
-    const std::string text = body.dump();
+  void Reply(evhttp_request* request, const nlohmann::json& body) const {
+    Reply(request, 200, body.dump());
+  }
+
+  void Reply(evhttp_request* request,
+             int status,
+             const std::string& text) const {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
+                      std::to_string(era_).c_str());
     evbuffer* buffer = evbuffer_new();
     evbuffer_add(buffer, text.data(), text.size());
-    evhttp_send_reply(request, 200, nullptr, buffer);
+    evhttp_send_reply(request, status, nullptr, buffer);
     evbuffer_free(buffer);
   }
 
   // Small, so that listings have several pages.
   static constexpr std::size_t kPageItems = 10;
+  static constexpr duration kCopyPeriod = std::chrono::milliseconds(250);
+  static constexpr std::size_t kCopies = 44;  // the last 11 s
 
   event_loop& loop_;
   evhttp* server_;
   loop_timer watch_timer_;
+  loop_timer copy_timer_;
   std::map<std::string, nlohmann::json> items_;
   std::vector<nlohmann::json> events_;
   std::list<pending_watch> pending_watches_;
+  std::deque<store_copy> copies_;  // oldest first
   std::uint64_t revision_ = 1;
   std::uint64_t compacted_ = 0;
+  std::uint64_t era_ = 0;
   std::uint64_t calls_ = 0;
   store_fault fault_ = store_fault::kNone;
 };
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -39,7 +39,9 @@
                 std::size_t instances,
                 std::size_t callers,
                 std::uint64_t seed)
-      : loop_(loop), random_(seed) {
+      : loop_(loop),
+        random_(seed),
+        rewrite_timer_(loop, [this] { RewriteStore(); }) {
     store_address_ = {UniqueLoopbackAddress(), kStorePort};
     proxy_address_ = {UniqueLoopbackAddress(), kStorePort};
     store_ = std::make_unique<entry_store>(loop, store_address_);
@@ -83,7 +85,15 @@
         {"version", version_},
         {"routes", std::move(routes)},
         {"services", {{{"name", "ledger"}}, {{"name", "files"}}}}};
-    store_->Put("op/config", config.dump());
+    published_config_ = config.dump();
+    store_->Put("op/config", published_config_);
+  }
+
+  // Brings the store back from a copy of at least this age. What operators and
+  // targets had written is written again some time later.
+  void RestoreStore(duration age) {
+    store_->Restore(age);
+    rewrite_timer_.Start(kRewriteDelay);
   }
 
   // Adds a target; returns its id.
@@ -228,6 +238,25 @@
   static constexpr duration kConfigBound = std::chrono::seconds(3);
   static constexpr std::uint64_t kToggledRouteShare = 15;
   static constexpr duration kRecoveryTime = std::chrono::seconds(4);
+  static constexpr duration kRewriteDelay = std::chrono::milliseconds(700);
+
+  void RewriteStore() {
+    store_->Put("op/config", published_config_);
+    for (const char* data_centre : {"dc-a", "dc-b", "dc-c"}) {
+      const std::string key = "op/evacuate/" + std::string(data_centre);
+      if (evacuated_.contains(data_centre)) {
+        store_->Put(key, "{}");
+      } else {
+        store_->Delete(key);
+      }
+    }
+    // Entries of targets that have ended are not renewed, so they run out.
+    for (const std::string& key : store_->Keys("servers/")) {
+      if (!targets_.contains(key.substr(key.find('/') + 1))) {
+        store_->Delete(key);
+      }
+    }
+  }
 
   // Opens a flow to the address of the route "spare". It must not be answered
   // if the configuration of kConfigBound ago lacks the route, and not be
@@ -318,6 +347,7 @@
 
   event_loop& loop_;
   std::mt19937_64 random_;
+  loop_timer rewrite_timer_;
   endpoint store_address_;
   endpoint proxy_address_;
   bool proxied_ = false;
@@ -333,6 +363,7 @@
   call_counts counts_;
   bool faults_active_ = false;
   time_point faults_changed_{};
+  std::string published_config_;
   std::uint64_t version_ = 0;
   bool toggled_route_ = false;
   time_point route_toggled_{};
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -199,7 +199,7 @@
   }
 
   fault DrawFault() {
-    switch (Draw(11)) {
+    switch (Draw(12)) {
       case 0:
         return SignalFault("kill", false, SIGKILL, 0, 300, 800);
       case 1:
@@ -220,6 +220,8 @@
         return EvacuationFault();
       case 9:
         return ClockFault();
+      case 10:
+        return RestoreFault();
       default:
         return {"configuration", true,
                 [this] {
@@ -285,6 +287,16 @@
             [this] { testbed_.store().SetFault(store_fault::kNone); }};
   }
 
+  // The store comes back from a copy some seconds old.
+  fault RestoreFault() {
+    return {"store restored", false,
+            [this] {
+              testbed_.RestoreStore(RandomDuration(1'000, 10'000));
+              return RandomDuration(1'000, 1'500);
+            },
+            [] {}};
+  }
+
   // Adds a replacement, drains the target and removes it.
   fault DrainFault() {
     entry_target& target = RandomTarget();
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -25,7 +25,7 @@
   std::optional<std::uint64_t> revision;
   client.Watch(7, std::chrono::milliseconds(50), kDeadline,
                [&](const result<store_answer>& answer) {
-                 revision = answer.value().revision;
+                 revision = answer.value().cursor.revision;
                  loop.Stop();
                });
   loop.Run();
@@ -69,17 +69,50 @@
   }
 }
 
+TEST_CASE("Answers have the era of the header, and errors teach it, too") {
+  const std::string body = R"({"events":[],"storeRevision":9})";
+  struct era_case {
+    scripted_reply reply;
+    std::optional<std::uint64_t> answered;
+    std::uint64_t newest = 0;
+  };
+  const std::vector<era_case> cases = {
+      {{200, body}, 0, 0},
+      {{200, body, {{"store-era", "3"}}}, 3, 3},
+      {{410, "", {{"Store-Era", "4"}}}, std::nullopt, 4},
+      {{503, "", {{"Store-Era", "5"}}}, std::nullopt, 5},
+      {{200, body, {{"Store-Era", "x3"}}}, std::nullopt, 0}};
+  for (const era_case& one : cases) {
+    event_loop loop;
+    const http_server_fixture server(
+        loop, [reply = one.reply](const std::string&) { return reply; });
+    store_client client(loop, server.address());
+    std::optional<std::uint64_t> era;
+    client.Watch(0, duration(0), kDeadline,
+                 [&](const result<store_answer>& answer) {
+                   if (answer) {
+                     era = answer.value().cursor.era;
+                   }
+                   loop.Stop();
+                 });
+    loop.Run();
+    CHECK(era == one.answered);
+    CHECK(client.newest_era() == one.newest);
+  }
+}
+
 TEST_CASE("Answers of peers are inflated") {
   event_loop loop;
   const std::string body = Deflate(EncodeView({}));
   const http_server_fixture server(
       loop, [&body](const std::string& requested_uri) {
-        return scripted_reply{200, requested_uri.ends_with("=7") ? body : "{}"};
+        return scripted_reply{
+            200, requested_uri.ends_with("=7&era=0") ? body : "{}"};
       });
   std::vector<bool> decoded;
   for (const std::uint64_t revision : {7U, 8U}) {
     store_client client(loop, server.address());
-    client.PullFromPeer(revision, kDeadline,
+    client.PullFromPeer({0, revision}, kDeadline,
                         [&](const result<store_answer>& answer) {
                           decoded.push_back(answer.has_value());
                           loop.Stop();
--- a/tests/store_documents_test.cc
+++ b/tests/store_documents_test.cc
@@ -100,7 +100,7 @@
       R"("lease":0}],"hasMore":true,"storeRevision":530})");
   REQUIRE(listing);
   CHECK(listing.value().has_more);
-  CHECK(listing.value().revision == 530);
+  CHECK(listing.value().cursor.revision == 530);
   CHECK(listing.value().items == std::vector<store_item>{{"a", "x", 4, false}});
   const result<store_answer> watch =
       DecodeAnswer(R"({"events":[{"key":"a","revision":413,"deleted":true}],)"
--- a/tests/store_read_scheduler_test.cc
+++ b/tests/store_read_scheduler_test.cc
@@ -94,6 +94,15 @@
   CHECK(scheduler.NextRead(5) <= At(500));
 }
 
+TEST_CASE("A required listing does not shorten the wait after a failure") {
+  store_read_scheduler scheduler(At(0), kFastLink, 1);
+  scheduler.OnReadSuccess(read_kind::kList, At(0), At(4));
+  scheduler.RequireListing(At(500));
+  scheduler.OnReadFailure(false, At(500));
+  CHECK(scheduler.NextReadKind(At(500)) == read_kind::kList);
+  CHECK(scheduler.NextRead(0) > At(500));
+}
+
 TEST_CASE("The store is unavailable after a time without updates") {
   store_read_scheduler scheduler(At(0), kFastLink, 1);
   scheduler.OnReadSuccess(read_kind::kList, At(0), At(4));
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -160,9 +160,9 @@
 
 // Removes the entries of targets l1 to l`count` in one batch.
 void Lapse(entry_fixture& fixture, int count, time_point now) {
-  std::vector<changed_item> batch;
+  view_change batch;
   for (int i = 1; i <= count; ++i) {
-    batch.push_back({{}, removed_target{"l" + std::to_string(i)}});
+    batch.items.push_back({{}, removed_target{"l" + std::to_string(i)}});
   }
   fixture.directory.ApplyBatch(batch, now);
 }
@@ -199,6 +199,101 @@
   CHECK(fixture.directory.Find(first)->listing == target_listing::kGone);
 }
 
+// Returns the first listing of a new era with this content.
+view_change Restored(const std::vector<decoded_item>& decoded) {
+  view_change change;
+  change.era = era_change{};
+  for (const decoded_item& one : decoded) {
+    const std::string key = std::to_string(change.items.size());
+    change.items.push_back({{key, "", 1, false}, one});
+  }
+  return change;
+}
+
+TEST_CASE("A restored store does not make a draining target usable") {
+  entry_fixture fixture;
+  const target_index target = fixture.Add(Target("l1", 1));
+  fixture.Drain(Target("l1", 1), At(60'000));
+  fixture.directory.ApplyBatch(Restored({target_item{Target("l1", 1)}}),
+                               At(62'000));
+  const auto state = [&] {
+    return fixture.directory.Find(target)->record.state;
+  };
+  fixture.directory.Tick(false, At(64'599));
+  CHECK(state() == target_state::kDraining);
+  CHECK(fixture.directory.HeldFor(At(64'599)) ==
+        std::chrono::milliseconds(2'599));
+  // Nobody said so again: the restored store is the truth.
+  fixture.directory.Tick(false, At(64'600));
+  CHECK(state() == target_state::kActive);
+  CHECK(fixture.directory.held_items() == 0);
+}
+
+TEST_CASE("A restored store does not bring back a target that is gone") {
+  entry_fixture fixture;
+  const target_index target = fixture.Add(Target("l1", 1));
+  fixture.Drain(Target("l1", 1), At(60'000));
+  fixture.Remove("l1", At(61'000));
+  fixture.directory.ApplyBatch(Restored({target_item{Target("l1", 1)}}),
+                               At(62'000));
+  CHECK(fixture.directory.Find(target)->listing == target_listing::kGone);
+  // Its lease in the restored store runs out.
+  view_change lapse;
+  lapse.items = {{{"0", "", 9, true}, removed_target{"l1"}}};
+  fixture.directory.ApplyBatch(lapse, At(64'400));
+  fixture.directory.Tick(false, At(64'600));
+  CHECK(fixture.directory.Find(target)->listing == target_listing::kGone);
+}
+
+TEST_CASE("A target that a restored store lacks is missing, not gone") {
+  for (const bool drained : {false, true}) {
+    entry_fixture fixture;
+    const target_index target = fixture.Add(Target("l1", 1));
+    if (drained) {
+      fixture.Drain(Target("l1", 1), At(60'000));
+    }
+    fixture.directory.ApplyBatch(Restored({removed_target{"l1"}}), At(62'000));
+    CHECK(fixture.directory.Find(target)->listing == target_listing::kMissing);
+    CHECK(fixture.directory.Find(target)->lapse_excused);
+    fixture.directory.Tick(false, At(64'600));
+    CHECK(fixture.directory.Find(target)->listing == target_listing::kGone);
+  }
+}
+
+TEST_CASE("A data centre stays evacuated while a restored store differs") {
+  entry_fixture fixture;
+  fixture.Evacuate("dc-a", true, At(60'000));
+  const std::vector<decoded_item> copy = {evacuation_item{"dc-a", false},
+                                          evacuation_item{"dc-b", true}};
+  fixture.directory.ApplyBatch(Restored(copy), At(62'000));
+  CHECK(fixture.directory.evacuated("dc-a"));
+  CHECK(fixture.directory.evacuated("dc-b"));
+  fixture.directory.Tick(false, At(64'600));
+  CHECK_FALSE(fixture.directory.evacuated("dc-a"));
+  CHECK(fixture.directory.evacuated("dc-b"));
+}
+
+TEST_CASE("A later write replaces what is held of a restored store") {
+  entry_fixture fixture;
+  fixture.Evacuate("dc-a", true, At(60'000));
+  fixture.directory.ApplyBatch(Restored({evacuation_item{"dc-a", false}}),
+                               At(62'000));
+  view_change written;
+  written.items = {{{"0", "", 9, false}, evacuation_item{"dc-a", true}}};
+  fixture.directory.ApplyBatch(written, At(62'500));
+  fixture.directory.Tick(false, At(70'000));
+  CHECK(fixture.directory.evacuated("dc-a"));
+}
+
+// A newcomer learns of the successor from a peer, then lists a restored store
+// that still has the dead target.
+TEST_CASE("A dead target from a restored store replaces nobody") {
+  entry_fixture fixture;
+  const target_index live = fixture.Add(Successor(), At(60'000));
+  fixture.directory.ApplyBatch(Restored({target_item{Dead()}}), At(62'000));
+  CHECK_FALSE(fixture.directory.Find(live)->address_reused);
+}
+
 // In quadratic time this would keep a small instance from serving for minutes
 // after its start.
 TEST_CASE("A listing of twelve thousand targets is applied") {
