Let callers of a cut-off data centre move instead of refusing them

Cause: where the usable targets are in other data centres, as while the own one is evacuated, instances that are cut off from those reset each first packet from when all targets have failed three probes.

Change: for two seconds from when an instance reaches no usable target of a service that has some elsewhere, and no other data centre as far as it knows, it drops first packets that no target can get. Their copies and the next attempt reach another data centre. The reset comes at once if other data centres are reached, if the service has targets nowhere else, and after that time; the last copy of an attempt is still reset. Targets of which nothing is known are probed at once; two targets that failed one probe, not three, start the probes of a data centre's sample, so that the instance is not ready some 0.4 s earlier.

--- a/include/rosemaryreach/data_centre_reachability.h
+++ b/include/rosemaryreach/data_centre_reachability.h
@@ -4,6 +4,7 @@
 #define ROSEMARYREACH_DATA_CENTRE_REACHABILITY_H_
 
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,10 +18,13 @@
 // there are fewer, and no other target answers. That many independent failures
 // at once are unlikely, and so few probes are cheap in large data centres.
 inline constexpr std::size_t kReachabilitySample = 6;
-// Unreachable targets after which the rest of the sample is probed.
+// Targets with failed probes after which the rest of the sample is probed.
 inline constexpr std::size_t kMinFailuresToProbe = 2;
 // A data centre with an answer this recent is reachable.
 inline constexpr duration kRecentAnswer = std::chrono::milliseconds(400);
+// Routers move callers away after two failed readiness probes, 500 ms apart;
+// the rest is the time to find out that the instance is isolated.
+inline constexpr duration kCallersMoveTime = std::chrono::milliseconds(2'000);
 
 class data_centre_reachability {
  public:
@@ -41,7 +45,29 @@
   // failed in all data centres is not enough.
   bool IsIsolated() const;
 
+  // Returns whether routers are about to move callers to instances that reach
+  // targets which this one does not: for kCallersMoveTime from when it reaches
+  // no usable target of some service, which has some in other data centres, and
+  // nothing there either, as far as it knows. A first packet dropped meanwhile
+  // is served when it is sent again; a reset would fail it.
+  bool CallersAreMoving(time_point now) const {
+    return stranded_since_ && now - *stranded_since_ < kCallersMoveTime;
+  }
+
  private:
+  struct reach_summary {
+    // Some service has usable targets, none of which is reached.
+    bool service_unreached = false;
+    // Such a service has usable targets in other data centres.
+    bool served_elsewhere = false;
+    // Targets of another data centre are not known to be unreachable.
+    bool reaches_other_centre = false;
+  };
+  reach_summary Summarize() const;
+  bool Reaches(target_index index, const target_record& record) const;
+  // Updates stranded_since_; adds targets of other data centres to probe.
+  void UpdateStranded(time_point now, std::vector<target_index>& to_suspect);
+
   // Returns whether the data centre of `targets` is unreachable; adds targets
   // to complete its sample to `to_suspect`.
   bool EvaluateSample(const std::vector<target_index>& targets,
@@ -52,6 +78,7 @@
   const flow_tracker& tracker_;
   std::string data_centre_;
   std::set<std::string> unreachable_data_centres_;
+  std::optional<time_point> stranded_since_;
 };
 
 }  // namespace rosemaryreach
--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -20,8 +20,10 @@
 // this is several times that between distant data centres.
 inline constexpr duration kOpenAnswerTimeout = std::chrono::milliseconds(60);
 
-// Callers send a first packet up to three times.
+// Callers send a first packet up to three times: copies follow after 200 and
+// 600 ms, and the attempt ends after 1.4 s.
 inline constexpr std::size_t kMaxTriedTargets = 3;
+inline constexpr std::uint32_t kLastCopy = 2;
 
 // Load and health of one target as observed by this instance.
 struct target_status {
@@ -30,6 +32,7 @@
   std::uint32_t running = 0;   // requests in flight
   time_point opening_since{};  // start of the wait for their answers
   time_point last_answer{};    // last evidence of an answer
+  time_point last_reached{};   // last answer or successful probe
   bool suspected = false;      // gets no new flows until a probe reaches it
   std::uint32_t failed_probes = 0;  // in a row, since it is suspected
   const char* suspect_reason = "";  // of the last suspicion, kept when it ends
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "rosemaryreach/data_centre_reachability.h"
 #include "rosemaryreach/flow_packet.h"
 #include "rosemaryreach/flow_tracker.h"
 #include "rosemaryreach/target_directory.h"
@@ -53,6 +54,7 @@
  public:
   packet_director(const target_directory& directory,
                   flow_tracker& tracker,
+                  const data_centre_reachability& reachability,
                   target_picker& picker);
 
   packet_decision Direct(const flow_packet& packet,
@@ -77,11 +79,17 @@
   packet_decision AssignTarget(const flow_packet& packet,
                                const entry_route& route,
                                time_point now);
+  // Refuses a first packet that no target can get. It is dropped instead if the
+  // next copy will reach another instance.
+  packet_decision RefuseWithoutTarget(const flow_packet& packet,
+                                      const pick_result& none,
+                                      time_point now) const;
   packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
   // Returns whether requests to `address` may be retried on another target.
   bool IsRetryable(const ipv4_endpoint& address) const;
   packet_decision ExplainOpening(const flow_explanation& explanation,
-                                 const view_freshness& freshness) const;
+                                 const view_freshness& freshness,
+                                 time_point now) const;
   packet_decision ExplainData(const flow_key& flow, target_index target) const;
   // Returns the decision if a first packet must be refused before a target is
   // picked; otherwise nothing.
@@ -96,6 +104,7 @@
 
   const target_directory& directory_;
   flow_tracker& tracker_;
+  const data_centre_reachability& reachability_;
   target_picker& picker_;
 };
 
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -32,13 +32,16 @@
 struct rule_count {
   const char* rule = "";
   std::size_t targets = 0;
-  bool usable = false;  // whether they may get new flows
+  bool usable = false;       // whether they may get new flows
+  bool unreachable = false;  // whether only this instance can't reach them
 };
 
 // The chosen target, if any, and the rule that decided.
 struct pick_result {
   target_index target = kNoTarget;
   const char* rule = "";
+  // There is no target, but there are some that this instance can't reach.
+  bool unreachable = false;
 };
 
 class target_picker {
--- a/src/entry/data_centre_reachability.cc
+++ b/src/entry/data_centre_reachability.cc
@@ -7,9 +7,14 @@
 namespace rosemaryreach {
 namespace {
 
+// A data centre of which a target was reached this recently is not cut off;
+// longer than the time that the probes of a sample take.
+constexpr duration kRecentReach = std::chrono::milliseconds(600);
+
 // Whether a service has targets that may get new flows, and reachable ones.
 struct service_reachability {
   bool usable = false;
+  bool usable_elsewhere = false;  // in other data centres
   bool reached = false;
 };
 
@@ -26,6 +31,7 @@
 std::vector<target_index> data_centre_reachability::Update(time_point now) {
   unreachable_data_centres_.clear();
   if (!tracker_.AnySuspected()) {
+    stranded_since_.reset();
     return {};
   }
   std::map<std::string, std::vector<target_index>> centres;
@@ -41,14 +47,52 @@
       unreachable_data_centres_.insert(data_centre);
     }
   }
+  UpdateStranded(now, to_suspect);
   return to_suspect;
 }
 
+void data_centre_reachability::UpdateStranded(
+    time_point now,
+    std::vector<target_index>& to_suspect) {
+  if (!Summarize().served_elsewhere) {
+    stranded_since_.reset();
+    return;
+  }
+  std::map<std::string, std::vector<target_index>> unprobed;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
+    if (target == nullptr || target->listing == target_listing::kGone ||
+        target->record.data_centre == data_centre_) {
+      continue;
+    }
+    const target_status& status = tracker_.StatusOf(i);
+    if (now - status.last_reached < kRecentReach) {
+      stranded_since_.reset();
+      return;
+    }
+    if (!status.suspected) {
+      unprobed[target->record.data_centre].push_back(i);
+    }
+  }
+  stranded_since_ = stranded_since_.value_or(now);
+  for (auto& [data_centre, targets] : unprobed) {
+    targets.resize(std::min(targets.size(), kReachabilitySample));
+    to_suspect.insert(to_suspect.end(), targets.begin(), targets.end());
+  }
+}
+
+bool data_centre_reachability::Reaches(target_index index,
+                                       const target_record& record) const {
+  return !DataCentreUnreachable(record.data_centre) &&
+         !Unreachable(tracker_.StatusOf(index));
+}
+
 bool data_centre_reachability::EvaluateSample(
     const std::vector<target_index>& targets,
     time_point now,
     std::vector<target_index>& to_suspect) const {
   std::size_t unreachable = 0;
+  std::size_t failing = 0;  // at least one probe failed
   std::size_t suspected = 0;
   std::vector<target_index> others;
   for (const target_index target : targets) {
@@ -59,12 +103,13 @@
       return false;
     }
     suspected += status.suspected ? 1 : 0;
+    failing += status.suspected && status.failed_probes > 0 ? 1 : 0;
     if (!status.suspected) {
       others.push_back(target);
     }
   }
   const std::size_t sample = std::min(kReachabilitySample, targets.size());
-  if (unreachable >= kMinFailuresToProbe && suspected < sample) {
+  if (failing >= kMinFailuresToProbe && suspected < sample) {
     const std::size_t missing = std::min(sample - suspected, others.size());
     to_suspect.insert(to_suspect.end(), others.begin(),
                       others.begin() + static_cast<std::ptrdiff_t>(missing));
@@ -72,33 +117,44 @@
   return unreachable > 0 && unreachable >= sample;
 }
 
-bool data_centre_reachability::IsIsolated() const {
-  if (!tracker_.AnySuspected()) {
-    return false;
-  }
+data_centre_reachability::reach_summary data_centre_reachability::Summarize()
+    const {
+  reach_summary summary;
   std::map<std::string, service_reachability> services;
-  bool reaches_other_centre = false;
   for (target_index i = 0; i < directory_.targets().size(); ++i) {
     const known_target* target = directory_.Find(i);
     if (target == nullptr || target->listing == target_listing::kGone) {
       continue;
     }
     const target_record& record = target->record;
-    const bool reached = !DataCentreUnreachable(record.data_centre) &&
-                         !Unreachable(tracker_.StatusOf(i));
-    reaches_other_centre =
-        reaches_other_centre || (reached && record.data_centre != data_centre_);
+    const bool reached = Reaches(i, record);
+    summary.reaches_other_centre =
+        summary.reaches_other_centre ||
+        (reached && record.data_centre != data_centre_);
     if (record.state == target_state::kActive &&
         !directory_.evacuated(record.data_centre)) {
       service_reachability& service = services[record.service];
       service.usable = true;
+      service.usable_elsewhere =
+          service.usable_elsewhere || record.data_centre != data_centre_;
       service.reached = service.reached || reached;
     }
   }
-  return !reaches_other_centre &&
-         std::any_of(services.begin(), services.end(), [](const auto& one) {
-           return one.second.usable && !one.second.reached;
-         });
+  for (const auto& [name, service] : services) {
+    const bool unreached = service.usable && !service.reached;
+    summary.service_unreached = summary.service_unreached || unreached;
+    summary.served_elsewhere =
+        summary.served_elsewhere || (unreached && service.usable_elsewhere);
+  }
+  return summary;
+}
+
+bool data_centre_reachability::IsIsolated() const {
+  if (!tracker_.AnySuspected()) {
+    return false;
+  }
+  const reach_summary summary = Summarize();
+  return !summary.reaches_other_centre && summary.service_unreached;
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -209,6 +209,7 @@
 
 void flow_tracker::OnAnswer(target_status& status, time_point now) {
   status.last_answer = now;
+  status.last_reached = now;
   status.opening_since = now;
   status.failed_probes = 0;
   status.suspected = false;
@@ -239,6 +240,7 @@
     status.suspected = false;
     status.failed_probes = 0;
     status.opening_since = now;
+    status.last_reached = now;
   } else {
     ++status.failed_probes;
   }
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -28,8 +28,12 @@
 
 packet_director::packet_director(const target_directory& directory,
                                  flow_tracker& tracker,
+                                 const data_centre_reachability& reachability,
                                  target_picker& picker)
-    : directory_(directory), tracker_(tracker), picker_(picker) {}
+    : directory_(directory),
+      tracker_(tracker),
+      reachability_(reachability),
+      picker_(picker) {}
 
 packet_decision packet_director::Direct(const flow_packet& packet,
                                         const view_freshness& freshness,
@@ -84,12 +88,23 @@
       picker_.Pick(ServiceFor(route, packet.flow), tried, now);
   if (chosen.target == kNoTarget) {
     tracker_.Drop(packet.flow);
-    return {packet_verdict::kReset, kNoTarget, 0, chosen.rule};
+    return RefuseWithoutTarget(packet, chosen, now);
   }
   tracker_.Open(packet.flow, chosen.target, now);
   return ForwardTo(chosen.target, chosen.rule);
 }
 
+packet_decision packet_director::RefuseWithoutTarget(const flow_packet& packet,
+                                                     const pick_result& none,
+                                                     time_point now) const {
+  const bool another_copy_follows = packet.retransmit_count < kLastCopy;
+  if (none.unreachable && another_copy_follows &&
+      reachability_.CallersAreMoving(now)) {
+    return {packet_verdict::kDrop, kNoTarget, 0, "callers_moving"};
+  }
+  return {packet_verdict::kReset, kNoTarget, 0, none.rule};
+}
+
 packet_decision packet_director::HandleOpenFlow(const flow_packet& packet,
                                                 time_point now) {
   const target_index target = directory_.FindCookie(packet.cookie);
@@ -119,7 +134,7 @@
   const bool open = explanation.tracked != nullptr &&
                     explanation.tracked->phase != flow_phase::kOpening;
   explanation.next = open ? ExplainData(flow, explanation.tracked->target)
-                          : ExplainOpening(explanation, freshness);
+                          : ExplainOpening(explanation, freshness, now);
   return explanation;
 }
 
@@ -137,7 +152,8 @@
 
 packet_decision packet_director::ExplainOpening(
     const flow_explanation& explanation,
-    const view_freshness& freshness) const {
+    const view_freshness& freshness,
+    time_point now) const {
   const std::optional<packet_decision> refused =
       RefuseOpening(explanation.route, freshness);
   if (refused) {
@@ -147,8 +163,13 @@
     return {packet_verdict::kReset, kNoTarget, 0, "no_target"};
   }
   const rule_count& best = explanation.targets.front();
-  return {best.usable ? packet_verdict::kForward : packet_verdict::kReset,
-          kNoTarget, 0, best.rule};
+  if (best.usable) {
+    return {packet_verdict::kForward, kNoTarget, 0, best.rule};
+  }
+  pick_result none;
+  none.rule = best.rule;
+  none.unreachable = best.unreachable;
+  return RefuseWithoutTarget(flow_packet{}, none, now);
 }
 
 // A reset lets the caller retry at once but fails a request that must not be
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -76,6 +76,7 @@
   }
   if (best.target == kNoTarget) {
     best.rule = kRules.at(static_cast<std::size_t>(best_grade));
+    best.unreachable = best_grade == grade::kUnreachable;
   } else {
     RecordColdFlow(*directory_.Find(best.target), now);
   }
@@ -151,7 +152,8 @@
   for (std::size_t i = 0; i < counts.size(); ++i) {
     if (counts.at(i) > 0) {
       found.push_back({kRules.at(i), counts.at(i),
-                       static_cast<grade>(i) < grade::kUnreachable});
+                       static_cast<grade>(i) < grade::kUnreachable,
+                       static_cast<grade>(i) == grade::kUnreachable});
     }
   }
   return found;
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -117,7 +117,7 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
-      director_(directory_, tracker_, picker_),
+      director_(directory_, tracker_, reachability_, picker_),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -272,6 +272,8 @@
       log_field{"flows", names}};
   log_.LogStateChange("flows_at_lost_target", fields);
   packet_forwarder_.ResetWaitingFlows(target);
+  // Until the next tick, callers would be refused that are about to move.
+  UpdateReachability(BootTimeNow());
 }
 
 void entry_instance::OnRequestStalled(const flow_key& key,
--- a/tests/data_centre_reachability_test.cc
+++ b/tests/data_centre_reachability_test.cc
@@ -57,6 +57,44 @@
   CHECK_FALSE(fixture.IsIsolated());
 }
 
+// Returns how a first packet is handled at `ms`, after an evaluation then.
+packet_verdict Refusal(reachability_fixture& fixture,
+                       std::int64_t ms,
+                       std::uint32_t copy = 0) {
+  fixture.reachability.Update(At(ms));
+  return fixture.Direct(FirstPacket(Flow(1), copy), At(ms)).verdict;
+}
+
+TEST_CASE("Callers that routers are about to move are not refused") {
+  reachability_fixture fixture;
+  fixture.AddMany("dc-a", 1);
+  fixture.Evacuate("dc-a", true, At(0));
+  fixture.MakeUnreachable(fixture.AddMany("dc-b", 1)[0], At(0));
+  CHECK(Refusal(fixture, 10'000) == packet_verdict::kDrop);
+  CHECK(Refusal(fixture, 11'999) == packet_verdict::kDrop);
+  // No copy follows the last one, and by then routers should have moved them.
+  CHECK(Refusal(fixture, 11'999, 2) == packet_verdict::kReset);
+  CHECK(Refusal(fixture, 12'000) == packet_verdict::kReset);
+}
+
+TEST_CASE("Callers are refused if other data centres are reached") {
+  reachability_fixture fixture;
+  fixture.MakeUnreachable(fixture.AddMany("dc-b", 1)[0], At(0));
+  const target_index other = fixture.Add(Target("f1", 100, "dc-b", "files"));
+  // Until then nothing is known of it, so it is probed.
+  CHECK(fixture.reachability.Update(At(10'000)) ==
+        std::vector<target_index>{other});
+  CHECK(Refusal(fixture, 10'000) == packet_verdict::kDrop);
+  fixture.tracker.OnProbeResult(other, true, At(10'003));
+  CHECK(Refusal(fixture, 10'010) == packet_verdict::kReset);
+}
+
+TEST_CASE("Callers are refused if the service has no targets elsewhere") {
+  reachability_fixture fixture;
+  fixture.MakeUnreachable(fixture.AddMany("dc-a", 1)[0], At(0));
+  CHECK(Refusal(fixture, 10'000) == packet_verdict::kReset);
+}
+
 TEST_CASE("Two failures have a sample probed, not the whole data centre") {
   reachability_fixture fixture;
   const std::vector<target_index> targets = fixture.AddMany("dc-b", 100);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -108,7 +108,7 @@
       {[this] { return local_instances; }, [this] { return instances; },
        [this](std::uint32_t /*cookie*/) { return owns; }},
       7};
-  packet_director director{directory, tracker, picker};
+  packet_director director{directory, tracker, reachability, picker};
   view_freshness freshness{true, true};
 };
 
--- a/tests/load_player.h
+++ b/tests/load_player.h
@@ -4,9 +4,11 @@
 #define ROSEMARYREACH_TESTS_LOAD_PLAYER_H_
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -20,6 +22,7 @@
   std::size_t instances = 8;
   std::uint32_t targets = 14;
   std::uint32_t slots = 4;
+  std::string data_centre = "dc-a";  // of the targets; instances are in dc-a
   double requests_per_s = 300;
   duration work = std::chrono::milliseconds(55);      // mean, exponential
   duration in_time = std::chrono::milliseconds(250);  // limit of an answer
@@ -68,7 +71,7 @@
   }
 
   decoded_item Listed(std::uint32_t number) const {
-    target_record record = Target(Id(number), number);
+    target_record record = Target(Id(number), number, load_.data_centre);
     record.slots = load_.slots;
     return target_item{record};
   }
@@ -79,26 +82,75 @@
   // Plays until `end`; returns the share of the requests that arrived meanwhile
   // and were answered in time. Plays on until all of them had the time.
   double ShareInTime(time_point end) {
+    return ShareAnswered(end, load_.in_time);
+  }
+
+  // The same for answers within `limit`.
+  double ShareAnswered(time_point end, duration limit) {
     const std::size_t first = requests_.size();
     RunUntil(end);
     const std::size_t last = requests_.size();
-    RunUntil(end + load_.in_time);
-    const auto answered =
-        std::count_if(requests_.begin() + static_cast<std::ptrdiff_t>(first),
-                      requests_.begin() + static_cast<std::ptrdiff_t>(last),
-                      [](const request& one) { return one.in_time; });
+    RunUntil(end + limit);
+    const auto answered = std::count_if(
+        requests_.begin() + static_cast<std::ptrdiff_t>(first),
+        requests_.begin() + static_cast<std::ptrdiff_t>(last),
+        [limit](const request& one) {
+          return one.answered_after && *one.answered_after <= limit;
+        });
     return static_cast<double>(answered) / static_cast<double>(last - first);
   }
 
+  // Plays until `end`; returns the share of the requests that arrived meanwhile
+  // and were refused in all attempts.
+  double ShareRefused(time_point end) {
+    const std::size_t first = requests_.size();
+    RunUntil(end);
+    const auto refused = std::count_if(
+        requests_.begin() + static_cast<std::ptrdiff_t>(first), requests_.end(),
+        [](const request& one) { return one.refused; });
+    return static_cast<double>(refused) /
+           static_cast<double>(requests_.size() - first);
+  }
+
+  // Cuts the way between the first `count` instances, with their callers, and
+  // all targets.
+  void CutOff(std::size_t count) { cut_off_ = count; }
+
+  // The instances that are cut off find that they reach no target.
+  void FindCut() {
+    for (std::size_t i = 0; i < cut_off_; ++i) {
+      entry_fixture& instance = *instances_[i];
+      for (target_index t = 0; t < instance.directory.targets().size(); ++t) {
+        instance.MakeUnreachable(t, now_);
+      }
+      instance.reachability.Update(now_);
+    }
+  }
+
+  // From `when` on, routers send no callers to the instances that are cut off.
+  void MoveCallersAt(time_point when) {
+    Schedule(when - now_, [this] { moved_ = true; });
+  }
+
   // Returns the flows sent to target `number` so far.
   std::size_t FlowsTo(std::uint32_t number) {
     return served_[Id(number)].flows;
   }
 
  private:
+  static constexpr std::array<duration, kLastCopy> kCopyDelays = {
+      std::chrono::milliseconds(200), std::chrono::milliseconds(400)};
+  static constexpr duration kAttemptEnds = std::chrono::milliseconds(1'400);
+  static constexpr int kMaxAttempts = 3;
+
   struct request {
     time_point arrived{};
-    bool in_time = false;
+    flow_key flow;  // of the last attempt
+    int attempts = 0;
+    bool opened = false;
+    bool refused = false;      // at the first packet of the last attempt
+    std::size_t instance = 0;  // that forwarded the first packet
+    std::optional<duration> answered_after;
   };
 
   // A target with its queue of requests, which are indices of requests_.
@@ -132,39 +184,72 @@
     return duration(static_cast<duration::rep>(draw(random_)) + 1);
   }
 
-  entry_fixture& InstanceOf(std::size_t index) {
-    return *instances_[index % instances_.size()];
-  }
-
   void Arrive() {
     constexpr double kMicrosPerSecond = 1e6;
     Schedule(Exponential(kMicrosPerSecond / load_.requests_per_s),
              [this] { Arrive(); });
-    requests_.push_back({now_, false});
-    SendFirstPacket(requests_.size() - 1, 0);
+    requests_.emplace_back();
+    requests_.back().arrived = now_;
+    StartAttempt(requests_.size() - 1);
   }
 
-  // Callers send first packets again after 200, 600 and 1,400 ms.
-  void SendFirstPacket(std::size_t index, std::uint32_t copy) {
-    static constexpr std::array<int, 4> kCopyAfterMs = {200, 400, 800, 0};
-    entry_fixture& instance = InstanceOf(index);
-    const flow_key flow = FlowOf(index);
+  // Starts an attempt, a new flow from a new port.
+  void StartAttempt(std::size_t index) {
+    request& one = requests_[index];
+    one.flow = NextFlow();
+    one.opened = false;
+    ++one.attempts;
+    SendFirstPacket(index, one.attempts, 0);
+    Schedule(kAttemptEnds, [this, index, attempt = one.attempts] {
+      EndAttempt(index, attempt);
+    });
+  }
+
+  void EndAttempt(std::size_t index, int attempt) {
+    const request& one = requests_[index];
+    const bool current = one.attempts == attempt && !one.opened;
+    if (current && attempt < kMaxAttempts) {
+      StartAttempt(index);
+    }
+  }
+
+  void SendFirstPacket(std::size_t index, int attempt, std::uint32_t copy) {
+    const request& one = requests_[index];
+    if (one.attempts != attempt || one.opened || one.refused) {
+      return;
+    }
+    if (copy < kLastCopy) {
+      Schedule(kCopyDelays.at(copy), [this, index, attempt, copy] {
+        SendFirstPacket(index, attempt, copy + 1);
+      });
+    }
+    const std::size_t instance = InstanceFor(index);
     const packet_decision decision =
-        instance.Direct(FirstPacket(flow, copy), now_);
+        instances_[instance]->Direct(FirstPacket(one.flow, copy), now_);
     if (decision.verdict == packet_verdict::kReset) {
-      return;
+      requests_[index].refused = attempt == kMaxAttempts;
+      EndAttempt(index, attempt);
+    } else if (decision.verdict == packet_verdict::kForward) {
+      Deliver(index, instance, decision);
     }
-    const std::string id = instance.directory.Find(decision.target)->record.id;
+  }
+
+  // Delivers a first packet to its target, which accepts it if it is alive and
+  // the instance reaches it.
+  void Deliver(std::size_t index,
+               std::size_t instance,
+               const packet_decision& decision) {
+    entry_fixture& by = *instances_[instance];
+    const std::string id = by.directory.Find(decision.target)->record.id;
     served_target& target = served_[id];
     ++target.flows;
-    if (!target.alive) {
-      if (copy + 1 < kCopyAfterMs.size()) {
-        Schedule(std::chrono::milliseconds(kCopyAfterMs.at(copy)),
-                 [this, index, copy] { SendFirstPacket(index, copy + 1); });
-      }
+    if (!target.alive || instance < cut_off_) {
       return;
     }
-    instance.Direct(LaterPacket(flow, decision.cookie, 1'001, 1, 1), now_);
+    request& one = requests_[index];
+    one.opened = true;
+    one.instance = instance;
+    by.Direct(LaterPacket(one.flow, decision.cookie, 1'001, 1, 1), now_);
     target.queue.push_back(index);
     StartNext(id, decision.cookie);
   }
@@ -186,17 +271,26 @@
   }
 
   void Finish(std::size_t index, std::uint32_t cookie) {
-    flow_packet last = LaterPacket(FlowOf(index), cookie, 1'002, 2, 0);
-    last.finishes = true;
-    InstanceOf(index).Direct(last, now_);
     request& answered = requests_[index];
-    answered.in_time = now_ - answered.arrived <= load_.in_time;
+    if (answered.instance < cut_off_) {
+      return;  // The answer is lost in the cut, too.
+    }
+    flow_packet last = LaterPacket(answered.flow, cookie, 1'002, 2, 0);
+    last.finishes = true;
+    instances_[answered.instance]->Direct(last, now_);
+    answered.answered_after = now_ - answered.arrived;
+  }
+
+  // Returns the instance that routers choose for a caller's packets.
+  std::size_t InstanceFor(std::size_t index) const {
+    const std::size_t first = moved_ ? cut_off_ : 0;
+    return first + index % (instances_.size() - first);
   }
 
-  static flow_key FlowOf(std::size_t index) {
-    constexpr std::size_t kPorts = 60'000;
-    flow_key flow = Flow(static_cast<std::uint16_t>(index % kPorts));
-    flow.caller.address += static_cast<std::uint32_t>(index / kPorts);
+  flow_key NextFlow() {
+    constexpr std::uint32_t kPorts = 60'000;
+    flow_key flow = Flow(static_cast<std::uint16_t>(flows_ % kPorts));
+    flow.caller.address += flows_++ / kPorts;
     return flow;
   }
 
@@ -207,6 +301,9 @@
   std::vector<std::unique_ptr<entry_fixture>> instances_;
   std::map<std::string, served_target> served_;
   std::vector<request> requests_;
+  std::uint32_t flows_ = 0;
+  std::size_t cut_off_ = 0;  // the first instances reach no target
+  bool moved_ = false;       // callers avoid them
 };
 
 }  // namespace rosemaryreach
--- a/tests/placement_load_test.cc
+++ b/tests/placement_load_test.cc
@@ -70,5 +70,30 @@
   CHECK(player.FlowsTo(1) + player.FlowsTo(2) == before);
 }
 
+// The usable targets are in another data centre, and half of the instances are
+// cut off from it; routers need more than a second to move their callers.
+TEST_CASE("Callers of instances that are cut off are served by others") {
+  constexpr duration kDeadline = std::chrono::milliseconds(2'500);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    played_load load;
+    load.data_centre = "dc-b";
+    load_player player(load, seed);
+    player.ShareInTime(At(3'000));
+    player.CutOff(load.instances / 2);
+    player.ShareInTime(At(3'600));
+    player.FindCut();
+    player.MoveCallersAt(At(5'200));
+    CHECK(player.ShareAnswered(At(5'200), kDeadline) >= kTargetShareInTime);
+  }
+}
+
+TEST_CASE("Callers whom no data centre can serve are refused at once") {
+  load_player player(played_load{}, 1);
+  player.ShareInTime(At(3'000));
+  player.CutOff(8);
+  player.FindCut();
+  CHECK(player.ShareRefused(At(3'500)) == 1);
+}
+
 }  // namespace
 }  // namespace rosemaryreach
