Confirm the way to the targets before an instance that starts is ready

An instance that was restarted in the cut-off data centre got its view from a peer there and was ready at once, having no failed probes; as the only ready one it brought the routers back to the whole data centre for two seconds. Besides, resetting the last copy of each attempt used up the tries 1.8 s after the first.

Change: an instance is ready only once it has reached a usable target, by a probe or a flow, if there is any; it probes 3 at a time, 12 at most. The last copy of a first packet is dropped, too, while callers are about to move, if the timeout of its route leaves time for another attempt.

--- a/include/rosemaryreach/data_centre_reachability.h
+++ b/include/rosemaryreach/data_centre_reachability.h
@@ -18,6 +18,10 @@
 // there are fewer, and no other target answers. That many independent failures
 // at once are unlikely, and so few probes are cheap in large data centres.
 inline constexpr std::size_t kReachabilitySample = 6;
+// Probes of targets at a time, and targets probed in all, to find one that an
+// instance reaches after its start.
+inline constexpr std::size_t kConfirmProbes = 3;
+inline constexpr std::size_t kMaxConfirmTargets = 12;
 // Targets with failed probes after which the rest of the sample is probed.
 inline constexpr std::size_t kMinFailuresToProbe = 2;
 // A data centre with an answer this recent is reachable.
@@ -45,6 +49,14 @@
   // failed in all data centres is not enough.
   bool IsIsolated() const;
 
+  // Returns whether some usable target was reached since the start of this
+  // instance, or there is none. Until then it may be cut off without knowing.
+  bool Confirmed() const;
+
+  // Returns targets to mark as suspected, so that probes confirm the way to one
+  // of them; nothing if Confirmed() or enough were probed.
+  std::vector<target_index> TargetsToConfirm(std::uint64_t random) const;
+
   // Returns whether routers are about to move callers to instances that reach
   // targets which this one does not: for kCallersMoveTime from when it reaches
   // no usable target of some service, which has some in other data centres, and
@@ -64,6 +76,7 @@
     bool reaches_other_centre = false;
   };
   reach_summary Summarize() const;
+  bool IsUsable(const known_target& target) const;
   bool Reaches(target_index index, const target_record& record) const;
   // Updates stranded_since_; adds targets of other data centres to probe.
   void UpdateStranded(time_point now, std::vector<target_index>& to_suspect);
--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -32,6 +32,7 @@
   ipv4_endpoint address;
   std::vector<weighted_service> services;
   request_kind kind = request_kind::kNonIdempotent;
+  duration timeout{};  // of a request; 0 if none is declared
 
   bool operator==(const entry_route&) const = default;
 };
--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -24,6 +24,7 @@
 // 600 ms, and the attempt ends after 1.4 s.
 inline constexpr std::size_t kMaxTriedTargets = 3;
 inline constexpr std::uint32_t kLastCopy = 2;
+inline constexpr duration kAttemptTime = std::chrono::milliseconds(1'400);
 
 // Load and health of one target as observed by this instance.
 struct target_status {
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -79,9 +79,10 @@
   packet_decision AssignTarget(const flow_packet& packet,
                                const entry_route& route,
                                time_point now);
-  // Refuses a first packet that no target can get. It is dropped instead if the
-  // next copy will reach another instance.
+  // Refuses a first packet that no target can get. It is dropped instead if a
+  // later one of the request is likely to reach another instance.
   packet_decision RefuseWithoutTarget(const flow_packet& packet,
+                                      const entry_route& route,
                                       const pick_result& none,
                                       time_point now) const;
   packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
--- a/src/entry/data_centre_reachability.cc
+++ b/src/entry/data_centre_reachability.cc
@@ -81,6 +81,56 @@
   }
 }
 
+bool data_centre_reachability::IsUsable(const known_target& target) const {
+  return target.listing != target_listing::kGone &&
+         target.record.state == target_state::kActive &&
+         !directory_.evacuated(target.record.data_centre);
+}
+
+bool data_centre_reachability::Confirmed() const {
+  bool usable = false;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
+    if (target != nullptr && IsUsable(*target)) {
+      usable = true;
+      if (tracker_.StatusOf(i).last_reached != time_point{}) {
+        return true;
+      }
+    }
+  }
+  return !usable;
+}
+
+std::vector<target_index> data_centre_reachability::TargetsToConfirm(
+    std::uint64_t random) const {
+  if (Confirmed()) {
+    return {};
+  }
+  std::vector<target_index> unprobed;
+  std::size_t pending = 0;  // their first probe has not ended
+  std::size_t probed = 0;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
+    if (target == nullptr || !IsUsable(*target)) {
+      continue;
+    }
+    const target_status& status = tracker_.StatusOf(i);
+    pending += status.suspected && status.failed_probes == 0 ? 1 : 0;
+    probed += status.suspected ? 1 : 0;
+    if (!status.suspected) {
+      unprobed.push_back(i);
+    }
+  }
+  std::vector<target_index> chosen;
+  while (!unprobed.empty() && pending + chosen.size() < kConfirmProbes &&
+         probed + chosen.size() < kMaxConfirmTargets) {
+    const std::size_t at = random % unprobed.size();
+    chosen.push_back(unprobed[at]);
+    unprobed.erase(unprobed.begin() + static_cast<std::ptrdiff_t>(at));
+  }
+  return chosen;
+}
+
 bool data_centre_reachability::Reaches(target_index index,
                                        const target_record& record) const {
   return !DataCentreUnreachable(record.data_centre) &&
@@ -131,8 +181,7 @@
     summary.reaches_other_centre =
         summary.reaches_other_centre ||
         (reached && record.data_centre != data_centre_);
-    if (record.state == target_state::kActive &&
-        !directory_.evacuated(record.data_centre)) {
+    if (IsUsable(*target)) {
       service_reachability& service = services[record.service];
       service.usable = true;
       service.usable_elsewhere =
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -88,18 +88,21 @@
       picker_.Pick(ServiceFor(route, packet.flow), tried, now);
   if (chosen.target == kNoTarget) {
     tracker_.Drop(packet.flow);
-    return RefuseWithoutTarget(packet, chosen, now);
+    return RefuseWithoutTarget(packet, route, chosen, now);
   }
   tracker_.Open(packet.flow, chosen.target, now);
   return ForwardTo(chosen.target, chosen.rule);
 }
 
 packet_decision packet_director::RefuseWithoutTarget(const flow_packet& packet,
+                                                     const entry_route& route,
                                                      const pick_result& none,
                                                      time_point now) const {
-  const bool another_copy_follows = packet.retransmit_count < kLastCopy;
-  if (none.unreachable && another_copy_follows &&
-      reachability_.CallersAreMoving(now)) {
+  // After the last copy the next attempt starts when this one ends, unless the
+  // request has timed out by then; a reset has it start at once.
+  const bool sent_again =
+      packet.retransmit_count < kLastCopy || route.timeout > kAttemptTime;
+  if (none.unreachable && sent_again && reachability_.CallersAreMoving(now)) {
     return {packet_verdict::kDrop, kNoTarget, 0, "callers_moving"};
   }
   return {packet_verdict::kReset, kNoTarget, 0, none.rule};
@@ -169,7 +172,7 @@
   pick_result none;
   none.rule = best.rule;
   none.unreachable = best.unreachable;
-  return RefuseWithoutTarget(flow_packet{}, none, now);
+  return RefuseWithoutTarget(flow_packet{}, *explanation.route, none, now);
 }
 
 // A reset lets the caller retry at once but fails a request that must not be
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -136,6 +136,7 @@
       started_(BootTimeNow()),
       last_wake_(started_),
       last_tick_(started_),
+      random_(seed),
       settings_mtime_(ModificationTime(options.settings_file)) {}
 
 result<void> entry_instance::Start() {
@@ -177,7 +178,8 @@
   if (!directory_.complete()) {
     return {false, "configuration and targets"};
   }
-  if (reachability_.IsIsolated()) {
+  const bool confirmed = reach_confirmed_ || reachability_.Confirmed();
+  if (!confirmed || reachability_.IsIsolated()) {
     return {false, "a way to the targets"};
   }
   return {true, ""};
@@ -225,6 +227,16 @@
   }
 }
 
+void entry_instance::ConfirmReachability() {
+  if (reach_confirmed_ || !directory_.complete()) {
+    return;
+  }
+  reach_confirmed_ = reachability_.Confirmed();
+  for (const target_index target : reachability_.TargetsToConfirm(random_())) {
+    tracker_.MarkSuspected(target, "not reached since the start");
+  }
+}
+
 void entry_instance::OnViewChanged(const view_change& change) {
   const time_point now = BootTimeNow();
   change_lines_left_ = kMaxChangeLines;
@@ -232,6 +244,7 @@
   if (directory_.complete()) {
     StartForwarding("configuration and targets are loaded");
   }
+  ConfirmReachability();
   if (change.items.size() > kMaxChangeLines) {
     LogLifecycle("changes_taken",
                  std::to_string(change.items.size()) +
@@ -362,6 +375,7 @@
   suspect_prober_.Tick();
   sync_.Tick();
   UpdateReachability(now);
+  ConfirmReachability();
   FinishStopWhenDue(now);
   const readiness state = Readiness();
   if (state.ready != std::exchange(was_ready_, state.ready)) {
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -4,6 +4,7 @@
 #define ROSEMARYREACH_ENTRYD_ENTRY_INSTANCE_H_
 
 #include <memory>
+#include <random>
 #include <string>
 
 #include "adapters/admin_server.h"
@@ -50,6 +51,8 @@
   void DetectPause(time_point now);
   void DetectLateness(time_point now);
   void UpdateReachability(time_point now);
+  // Probes targets after the start, until one of them is reached.
+  void ConfirmReachability();
   void StartForwarding(const char* reason);
   void OnViewChanged(const view_change& change);
   void OnDirectoryChange(const directory_change& change);
@@ -94,8 +97,10 @@
   bool refreshing_after_pause_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
+  bool reach_confirmed_ = false;       // a target was reached since the start
   std::size_t change_lines_left_ = 0;  // for the current batch of changes
   time_point stop_began_{};
+  std::mt19937_64 random_;
   std::int64_t settings_mtime_ = 0;  // modification time, Unix nanoseconds
 };
 
--- a/tests/data_centre_reachability_test.cc
+++ b/tests/data_centre_reachability_test.cc
@@ -77,6 +77,49 @@
   CHECK(Refusal(fixture, 12'000) == packet_verdict::kReset);
 }
 
+TEST_CASE("The last copy is refused only if no attempt can follow in time") {
+  for (const int timeout_ms : {0, 1'400, 1'401}) {
+    reachability_fixture fixture;
+    entry_config config = Config(2);
+    config.routes[0].timeout = std::chrono::milliseconds(timeout_ms);
+    fixture.directory.Apply({}, config, At(0));
+    fixture.MakeUnreachable(fixture.AddMany("dc-b", 1)[0], At(0));
+    const packet_verdict expected =
+        timeout_ms > 1'400 ? packet_verdict::kDrop : packet_verdict::kReset;
+    CHECK(Refusal(fixture, 10'000, 2) == expected);
+  }
+}
+
+TEST_CASE("An instance that starts probes targets until it reaches one") {
+  reachability_fixture fixture;
+  CHECK(fixture.reachability.Confirmed());
+  fixture.AddMany("dc-a", 20);
+  CHECK_FALSE(fixture.reachability.Confirmed());
+  std::size_t probed = 0;
+  for (std::uint64_t random = 0; random < 20; ++random) {
+    const std::vector<target_index> chosen =
+        fixture.reachability.TargetsToConfirm(random);
+    CHECK(chosen.size() <= kConfirmProbes);
+    probed += chosen.size();
+    for (const target_index target : chosen) {
+      fixture.MakeUnreachable(target, At(0));
+    }
+  }
+  CHECK(probed == kMaxConfirmTargets);
+  fixture.tracker.OnProbeResult(0, true, At(1));
+  CHECK(fixture.reachability.Confirmed());
+  CHECK(fixture.reachability.TargetsToConfirm(0).empty());
+}
+
+TEST_CASE("An evacuated target does not confirm the way to the targets") {
+  reachability_fixture fixture;
+  const target_index out = fixture.AddMany("dc-a", 1)[0];
+  fixture.AddMany("dc-b", 1);
+  fixture.Evacuate("dc-a", true, At(0));
+  fixture.tracker.OnProbeResult(out, true, At(1));
+  CHECK_FALSE(fixture.reachability.Confirmed());
+}
+
 TEST_CASE("Callers are refused if other data centres are reached") {
   reachability_fixture fixture;
   fixture.MakeUnreachable(fixture.AddMany("dc-b", 1)[0], At(0));
