Search for a view until one is found when a fleet starts

Change: an instance without a view goes on asking every 40 ms, for two seconds: a seed and two known peers, larger ones more often.

--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -87,6 +87,11 @@
   // and seeds from time to time, so that a healed partition merges again.
   std::vector<std::uint32_t> Recipients();
 
+  // Returns whom an instance without a view asks for one: a seed, and two known
+  // peers, one of them in this data centre if possible. Larger ones are asked
+  // more often, since they read the store first.
+  std::vector<std::uint32_t> SearchRecipients();
+
   // Returns the recipients of a beacon after this instance read the store: all
   // peers of a small fleet; in a large one the next readers and some peers of
   // each data centre, which relay changes.
@@ -138,6 +143,8 @@
   void AddSample(const address_list& from, std::size_t count, address_list& to);
   void AddNextReaders(address_list& to) const;
   std::uint32_t RandomOf(std::span<const std::uint32_t> addresses);
+  // Returns one of the peers, weighted by CPU; 0 if there are none.
+  std::uint32_t RandomByCpu(std::span<const std::uint32_t> addresses);
   std::uint32_t RandomSource(store_cursor known,
                              bool local,
                              std::uint32_t excluded);
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -146,6 +146,29 @@
   return to;
 }
 
+std::vector<std::uint32_t> peer_group::SearchRecipients() {
+  address_list local;
+  address_list other;
+  for (const auto& [address, peer] : peers_) {
+    const bool is_local = peer.summary.data_centre == self_.data_centre;
+    (is_local ? local : other).push_back(address);
+  }
+  if (peers_.empty()) {
+    return seeds_;
+  }
+  address_list to;
+  if (!seeds_.empty()) {
+    to.push_back(RandomOf(seeds_));
+  }
+  for (const address_list& group : {local, other}) {
+    const std::uint32_t address = RandomByCpu(group);
+    if (address != 0 && std::find(to.begin(), to.end(), address) == to.end()) {
+      to.push_back(address);
+    }
+  }
+  return to;
+}
+
 std::vector<std::uint32_t> peer_group::UpdateRecipients() {
   if (peers_.empty()) {
     return seeds_;
@@ -196,20 +219,27 @@
                                        bool local,
                                        std::uint32_t excluded) {
   address_list sources;
-  std::vector<double> weights;
   for (const auto& [address, peer] : peers_) {
     const peer_summary& summary = peer.summary;
     if (peer.direct && summary.changed > known && address != excluded &&
         (summary.data_centre == self_.data_centre) == local) {
       sources.push_back(address);
-      weights.push_back(summary.cpu_millicores + 1.0);
     }
   }
-  if (sources.empty()) {
+  return RandomByCpu(sources);
+}
+
+std::uint32_t peer_group::RandomByCpu(
+    std::span<const std::uint32_t> addresses) {
+  if (addresses.empty()) {
     return 0;
   }
+  std::vector<double> weights;
+  for (const std::uint32_t address : addresses) {
+    weights.push_back(peers_.at(address).summary.cpu_millicores + 1.0);
+  }
   std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-  return sources[draw(random_)];
+  return addresses[draw(random_)];
 }
 
 void peer_group::Tick(time_point now) {
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -26,9 +26,12 @@
 constexpr duration kPullRetryDelay = std::chrono::milliseconds(30);
 // After this many failures the next beacon triggers a new pull.
 constexpr std::size_t kMaxPullAttempts = 5;
-// Period of beacons to the seeds until a peer is known. Instances that
-// are started together start within 0.3 s of each other.
-constexpr duration kSeedContactPeriod = std::chrono::milliseconds(40);
+// Period of beacons to the seeds until a peer is known, and to peers until one
+// has a view. Instances that are started together start within 0.3 s of each
+// other.
+constexpr duration kSearchPeriod = std::chrono::milliseconds(40);
+// If nobody has a view for so long, periodic beacons tell when one has.
+constexpr duration kMaxSearchTime = std::chrono::seconds(2);
 
 std::vector<std::uint32_t> SeedAddresses(const entry_settings& settings) {
   std::vector<std::uint32_t> addresses;
@@ -81,6 +84,7 @@
              }),
       store_client_(
           std::make_unique<store_client>(loop, settings.store_endpoint)),
+      started_(BootTimeNow()),
       budget_(settings.link_mbps),
       read_timer_(loop, [this] { StartRead(); }),
       page_timer_(loop, [this] { ReadPage(); }),
@@ -442,12 +446,16 @@
 }
 
 void store_sync::OnBeaconTimer() {
-  const bool no_peers = peers_.size() == 0;
-  if (no_peers ||
-      BootTimeNow() - last_update_beacon_ >= kUpdateReplacesBeacon) {
-    SendBeacon(peers_.Recipients(), no_peers);
-  }
-  beacon_timer_.Start(no_peers ? kSeedContactPeriod : kBeaconPeriod);
+  const time_point now = BootTimeNow();
+  const bool searching =
+      peers_.size() == 0 ||
+      (!cache_.has_view() && now - started_ < kMaxSearchTime);
+  if (searching) {
+    SendBeacon(peers_.SearchRecipients(), true);
+  } else if (now - last_update_beacon_ >= kUpdateReplacesBeacon) {
+    SendBeacon(peers_.Recipients(), false);
+  }
+  beacon_timer_.Start(searching ? kSearchPeriod : kBeaconPeriod);
 }
 
 void store_sync::OnPeerChange(std::uint32_t address, const char* outcome) {
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -124,6 +124,7 @@
   time_point read_started_{};
   bool reading_ = false;
   bool store_was_unavailable_ = false;
+  time_point started_;
   serving_budget budget_;
   std::string cached_answer_;  // last answer of ItemsAfter()
   store_cursor cached_answer_after_;
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <random>
 
 #include "entry_fixture.h"
 
@@ -282,6 +283,91 @@
   CHECK(from_large > 80);
 }
 
+// All instances of a fleet start within 0.3 s, as after a loss of power. One in
+// twenty is large and reads the store; the others need a peer that has a view.
+struct fleet_start {
+  static constexpr std::int64_t kStepMs = 10;
+  static constexpr std::int64_t kStartSpreadMs = 300;
+  static constexpr std::int64_t kReadMs = 60;  // by large instances
+  static constexpr std::int64_t kPullMs = 60;
+
+  struct instance {
+    peer_group group;
+    std::int64_t started = 0;
+    std::int64_t view_at = 0;  // 0: no pull or read is under way
+    bool has_view = false;
+  };
+
+  explicit fleet_start(std::uint32_t size) {
+    std::mt19937 random(1);
+    for (std::uint32_t i = 1; i <= size; ++i) {
+      peer_summary self = Summary(i, i % 5);
+      self.cpu_millicores = i % 20 == 0 ? 500 : 120;
+      instance started{
+          peer_group(self, {1, 2, 3}, i, [](std::uint32_t, const char*) {})};
+      started.started = static_cast<std::int64_t>(
+          random() % static_cast<std::uint32_t>(kStartSpreadMs));
+      started.view_at = i % 20 == 0 ? started.started + kReadMs : 0;
+      instances.emplace(i, std::move(started));
+    }
+  }
+
+  // Returns the longest time from an instance's start to its view, in ms.
+  std::int64_t Run() {
+    std::int64_t longest = 0;
+    for (now = 0; now < 3'000; now += kStepMs) {
+      for (auto& [address, one] : instances) {
+        if (!one.has_view && one.view_at != 0 && now >= one.view_at) {
+          one.has_view = true;
+          longest = std::max(longest, now - one.started);
+          Send(one, one.group.PeersWithoutView(), false);
+        } else if (!one.has_view && now >= one.started &&
+                   (now - one.started / kStepMs * kStepMs) % 40 == 0) {
+          Send(one, one.group.SearchRecipients(), true);
+        }
+      }
+    }
+    return longest;
+  }
+
+  void Send(instance& from,
+            const std::vector<std::uint32_t>& to,
+            bool wants_answer) {
+    const beacon sent = from.group.MakeBeacon(Changed(from));
+    for (const std::uint32_t address : to) {
+      instance& receiver = instances.at(address);
+      if (now < receiver.started) {
+        continue;
+      }
+      Receive(receiver, sent);
+      if (wants_answer) {
+        Receive(from, receiver.group.MakeBeacon(Changed(receiver)));
+      }
+    }
+  }
+
+  void Receive(instance& to, const beacon& received) {
+    to.group.ApplyBeacon(received, At(now));
+    if (to.view_at == 0 && to.group.ViewSource({}, 0) != 0) {
+      to.view_at = now + kPullMs;
+    }
+  }
+
+  static store_cursor Changed(const instance& one) {
+    return one.has_view ? store_cursor{0, 1} : store_cursor{};
+  }
+
+  std::map<std::uint32_t, instance> instances;
+  std::int64_t now = 0;
+};
+
+TEST_CASE("Views spread fast when a large fleet starts at once") {
+  for (const std::uint32_t size : {9U, 90U, 295U}) {
+    fleet_start fleet(std::max(size, 20U));
+    CHECK(fleet.Run() <= 300);
+  }
+}
+
 TEST_CASE("Decoding an encoded beacon returns the same beacon") {
   beacon sent;
   sent.from = Summary(0xC0A80001);
