--- a/include/rosemaryreach/store_read_scheduler.h
+++ b/include/rosemaryreach/store_read_scheduler.h
@@ -49,8 +49,9 @@
 
   // Returns the wait before the next page of a listing of which `pages` were
   // read. It is random after the first page of a first listing, so that most
-  // instances get the view from a peer before they read on.
-  duration PageDelay(std::size_t pages);
+  // instances get the view from a peer before they read on; after the second
+  // one if no peer is known, as while the seeds are down.
+  duration PageDelay(std::size_t pages, bool peers_known);
 
   // Records the result of a read by this instance. `history_gone` means that
   // the store no longer has the changes to watch from, so a listing is needed.
--- a/src/entry/store_read_scheduler.cc
+++ b/src/entry/store_read_scheduler.cc
@@ -40,8 +40,9 @@
   return duration(draw(random_));
 }
 
-duration store_read_scheduler::PageDelay(std::size_t pages) {
-  if (listed_ || pages != 1) {
+duration store_read_scheduler::PageDelay(std::size_t pages, bool peers_known) {
+  const std::size_t free_pages = peers_known ? 1 : 2;
+  if (listed_ || pages != free_pages) {
     return duration(0);
   }
   return RandomBelow(slow_link_ ? kSlowLinkPageDelaySpread : kPageDelaySpread);
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -229,7 +229,8 @@
                        page.items.end());
   listing_cursor_ = listing_cursor_.value_or(page.cursor);
   if (page.has_more && !page.items.empty()) {
-    page_timer_.Start(read_scheduler_.PageDelay(++page_count_));
+    page_timer_.Start(
+        read_scheduler_.PageDelay(++page_count_, peers_.size() > 0));
     return;
   }
   const bool first = !cache_.has_view();
