Say in the log that a restore excuses lapses, too

Cause: read as a newcomer, the line named only an unavailable store, and the comment of item_cache said more than the code does about configurations.

Change: wording of one log line and one comment.

--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -20,7 +20,7 @@
 
 // All items of the cache are of one era of the store. A listing of a newer era
 // replaces them; answers of an older one change nothing. In any era, a
-// configuration is only replaced by one of a higher version.
+// configuration is never replaced by one of a lower version.
 class item_cache {
  public:
   explicit item_cache(item_decoder decode) : decode_(std::move(decode)) {}
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -307,7 +307,8 @@
       report_({service, "lapses_excused",
                std::to_string(count.lapsed) + " of " +
                    std::to_string(count.before) + " entries vanished" +
-                   (many ? " together" : " while the store was unavailable")});
+                   (many ? " together"
+                         : " soon after the store was away or restored")});
     }
   }
   for (std::optional<known_target>& target : targets_) {
