Report requests in flight and response times by target

Cause: limits and placement need to know, for each target, how much is in flight and how long answers take; the tracker told neither. No decision changes.

--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -33,6 +33,9 @@
   std::vector<weighted_service> services;
   request_kind kind = request_kind::kNonIdempotent;
   duration timeout{};  // of a request; 0 if none is declared
+  // 0 is the most urgent; nothing if none is declared.
+  std::optional<std::uint32_t> priority;
+  duration latency_target{};  // of an answer; 0 if none is declared
 
   bool operator==(const entry_route&) const = default;
 };
@@ -41,6 +44,7 @@
   std::string name;
   // New flows a second that a cold target can take; 0 if none is declared.
   double cold_flows_per_s = 0;
+  std::uint32_t max_flows = 0;  // that a target holds; 0 if none is declared
 
   bool operator==(const entry_service&) const = default;
 };
@@ -50,6 +54,7 @@
   std::uint64_t version = 0;
   std::vector<entry_route> routes;
   std::vector<entry_service> services;
+  duration idle_timeout{};  // of open flows; 0 if none is declared
 
   bool operator==(const entry_config&) const = default;
 };
@@ -154,6 +159,15 @@
   bool operator==(const entry_bounds&) const = default;
 };
 
+// Parts that the settings file can switch off.
+struct load_settings {
+  bool sharing = true;    // load reports between instances
+  bool placement = true;  // by shared load and measured speed
+  bool admission = true;  // limits, order and refusals under overload
+
+  bool operator==(const load_settings&) const = default;
+};
+
 // The settings of one entry instance.
 struct entry_settings {
   std::string instance;
@@ -167,6 +181,8 @@
   std::vector<endpoint> seeds;  // control endpoints of some instances
   endpoint store_endpoint;
   entry_bounds bounds;
+  std::uint16_t load_port = 0;  // UDP, load reports; 0 if there is no port
+  load_settings load;
 
   bool operator==(const entry_settings&) const = default;
 };
--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -61,12 +61,15 @@
   // A target became suspected.
   std::function<void(target_index, const char* reason)> suspected;
   // The first packet of a flow was answered after this time.
-  std::function<void(duration)> opened;
+  std::function<void(target_index, duration)> opened;
   // Data was retransmitted this long after the request began, without an
   // answer; called once per request.
   std::function<void(const flow_key&, target_index, duration)> stalled;
   // A request got the first part of its answer after this time.
-  std::function<void(duration)> answered;
+  std::function<void(target_index, duration)> answered;
+  // The first packets and requests without an answer at a target changed by
+  // this number. Optional.
+  std::function<void(target_index, int change)> in_flight_changed;
 };
 
 class flow_tracker {
@@ -119,6 +122,7 @@
  private:
   target_status& MutableStatus(target_index target);
   void LeavePhase(flow_state& flow);
+  void NotifyInFlight(const flow_state& flow, int change);
   void EnterPhase(flow_state& flow, flow_phase phase, time_point now);
   void OnAnswer(target_status& status, time_point now);
   void OnData(flow_state& flow, const flow_packet& packet, time_point now);
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -78,17 +78,18 @@
           {[this](target_index target, const char* reason) {
              suspect_prober_.OnSuspected(target, reason);
            },
-           [this](duration elapsed) {
+           [this](target_index /*target*/, duration elapsed) {
              metrics_.open_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
            },
            [this](const flow_key& key, target_index target, duration waited) {
              OnRequestStalled(key, target, waited);
            },
-           [this](duration elapsed) {
+           [this](target_index /*target*/, duration elapsed) {
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
-           }}),
+           },
+           nullptr}),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -21,14 +21,26 @@
 inline constexpr ipv4_endpoint kBookAddress{0xC6120001, 8080};
 inline constexpr ipv4_endpoint kFilesAddress{0xC6120002, 8443};
 
+inline entry_route Route(const char* name,
+                         const ipv4_endpoint& address,
+                         const char* service,
+                         request_kind kind) {
+  entry_route route;
+  route.name = name;
+  route.address = address;
+  route.services = {{service, 1}};
+  route.kind = kind;
+  return route;
+}
+
 inline entry_config Config(std::uint64_t version) {
   entry_config config;
   config.version = version;
   config.routes = {
-      {"watch", kWatchAddress, {{"ledger", 1}}, request_kind::kIdempotent},
-      {"book", kBookAddress, {{"ledger", 1}}, request_kind::kNonIdempotent},
-      {"files", kFilesAddress, {{"files", 1}}, request_kind::kBulk}};
-  config.services = {{"ledger", 0}, {"files", 0}};
+      Route("watch", kWatchAddress, "ledger", request_kind::kIdempotent),
+      Route("book", kBookAddress, "ledger", request_kind::kNonIdempotent),
+      Route("files", kFilesAddress, "files", request_kind::kBulk)};
+  config.services = {{"ledger", 0, 0}, {"files", 0, 0}};
   return config;
 }
 
@@ -88,13 +100,13 @@
       std::chrono::seconds(75),
       [this](const directory_change& change) { changes.push_back(change); },
       [this](target_index target) { tracker.ResetTarget(target); }};
-  flow_tracker tracker{
-      1'000,
-      {[this](target_index target, const char* /*reason*/) {
-         suspected.push_back(target);
-       },
-       [](duration) {}, [](const flow_key&, target_index, duration) {},
-       [](duration) {}}};
+  flow_tracker tracker{1'000,
+                       {[this](target_index target, const char* /*reason*/) {
+                          suspected.push_back(target);
+                        },
+                        [](target_index, duration) {},
+                        [](const flow_key&, target_index, duration) {},
+                        [](target_index, duration) {}, nullptr}};
   std::uint32_t local_instances = 1;
   std::size_t instances = 1;
   bool owns = true;
--- a/tests/flow_tracker_test.cc
+++ b/tests/flow_tracker_test.cc
@@ -15,15 +15,18 @@
   std::vector<duration> opened;
   std::vector<duration> answered;
   std::vector<flow_key> stalled;
-  flow_tracker tracker{100,
-                       {[this](target_index target, const char* /*reason*/) {
-                          suspected.push_back(target);
-                        },
-                        [this](duration time) { opened.push_back(time); },
-                        [this](const flow_key& key, target_index, duration) {
-                          stalled.push_back(key);
-                        },
-                        [this](duration time) { answered.push_back(time); }}};
+  int in_flight = 0;
+  flow_tracker tracker{
+      100,
+      {[this](target_index target, const char* /*reason*/) {
+         suspected.push_back(target);
+       },
+       [this](target_index, duration time) { opened.push_back(time); },
+       [this](const flow_key& key, target_index, duration) {
+         stalled.push_back(key);
+       },
+       [this](target_index, duration time) { answered.push_back(time); },
+       [this](target_index, int change) { in_flight += change; }}};
 };
 
 TEST_CASE("A flow opens, sends a request and gets an answer") {
@@ -31,17 +34,38 @@
   flow_tracker& tracker = fixture.tracker;
   tracker.Open(Flow(1), kOne, At(0));
   CHECK(tracker.StatusOf(kOne).opening == 1);
+  CHECK(fixture.in_flight == 1);
   tracker.OnPacket(LaterPacket(Flow(1), 9, 1'001, 5'001, 100), kOne, At(4));
+  CHECK(fixture.in_flight == 1);
   CHECK(tracker.StatusOf(kOne).opening == 0);
   CHECK(tracker.StatusOf(kOne).open == 1);
   CHECK(tracker.StatusOf(kOne).running == 1);
   tracker.OnPacket(LaterPacket(Flow(1), 9, 1'101, 7'001, 0), kOne, At(34));
   CHECK(tracker.StatusOf(kOne).running == 0);
+  CHECK(fixture.in_flight == 0);
   CHECK(fixture.opened == std::vector<duration>{std::chrono::milliseconds(4)});
   CHECK(fixture.answered ==
         std::vector<duration>{std::chrono::milliseconds(30)});
 }
 
+// A count that leaks would keep an instance from admitting flows for good.
+TEST_CASE("Requests in flight are counted until their flow ends") {
+  tracker_fixture fixture;
+  flow_tracker& tracker = fixture.tracker;
+  tracker.Open(Flow(1), kOne, At(0));
+  tracker.Open(Flow(1), kTwo, At(200));
+  CHECK(fixture.in_flight == 1);
+  tracker.Open(Flow(2), kOne, At(200));
+  tracker.Drop(Flow(2));
+  CHECK(fixture.in_flight == 1);
+  tracker.OnPacket(LaterPacket(Flow(3), 9, 1'001, 5'001, 100), kOne, At(300));
+  CHECK(fixture.in_flight == 2);
+  tracker.ResetTarget(kOne);
+  CHECK(fixture.in_flight == 1);
+  tracker.Sweep(At(60'000));
+  CHECK(fixture.in_flight == 0);
+}
+
 TEST_CASE("A packet that finishes a flow removes it") {
   tracker_fixture fixture;
   fixture.tracker.Open(Flow(1), kOne, At(0));
