Keep open flows of full targets that fail probes

Full targets answer neither first packets nor always TCP connections.

suspicion_accuracy decides whether failed probes prove anything. A probe that succeeds during the hold time of a flapping target now restarts the count of failed probes, which should be in a row.

Probes are limited to 100 a second after a burst of 400, and those that have waited longest come first.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -37,6 +37,8 @@
   bool suspected = false;      // gets no new flows until a probe reaches it
   std::uint32_t failed_probes = 0;  // in a row, since it is suspected
   const char* suspect_reason = "";  // of the last suspicion, kept when it ends
+  bool unanswered = false;   // suspected since it left packets unanswered
+  bool unreachable = false;  // suspected, and failed probes prove it
 };
 
 enum class flow_phase : std::uint8_t { kOpening, kOpen, kRunning };
@@ -70,6 +72,12 @@
   // The first packets and requests without an answer at a target changed by
   // this number. Optional.
   std::function<void(target_index, int change)> in_flight_changed;
+  // A target that was suspected since it left packets unanswered has answered,
+  // or a probe reached it. Optional.
+  std::function<void(target_index, time_point now)> disproved{};
+  // Returns whether kUnreachableProbes or more failed probes in a row prove
+  // that the target is unreachable. Optional; without it, they do.
+  std::function<bool(target_index, time_point now)> proves_unreachable{};
 };
 
 class flow_tracker {
@@ -106,7 +114,11 @@
 
   void OnProbeResult(target_index target, bool reached, time_point now);
 
-  // Withholds new flows from a target until a probe reaches it or it answers.
+  // A probe reached a target that stays suspected for other reasons.
+  void OnReachedWhileSuspected(target_index target, time_point now);
+
+  // Withholds new flows from a target until a probe reaches it or it answers,
+  // without evidence of the target's own that it does not answer.
   void MarkSuspected(target_index target, const char* reason);
 
   // Discards the flows and the status of a target whose index is reused.
@@ -124,7 +136,9 @@
   void LeavePhase(flow_state& flow);
   void NotifyInFlight(const flow_state& flow, int change);
   void EnterPhase(flow_state& flow, flow_phase phase, time_point now);
-  void OnAnswer(target_status& status, time_point now);
+  void MarkUnanswered(target_index target, const char* reason);
+  void OnReached(target_index target, time_point now);
+  void OnAnswer(target_index target, time_point now);
   void OnData(flow_state& flow, const flow_packet& packet, time_point now);
   void OnRetransmission(flow_state& flow, const flow_key& key, time_point now);
 
@@ -134,14 +148,14 @@
   std::vector<target_status> statuses_;
 };
 
-// Probes that must fail in a row before a target counts as unreachable. With
+// Probes that must fail in a row before a target may count as unreachable. With
 // the pauses between them this takes half a second; a full link may delay
 // packets that long.
 inline constexpr std::uint32_t kUnreachableProbes = 3;
 
 // Returns whether probes show that this instance can't reach the target.
 inline bool Unreachable(const target_status& status) {
-  return status.suspected && status.failed_probes >= kUnreachableProbes;
+  return status.suspected && status.unreachable;
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -65,7 +65,7 @@
     const bool silent =
         MutableStatus(flow.target).last_answer < flow.phase_began;
     if (flow.target != target && silent) {
-      MarkSuspected(flow.target, "first packet sent again");
+      MarkUnanswered(flow.target, "first packet sent again");
     }
   }
   flow.target = target;
@@ -102,7 +102,7 @@
     flow.target = target;
     flow.acknowledged = packet.acknowledged;
     flow.sequence = packet.sequence - 1;
-    OnAnswer(MutableStatus(target), now);
+    OnAnswer(target, now);
     EnterPhase(flow, flow_phase::kOpen, now);
   }
   OnData(flow, packet, now);
@@ -118,7 +118,7 @@
   flow.last_packet = now;
   if (After(packet.acknowledged, flow.acknowledged)) {
     flow.acknowledged = packet.acknowledged;
-    OnAnswer(MutableStatus(flow.target), now);
+    OnAnswer(flow.target, now);
     if (flow.phase == flow_phase::kRunning) {
       hooks_.answered(flow.target, now - flow.phase_began);
       LeavePhase(flow);
@@ -150,7 +150,7 @@
     hooks_.stalled(key, flow.target, waited);
   }
   if (MutableStatus(flow.target).last_answer < flow.phase_began) {
-    MarkSuspected(flow.target, "data sent again without an answer since");
+    MarkUnanswered(flow.target, "data sent again without an answer since");
   }
 }
 
@@ -215,27 +215,50 @@
   status.running += phase == flow_phase::kRunning ? 1 : 0;
 }
 
-void flow_tracker::OnAnswer(target_status& status, time_point now) {
-  status.last_answer = now;
-  status.last_reached = now;
+void flow_tracker::OnAnswer(target_index target, time_point now) {
+  MutableStatus(target).last_answer = now;
+  OnReached(target, now);
+}
+
+void flow_tracker::OnReached(target_index target, time_point now) {
+  target_status& status = MutableStatus(target);
+  status.suspected = false;
   status.opening_since = now;
+  OnReachedWhileSuspected(target, now);
+}
+
+void flow_tracker::OnReachedWhileSuspected(target_index target,
+                                           time_point now) {
+  target_status& status = MutableStatus(target);
+  const bool disproved = std::exchange(status.unanswered, false);
+  status.last_reached = now;
   status.failed_probes = 0;
-  status.suspected = false;
+  status.unreachable = false;
+  if (disproved && hooks_.disproved) {
+    hooks_.disproved(target, now);
+  }
 }
 
 void flow_tracker::CheckOpenTimeout(target_index target, time_point now) {
   target_status& status = MutableStatus(target);
   if (status.opening > 0 && now - status.opening_since >= kOpenAnswerTimeout) {
-    MarkSuspected(target, "first packet without an answer");
+    MarkUnanswered(target, "first packet without an answer");
   }
 }
 
+void flow_tracker::MarkUnanswered(target_index target, const char* reason) {
+  target_status& status = MutableStatus(target);
+  status.unanswered = status.unanswered || !status.suspected;
+  MarkSuspected(target, reason);
+}
+
 void flow_tracker::MarkSuspected(target_index target, const char* reason) {
   target_status& status = MutableStatus(target);
   if (!status.suspected) {
     status.suspected = true;
     status.suspect_reason = reason;
     status.failed_probes = 0;
+    status.unreachable = false;
     hooks_.suspected(target, reason);
   }
 }
@@ -243,14 +266,16 @@
 void flow_tracker::OnProbeResult(target_index target,
                                  bool reached,
                                  time_point now) {
-  target_status& status = MutableStatus(target);
   if (reached) {
-    status.suspected = false;
-    status.failed_probes = 0;
-    status.opening_since = now;
-    status.last_reached = now;
-  } else {
-    ++status.failed_probes;
+    OnReached(target, now);
+    return;
+  }
+  target_status& status = MutableStatus(target);
+  ++status.failed_probes;
+  if (status.suspected && !status.unreachable &&
+      status.failed_probes >= kUnreachableProbes) {
+    status.unreachable =
+        !hooks_.proves_unreachable || hooks_.proves_unreachable(target, now);
   }
 }
 
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -89,7 +89,15 @@
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
            },
-           nullptr}),
+           nullptr,
+           [this](target_index target, time_point now) {
+             metrics_.disproved_suspicions.Add();
+             accuracy_.OnDisproved(target, now);
+           },
+           [this](target_index target, time_point now) {
+             return accuracy_.ProvesUnreachable(target, now);
+           }}),
+      accuracy_(directory_, tracker_, {}),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -18,6 +18,7 @@
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/suspicion_accuracy.h"
 
 namespace rosemaryreach {
 
@@ -79,6 +80,7 @@
   entry_metrics metrics_;
   target_directory directory_;
   flow_tracker tracker_;
+  suspicion_accuracy accuracy_;
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   store_sync sync_;
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -20,6 +20,13 @@
            "Requests whose data was sent again without an answer."})),
       probes(registry.Counter({"rosemaryreach_entry_probes_total",
                                "Connections tried to doubted targets."})),
+      deferred_probes(
+          registry.Counter({"rosemaryreach_entry_probes_deferred_total",
+                            "Probes put off since too many were due."})),
+      disproved_suspicions(
+          registry.Counter({"rosemaryreach_entry_doubts_disproved_total",
+                            "Doubted targets that answered or were "
+                            "reached by a probe."})),
       peer_datagrams_sent(
           registry.Counter({"rosemaryreach_entry_peer_sent_total",
                             "Beacons sent to other instances."})),
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -21,6 +21,8 @@
   counter& malformed_packets;
   counter& stalled_requests;
   counter& probes;
+  counter& deferred_probes;       // for the limit of probes a second
+  counter& disproved_suspicions;  // by an answer or a successful probe
   counter& peer_datagrams_sent;
   counter& peer_datagrams_received;
   counter& peer_datagrams_malformed;
--- a/src/entryd/suspect_prober.cc
+++ b/src/entryd/suspect_prober.cc
@@ -56,19 +56,36 @@
 
 void suspect_prober::Tick() {
   const time_point now = BootTimeNow();
-  for (auto it = suspects_.begin(); it != suspects_.end();) {
-    if (!it->second.probing && IsResolved(it->first, it->second)) {
-      it = suspects_.erase(it);
-      continue;
+  std::erase_if(suspects_, [this](const auto& one) {
+    return !one.second.probing && IsResolved(one.first, one.second);
+  });
+  std::vector<std::pair<time_point, target_index>> due;
+  for (const auto& [index, suspect] : suspects_) {
+    if (!suspect.probing && !IsProbingSuspended(index) &&
+        now >= suspect.next_probe) {
+      due.emplace_back(suspect.next_probe, index);
     }
-    if (!it->second.probing && !IsProbingSuspended(it->first) &&
-        now >= it->second.next_probe) {
-      Probe(it->first, it->second);
-    }
-    ++it;
+  }
+  // Those that have waited longest come first, as probes are limited.
+  std::sort(due.begin(), due.end());
+  for (const auto& [since, index] : due) {
+    Probe(index, suspects_[index]);
   }
 }
 
+bool suspect_prober::TakeProbe(time_point now) {
+  const std::chrono::duration<double> elapsed =
+      now - std::exchange(probes_refilled_, now);
+  probes_left_ =
+      std::min(kProbeBurst, probes_left_ + elapsed.count() * kProbesPerSecond);
+  if (probes_left_ < 1) {
+    metrics_.deferred_probes.Add();
+    return false;
+  }
+  probes_left_ -= 1;
+  return true;
+}
+
 bool suspect_prober::IsResolved(target_index index,
                                 const suspect& suspect) const {
   const known_target* known = directory_.Find(index);
@@ -82,6 +99,9 @@
 }
 
 void suspect_prober::Probe(target_index index, suspect& suspect) {
+  if (!TakeProbe(BootTimeNow())) {
+    return;
+  }
   const known_target& target = *directory_.Find(index);
   const std::uint32_t cookie = suspect.cookie;
   suspect.probing = prober_.Probe(
@@ -110,9 +130,11 @@
     return;
   }
   if (reached && now < found->second.hold_down_until) {
+    tracker_.OnReachedWhileSuspected(index, now);
     found->second.next_probe = found->second.hold_down_until;
     return;
   }
+  const bool was_unreachable = Unreachable(tracker_.StatusOf(index));
   tracker_.OnProbeResult(index, reached, now);
   const std::uint32_t failures = tracker_.StatusOf(index).failed_probes;
   const duration suspected_for = now - found->second.since;
@@ -125,9 +147,12 @@
     return;
   }
   found->second.next_probe = now + BackoffAfter(failures);
-  if (failures == kUnreachableProbes) {
+  if (!was_unreachable && Unreachable(tracker_.StatusOf(index))) {
     Log(index, "target_unreachable", "probes got no answer", suspected_for);
     on_unreachable_(index);
+  } else if (!was_unreachable && failures == kUnreachableProbes) {
+    Log(index, "target_not_lost",
+        "probes got no answer, but most doubts were disproved", suspected_for);
   }
 }
 
--- a/src/entryd/suspect_prober.h
+++ b/src/entryd/suspect_prober.h
@@ -15,6 +15,12 @@
 
 namespace rosemaryreach {
 
+// Limit of probes: so many a second, and at once after a calm time. Enough for
+// half of 240 targets that fall silent at once; full targets cause hundreds of
+// suspicions a second.
+inline constexpr double kProbesPerSecond = 100;
+inline constexpr double kProbeBurst = 400;
+
 class suspect_prober {
  public:
   // `process_late` returns whether this process lacked CPU time: a probe that
@@ -44,6 +50,8 @@
   };
 
   void Probe(target_index index, suspect& suspect);
+  // Returns whether a probe may start now, and counts it.
+  bool TakeProbe(time_point now);
   // Makes the probes of all suspected targets in a data centre due at once,
   // after one of its targets has answered.
   void ExpediteDataCentreProbes(const std::string& data_centre, time_point now);
@@ -67,6 +75,8 @@
   connect_prober prober_;
   flap_damper flap_damper_;
   std::map<target_index, suspect> suspects_;
+  double probes_left_ = kProbeBurst;
+  time_point probes_refilled_{};
 };
 
 }  // namespace rosemaryreach
--- a/tests/suspect_prober_test.cc
+++ b/tests/suspect_prober_test.cc
@@ -86,6 +86,39 @@
   CHECK(fixture.status(target).failed_probes == 0);
 }
 
+TEST_CASE(
+    "Failed probes report no target while most suspicions are disproved") {
+  suspect_prober_fixture fixture;
+  const target_index target = fixture.Add({UniqueLoopbackAddress(), 9});
+  const target_index full = fixture.entry.Add(Target("l2", 2), BootTimeNow());
+  fixture.MarkSuspected(target);
+  const time_point end = BootTimeNow() + std::chrono::milliseconds(900);
+  fixture.Until([&] {
+    fixture.entry.tracker.Open(Flow(1), full,
+                               BootTimeNow() - kOpenAnswerTimeout);
+    fixture.entry.tracker.CheckOpenTimeout(full, BootTimeNow());
+    fixture.entry.tracker.OnProbeResult(full, true, BootTimeNow());
+    fixture.entry.tracker.Drop(Flow(1));
+    return BootTimeNow() >= end;
+  });
+  CHECK(fixture.status(target).failed_probes > kUnreachableProbes);
+  CHECK(fixture.unreachable_targets.empty());
+}
+
+TEST_CASE("The number of probes is limited") {
+  suspect_prober_fixture fixture;
+  const http_server_fixture server(
+      fixture.loop, [](const std::string&) { return scripted_reply{}; });
+  const target_index target = fixture.Add(server.address());
+  const time_point end = BootTimeNow() + std::chrono::seconds(1);
+  fixture.Until([&] {
+    fixture.MarkSuspected(target);
+    return BootTimeNow() >= end || fixture.metrics.deferred_probes.value() > 0;
+  });
+  CHECK(static_cast<double>(fixture.metrics.probes.value()) <=
+        kProbeBurst + kProbesPerSecond);
+}
+
 TEST_CASE("A gone, unreachable target is not probed until it is listed again") {
   suspect_prober_fixture fixture;
   const target_index target = fixture.Add({UniqueLoopbackAddress(), 9});
