--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -19,6 +19,9 @@
 // Whether the requests of a route may be retried.
 enum class request_kind : std::uint8_t { kIdempotent, kNonIdempotent, kBulk };
 
+// Priorities of routes reach from 0, the most urgent, to this.
+inline constexpr std::uint32_t kLeastUrgent = 15;
+
 struct weighted_service {
   std::string service;
   std::uint32_t weight = 1;
@@ -55,6 +58,8 @@
   std::vector<entry_route> routes;
   std::vector<entry_service> services;
   duration idle_timeout{};  // of open flows; 0 if none is declared
+  // Invalid values, which count as not declared; empty if there are none.
+  std::string ignored;
 
   bool operator==(const entry_config&) const = default;
 };
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -186,6 +186,9 @@
                std::to_string(config_.version) + ", " +
                std::to_string(config.routes.size()) + " routes" +
                DescribeColdRates(config)});
+  if (!config.ignored.empty()) {
+    report_({"configuration", "values_ignored", config.ignored});
+  }
   config_ = config;
 }
 
--- a/tests/store_documents_test.cc
+++ b/tests/store_documents_test.cc
@@ -77,6 +77,48 @@
   CHECK(config->services == std::vector<entry_service>{{"a", 2.5}, {"b", 0}});
 }
 
+// Returns the configuration with these members of its one route.
+entry_config ConfigWith(const std::string& members) {
+  return std::get<entry_config>(DecodeItem(Item(
+      "op/config", R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1",)"
+                   R"("prefix":"/8443/","type":"idempotent","service":"a",)" +
+                       members +
+                       R"(}],"services":[{"name":"a","maxConns":64}],)"
+                       R"("limits":{"idleTimeoutMs":15000}})")));
+}
+
+TEST_CASE("Priorities, objectives and limits are decoded") {
+  const entry_config config =
+      ConfigWith(R"("priority":2,"sloMs":400,"timeoutMs":3000)");
+  CHECK(config.routes.at(0).priority == 2U);
+  CHECK(config.routes.at(0).latency_target == std::chrono::milliseconds(400));
+  CHECK(config.routes.at(0).timeout == std::chrono::seconds(3));
+  CHECK(config.services.at(0).max_flows == 64);
+  CHECK(config.idle_timeout == std::chrono::seconds(15));
+  CHECK(config.ignored.empty());
+}
+
+// A bad value must cost neither the configuration nor pass without a trace.
+TEST_CASE("Invalid objectives count as not declared and are noted") {
+  const std::vector<std::pair<std::string, std::string>> invalid = {
+      {R"("sloMs":0)", "sloMs 0"},
+      {R"("sloMs":-4)", "sloMs -4"},
+      {R"("sloMs":"fast")", "sloMs (string)"},
+      {R"("sloMs":18446744073709551615)", "sloMs 18446744073709551615"},
+      {R"("sloMs":500,"timeoutMs":400)", "sloMs beyond timeoutMs"},
+      {R"("priority":16)", "priority 16"},
+      {R"("priority":-1)", "priority -1"},
+      {R"("priority":1.5)", "priority 1.5"},
+      {R"("timeoutMs":[])", "timeoutMs (array)"}};
+  for (const auto& [members, note] : invalid) {
+    const entry_config config = ConfigWith(members);
+    CHECK(config.routes.at(0).latency_target == duration::zero());
+    CHECK_FALSE(config.routes.at(0).priority);
+    CHECK(config.ignored == "route r: " + note);
+  }
+  CHECK(ConfigWith(R"("healthPath":"/")").ignored.empty());
+}
+
 TEST_CASE("Evacuations are decoded from their keys") {
   store_item item = Item("op/evacuate/almaty-a", "{}");
   evacuation_item evacuation = std::get<evacuation_item>(DecodeItem(item));
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -326,5 +326,18 @@
         FingerprintOf(target_item{less_cold}));
 }
 
+// Operators must learn of values that count as not declared, once.
+TEST_CASE("Ignored values of a configuration are reported once") {
+  entry_fixture fixture;
+  entry_config config = Config(2);
+  config.ignored = "route r: sloMs 0";
+  fixture.directory.Apply({}, config, At(1));
+  fixture.directory.Apply({}, config, At(2));
+  CHECK(std::count_if(fixture.changes.begin(), fixture.changes.end(),
+                      [](const directory_change& change) {
+                        return change.outcome == "values_ignored";
+                      }) == 1);
+}
+
 }  // namespace
 }  // namespace rosemaryreach
