--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -3,6 +3,7 @@
 #ifndef ROSEMARYREACH_PEER_GROUP_H_
 #define ROSEMARYREACH_PEER_GROUP_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -124,6 +125,19 @@
   std::size_t size() const { return peers_.size(); }
   std::vector<peer_summary> peers() const;
 
+  const peer_summary& self() const { return self_; }
+  // Returns the last summary of a peer; nullptr if it isn't known.
+  const peer_summary* Find(std::uint32_t address) const;
+  void ForEach(const std::function<void(const peer_summary&)>& visit) const;
+
+  // Returns the addresses of the collectors of a data centre: its first two
+  // live instances, this one included, by CPU and then by hash of the address.
+  // 0 stands for one that is missing. Instances for which `excluded` returns
+  // true don't count.
+  std::array<std::uint32_t, 2> Collectors(
+      std::uint32_t data_centre,
+      const std::function<bool(std::uint32_t address)>& excluded) const;
+
  private:
   struct peer {
     peer_summary summary;
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -1,6 +1,7 @@
 #include "rosemaryreach/peer_group.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemaryreach {
 namespace {
@@ -295,6 +296,39 @@
   return all;
 }
 
+const peer_summary* peer_group::Find(std::uint32_t address) const {
+  const auto found = peers_.find(address);
+  return found == peers_.end() ? nullptr : &found->second.summary;
+}
+
+void peer_group::ForEach(
+    const std::function<void(const peer_summary&)>& visit) const {
+  for (const auto& [address, peer] : peers_) {
+    visit(peer.summary);
+  }
+}
+
+std::array<std::uint32_t, 2> peer_group::Collectors(
+    std::uint32_t data_centre,
+    const std::function<bool(std::uint32_t address)>& excluded) const {
+  std::array<const peer_summary*, 2> best{};
+  const auto consider = [&](const peer_summary& one) {
+    if (one.data_centre != data_centre || one.leaving ||
+        excluded(one.address)) {
+      return;
+    }
+    if (best[0] == nullptr || ReadsBefore(one, *best[0])) {
+      best[1] = std::exchange(best[0], &one);
+    } else if (best[1] == nullptr || ReadsBefore(one, *best[1])) {
+      best[1] = &one;
+    }
+  };
+  consider(self_);
+  ForEach(consider);
+  return {best[0] == nullptr ? 0 : best[0]->address,
+          best[1] == nullptr ? 0 : best[1]->address};
+}
+
 std::vector<std::uint32_t> peer_group::All() const {
   address_list all;
   for (const auto& [address, peer] : peers_) {
