Refuse deeply nested beacons and views

The JSON library decodes nested CBOR by recursion, indefinite strings included, so that a peer's datagram of 60 KB or a view of 1 MB of 0x81 ended the process with a stack overflow. HasBoundedNesting() checks the structure first, without recursion. Integers of beacons must be unsigned and in range: an age above 2^63 became negative, so that a view looked newer than now for ever.

--- a/src/entry/beacon_codec.cc
+++ b/src/entry/beacon_codec.cc
@@ -1,6 +1,7 @@
 // Encodes beacons as CBOR arrays, in the order of the structs' members.
 #include <nlohmann/json.hpp>
 
+#include "entry/cbor_limits.h"
 #include "entry/cursor_codec.h"
 #include "rosemaryreach/peer_group.h"
 
@@ -12,6 +13,8 @@
 constexpr int kFormat = 3;
 constexpr std::size_t kBeaconMembers = 6;
 constexpr std::size_t kSummaryMembers = 7;
+// An age that wraps would make a view look newer than now, for ever.
+constexpr duration kMaxViewAge = std::chrono::years(100);
 
 json ToJson(const peer_summary& summary) {
   return json::array({summary.address, summary.incarnation,
@@ -24,9 +27,12 @@
   if (array.size() != kSummaryMembers) {
     throw std::invalid_argument("peer summary with a wrong number of members");
   }
-  return {array.at(0).get<std::uint32_t>(), array.at(1).get<std::uint64_t>(),
-          array.at(2).get<std::uint32_t>(), array.at(3).get<std::uint32_t>(),
-          array.at(4).get<std::uint32_t>(), array.at(5).get<bool>(),
+  return {UnsignedFromJson<std::uint32_t>(array.at(0)),
+          UnsignedFromJson<std::uint64_t>(array.at(1)),
+          UnsignedFromJson<std::uint32_t>(array.at(2)),
+          UnsignedFromJson<std::uint32_t>(array.at(3)),
+          UnsignedFromJson<std::uint32_t>(array.at(4)),
+          array.at(5).get<bool>(),
           CursorFromJson(array.at(6))};
 }
 
@@ -39,7 +45,11 @@
   read.from = ToSummary(array.at(1));
   read.wants_answer = array.at(2).get<bool>();
   read.cursor = CursorFromJson(array.at(3));
-  read.age = duration(array.at(4).get<std::uint64_t>());
+  const std::uint64_t age = UnsignedFromJson<std::uint64_t>(array.at(4));
+  if (age > static_cast<std::uint64_t>(kMaxViewAge.count())) {
+    throw std::invalid_argument("age of the view out of range");
+  }
+  read.age = duration(age);
   for (const json& other : array.at(5)) {
     read.others.push_back(ToSummary(other));
   }
@@ -62,6 +72,9 @@
 }
 
 std::optional<beacon> DecodeBeacon(std::string_view bytes) {
+  if (!HasBoundedNesting(bytes)) {
+    return std::nullopt;
+  }
   try {
     // from_cbor() throws on declared sizes that exceed memory even though its
     // exceptions are disabled.
--- a/src/entry/cursor_codec.h
+++ b/src/entry/cursor_codec.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "entry/cbor_limits.h"
 #include "rosemaryreach/entry_types.h"
 
 namespace rosemaryreach {
@@ -19,12 +20,13 @@
 // Throws if `value` is not a cursor.
 inline store_cursor CursorFromJson(const nlohmann::json& value) {
   if (!value.is_array()) {
-    return {0, value.get<std::uint64_t>()};
+    return {0, UnsignedFromJson<std::uint64_t>(value)};
   }
   if (value.size() != 2) {
     throw std::invalid_argument("store cursor with a wrong number of members");
   }
-  return {value.at(0).get<std::uint64_t>(), value.at(1).get<std::uint64_t>()};
+  return {UnsignedFromJson<std::uint64_t>(value.at(0)),
+          UnsignedFromJson<std::uint64_t>(value.at(1))};
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/view_codec.cc
+++ b/src/entry/view_codec.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "entry/cbor_limits.h"
 #include "entry/cursor_codec.h"
 
 namespace rosemaryreach {
@@ -28,9 +29,9 @@
     throw std::invalid_argument("store item with a wrong number of members");
   }
   const json::binary_t& value = array.at(3).get_binary();
-  return {array.at(0).get<std::string>(),
-          std::string(value.begin(), value.end()),
-          array.at(1).get<std::uint64_t>(), array.at(2).get<bool>()};
+  return {
+      array.at(0).get<std::string>(), std::string(value.begin(), value.end()),
+      UnsignedFromJson<std::uint64_t>(array.at(1)), array.at(2).get<bool>()};
 }
 
 store_answer ToAnswer(const json& array) {
@@ -64,6 +65,9 @@
 }
 
 result<store_answer> DecodeView(std::string_view bytes) {
+  if (!HasBoundedNesting(bytes)) {
+    return Fail(errc::kUnsupported, "CBOR cut short or nested too deeply");
+  }
   try {
     return ToAnswer(json::from_cbor(bytes));
   } catch (const std::exception& wrong) {
