Refuse times out of range in request messages

The end of a reservation or a granted slot is a time from now. An extreme one wrapped when it was added to the present time, so that a key or slot could count as ended while it runs, or never end.

--- a/src/requests/request_messages.cc
+++ b/src/requests/request_messages.cc
@@ -1,5 +1,7 @@
 #include "rosemaryreach/request_messages.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <utility>
 
@@ -92,6 +94,41 @@
   }
 }
 
+// Longest time in a message: sums with points in time must not wrap.
+constexpr duration kMaxTime = std::chrono::hours(24 * 365);
+
+bool IsBounded(duration time) {
+  return time >= -kMaxTime && time <= kMaxTime;
+}
+
+bool HasBoundedTimes(const key_record& record) {
+  return IsBounded(record.ends_in) && IsBounded(record.window);
+}
+
+bool HasBoundedTimes(const handover_grant& message) {
+  return IsBounded(message.ends_in);
+}
+
+bool HasBoundedTimes(const key_reserve& message) {
+  return IsBounded(message.ends_in) && IsBounded(message.window);
+}
+
+bool HasBoundedTimes(const key_copy& message) {
+  return HasBoundedTimes(message.record);
+}
+
+bool HasBoundedTimes(const key_transfer& message) {
+  return std::all_of(
+      message.records.begin(), message.records.end(),
+      [](const key_record& record) { return HasBoundedTimes(record); });
+}
+
+// Messages of the other kinds hold no times.
+template <typename Message>
+bool HasBoundedTimes(const Message&) {
+  return true;
+}
+
 // Returns `value` as Enum, or errc::kSchemaViolation if it is above `last`.
 template <typename Enum>
 result<Enum> ReadEnum(std::uint32_t value, Enum last) {
@@ -147,19 +184,7 @@
   return to;
 }
 
-}  // namespace
-
-std::string EncodeRequestMessage(const request_message& message) {
-  request::Message out;
-  std::visit([&out](const auto& body) { Write(body, out); }, message);
-  return out.SerializeAsString();
-}
-
-result<request_message> DecodeRequestMessage(std::string_view bytes) {
-  request::Message in;
-  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-    return Fail(errc::kSchemaViolation, "request message: malformed protobuf");
-  }
+result<request_message> ReadBody(const request::Message& in) {
   switch (in.body_case()) {
     case request::Message::kHandoverRequest:
       return handover_request{{in.handover_request().target()},
@@ -197,4 +222,26 @@
               "request message: body missing or of unknown kind");
 }
 
+}  // namespace
+
+std::string EncodeRequestMessage(const request_message& message) {
+  request::Message out;
+  std::visit([&out](const auto& body) { Write(body, out); }, message);
+  return out.SerializeAsString();
+}
+
+result<request_message> DecodeRequestMessage(std::string_view bytes) {
+  request::Message in;
+  if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Fail(errc::kSchemaViolation, "request message: malformed protobuf");
+  }
+  BOOST_OUTCOME_TRY(message, ReadBody(in));
+  const bool bounded = std::visit(
+      [](const auto& body) { return HasBoundedTimes(body); }, message);
+  if (!bounded) {
+    return Fail(errc::kSchemaViolation, "request message: time out of range");
+  }
+  return message;
+}
+
 }  // namespace rosemaryreach
