Share load between instances

An instance knew only the flows that it opened itself. Now every instance reports its load to two collectors of its data centre each 200 ms, and one of them returns the sums. load_exchange decides, load_sync runs it over a socket, and entry_instance::SharedLoadHooks() serves the other parts. It runs only if a route declares a latency objective and the settings allow it; nothing reads the figures yet but the status and target documents.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -4,6 +4,7 @@
 #define ROSEMARYREACH_PACKET_DIRECTOR_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,10 +53,15 @@
 
 class packet_director {
  public:
+  // Called with the service of each new flow, whatever is decided; not for
+  // retransmissions. Optional.
+  using offered_hook = std::function<void(const std::string& service)>;
+
   packet_director(const target_directory& directory,
                   flow_tracker& tracker,
                   const data_centre_reachability& reachability,
-                  target_picker& picker);
+                  target_picker& picker,
+                  offered_hook offered = nullptr);
 
   packet_decision Direct(const flow_packet& packet,
                          const view_freshness& freshness,
@@ -107,6 +113,7 @@
   flow_tracker& tracker_;
   const data_centre_reachability& reachability_;
   target_picker& picker_;
+  offered_hook offered_;
 };
 
 }  // namespace rosemaryreach
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -1,5 +1,7 @@
 #include "rosemaryreach/packet_director.h"
 
+#include <utility>
+
 namespace rosemaryreach {
 namespace {
 
@@ -29,11 +31,13 @@
 packet_director::packet_director(const target_directory& directory,
                                  flow_tracker& tracker,
                                  const data_centre_reachability& reachability,
-                                 target_picker& picker)
+                                 target_picker& picker,
+                                 offered_hook offered)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
-      picker_(picker) {}
+      picker_(picker),
+      offered_(std::move(offered)) {}
 
 packet_decision packet_director::Direct(const flow_packet& packet,
                                         const view_freshness& freshness,
@@ -52,6 +56,9 @@
   if (refused) {
     return *refused;
   }
+  if (offered_ && packet.retransmit_count == 0) {
+    offered_(ServiceFor(*route, packet.flow));
+  }
   const flow_state* known = tracker_.Find(packet.flow);
   if (known != nullptr && known->phase != flow_phase::kOpening) {
     if (now - known->phase_began < kLateCopyTime) {
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -56,7 +56,8 @@
           {"last_doubt", status.suspect_reason},
           {"failed_probes", status.failed_probes},
           {"open", status.open},
-          {"running", status.running}};
+          {"running", status.running},
+          {"others", components.load.TargetDocument(target.cookie)}};
 }
 
 json TrackedFlowDocument(const flow_state& flow, time_point now) {
@@ -112,6 +113,7 @@
   answer["waiting_for"] = state.waiting_for;
   answer["flows"] = components.tracker.size();
   answer["peers"] = std::move(peers);
+  answer["load_sharing"] = components.load.StatusDocument();
   return answer;
 }
 
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -72,11 +72,15 @@
       directory_(
           settings.bounds.flow_lifetime + kRetentionSlack,
           [this](const directory_change& change) { OnDirectoryChange(change); },
-          [this](target_index target) { tracker_.ResetTarget(target); }),
+          [this](target_index target) {
+            tracker_.ResetTarget(target);
+            load_sync_.OnRemoved(target);
+          }),
       tracker_(
           kMaxFlows,
           {[this](target_index target, const char* reason) {
              suspect_prober_.OnSuspected(target, reason);
+             load_sync_.OnSuspected();
            },
            [this](target_index /*target*/, duration elapsed) {
              metrics_.open_seconds.Observe(
@@ -85,11 +89,14 @@
            [this](const flow_key& key, target_index target, duration waited) {
              OnRequestStalled(key, target, waited);
            },
-           [this](target_index /*target*/, duration elapsed) {
+           [this](target_index target, duration elapsed) {
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
+             load_sync_.OnAnswered(target, elapsed);
            },
-           nullptr}),
+           [this](target_index target, int /*change*/) {
+             load_sync_.OnInFlightChanged(target);
+           }}),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
@@ -108,6 +115,13 @@
           metrics_,
           seed,
           options.clock_offset),
+      load_sync_(loop_,
+                 settings,
+                 directory_,
+                 tracker_,
+                 sync_.peers(),
+                 log_,
+                 *registry_),
       picker_(
           directory_,
           tracker_,
@@ -118,7 +132,13 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
-      director_(directory_, tracker_, reachability_, picker_),
+      director_(directory_,
+                tracker_,
+                reachability_,
+                picker_,
+                [this](const std::string& service) {
+                  load_sync_.OnOffered(service);
+                }),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -242,6 +262,7 @@
   const time_point now = BootTimeNow();
   change_lines_left_ = kMaxChangeLines;
   directory_.ApplyBatch(change, now);
+  load_sync_.Update(settings_);
   if (directory_.complete()) {
     StartForwarding("configuration and targets are loaded");
   }
@@ -294,6 +315,7 @@
                                       target_index target,
                                       duration waited) {
   metrics_.stalled_requests.Add();
+  load_sync_.OnStalled(target);
   if (!log_.ShouldLogFlow(true, BootTimeNow())) {
     return;
   }
@@ -351,6 +373,7 @@
       loaded.value().control_endpoint != settings_.control_endpoint;
   settings_ = loaded.value();
   sync_.Reload(settings_);
+  load_sync_.Update(settings_);
   LogLifecycle(
       "reloaded",
       std::string(reason) +
@@ -387,6 +410,8 @@
 void entry_instance::OnSecond() {
   change_lines_left_ = kMaxChangeLines;
   sync_.LogPeers();
+  load_sync_.Update(settings_);
+  load_sync_.OnSecond();
   tracker_.Sweep(BootTimeNow());
   log_.LogSkippedLines();
   CheckSettingsFile();
@@ -400,12 +425,14 @@
   metrics_.held_items.Set(static_cast<std::int64_t>(directory_.held_items()));
   metrics_.held_ms.Set(ToMillis(directory_.HeldFor(BootTimeNow())));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
+  load_sync_.UpdateMetrics();
   metrics_.flows.Set(static_cast<std::int64_t>(tracker_.size()));
   return registry_->PrometheusText();
 }
 
 entry_components entry_instance::Components() const {
-  return {settings_, sync_, directory_, tracker_, picker_, director_};
+  return {settings_, sync_,     directory_, tracker_,
+          picker_,   director_, load_sync_};
 }
 
 void entry_instance::LogLifecycle(const char* event,
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -13,11 +13,13 @@
 #include "entryd/entry_documents.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
+#include "entryd/load_sync.h"
 #include "entryd/packet_forwarder.h"
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/shared_load.h"
 
 namespace rosemaryreach {
 
@@ -47,6 +49,8 @@
   admin_hooks AdminHooks();
   readiness Readiness() const;
   entry_components Components() const;
+  // Returns what the other instances report; valid once all are constructed.
+  shared_load_hooks SharedLoadHooks() const { return load_sync_.Hooks(); }
   view_freshness CheckFreshness();
   void DetectPause(time_point now);
   void DetectLateness(time_point now);
@@ -82,6 +86,7 @@
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   store_sync sync_;
+  load_sync load_sync_;
   target_picker picker_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
