--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -237,9 +237,9 @@
   load_message report = NewMessage(load_message_kind::kReport);
   report.sequence = report_.sequence + 1;
   report.period = covered;
-  report.lacks_sums =
-      active_ && (passes_over_ || now - std::max(first_heard_, active_since_) >=
-                                      TakeoverDelay());
+  const time_point since = std::max(first_heard_, active_since_);
+  report.lacks_sums = active_ && (passes_over_ || in_use_ != collectors_[0] ||
+                                  now - since >= TakeoverDelay());
   report.services = std::move(load.services);
   report.targets = std::move(load.targets);
   TrimToSize(kMaxLoadMessageBytes - kLoadHeaderBytes, report);
