--- a/tests/packet_director_test.cc
+++ b/tests/packet_director_test.cc
@@ -233,5 +233,23 @@
   }
 }
 
+// Counting copies would make a service that drops packets look busier still.
+TEST_CASE("Each new flow with a route is counted as offered once") {
+  entry_fixture fixture;
+  std::vector<std::string> offered;
+  packet_director director(
+      fixture.directory, fixture.tracker, fixture.reachability, fixture.picker,
+      [&offered](const std::string& service) { offered.push_back(service); });
+  director.Direct(FirstPacket(Flow(1)), fixture.freshness, At(0));
+  CHECK(offered.empty());  // without a view
+  fixture.Add(Target("l1", 1));
+  director.Direct(FirstPacket(Flow(1)), fixture.freshness, At(0));
+  director.Direct(FirstPacket(Flow(1), 1), fixture.freshness, At(200));
+  director.Direct(FirstPacket(Flow(2, kFilesAddress)), fixture.freshness,
+                  At(0));
+  director.Direct(FirstPacket(Flow(3, {1, 2})), fixture.freshness, At(0));
+  CHECK(offered == std::vector<std::string>{"ledger", "files"});
+}
+
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
 #include <random>
@@ -413,5 +414,33 @@
   }
 }
 
+// Instances that disagree on the collectors share no load.
+TEST_CASE("Collectors are the two largest live instances of a data centre") {
+  peer_summary self = Summary(10);
+  self.cpu_millicores = 500;
+  peer_group group(self, {}, 1, [](std::uint32_t, const char*) {});
+  const auto none = [](std::uint32_t) { return false; };
+  using pair = std::array<std::uint32_t, 2>;
+  CHECK(group.Collectors(1, none) == pair{10, 0});
+  CHECK(group.Collectors(2, none) == pair{0, 0});
+  const auto add = [&group](std::uint32_t address, std::uint32_t cpu,
+                            std::uint32_t data_centre, bool leaving) {
+    peer_summary peer = Summary(address, data_centre);
+    peer.cpu_millicores = cpu;
+    peer.leaving = leaving;
+    group.ApplyBeacon({peer, false, {}, {}, {}}, At(0));
+  };
+  add(1, 900, 2, false);
+  add(2, 900, 1, true);
+  add(3, 400, 1, false);
+  CHECK(group.Collectors(1, none) == pair{10, 3});
+  CHECK(group.Collectors(2, none) == pair{1, 0});
+  add(4, 600, 1, false);
+  CHECK(group.Collectors(1, none) == pair{4, 10});
+  CHECK(group.Collectors(1, [](std::uint32_t address) {
+    return address == 4;
+  }) == pair{10, 3});
+}
+
 }  // namespace
 }  // namespace rosemaryreach
