--- a/include/rosemaryreach/load_exchange.h
+++ b/include/rosemaryreach/load_exchange.h
@@ -138,7 +138,10 @@
   void ReportWhenDue(time_point now);
   void SendReport(time_point now);
   load_message MakeReport(time_point now);
-  void CollectOwnLoad(time_point now);
+  // Returns the load of this instance since the last report. Sets `covered` to
+  // the time that its counts stand for: most of a period, since a report that
+  // follows another one soon replaces it before it is in any sums.
+  own_load CollectOwnLoad(duration& covered, time_point now);
   void SendSumsWhenDue(time_point now);
   void SendSums(std::span<const std::uint32_t> to, time_point now);
   void SendCoarseWhenDue(time_point now);
@@ -169,6 +172,11 @@
                  std::uint64_t member_incarnation,
                  time_point now);
 
+  struct collected_load {
+    own_load load;
+    duration covered{};  // since the collection before
+  };
+
   const peer_group& peers_;
   double link_mbps_;
   load_exchange_hooks hooks_;
@@ -177,18 +185,19 @@
   std::unique_ptr<shared_figures> figures_;
   std::array<std::uint32_t, 2> collectors_{};
   std::map<std::uint32_t, time_point> silent_;  // until when
-  bool passes_over_ = false;       // a larger instance that is silent
-  std::set<std::uint32_t> asked_;  // instances that lack sums
-  load_message report_;            // the last one of this instance
-  own_load collected_;             // and the load that it was made from
-  time_point reported_{};          // when it was sent
-  time_point collected_at_{};      // when its figures were taken
-  time_point active_since_{};      // this instance has reported since then
-  bool active_ = false;            // the last report was not empty
+  bool passes_over_ = false;               // a larger instance that is silent
+  std::set<std::uint32_t> asked_;          // instances that lack sums
+  load_message report_;                    // the last one of this instance
+  std::vector<collected_load> collected_;  // newest first
+  time_point reported_{};                  // when it was sent
+  time_point collected_at_{};              // when its figures were taken
+  time_point active_since_{};  // this instance has reported since then
+  bool active_ = false;        // the last report was not empty
   bool last_sums_empty_ = true;
   std::uint32_t sums_sequence_ = 0;
   std::uint32_t coarse_sequence_ = 0;
   duration period_ = kLoadPeriod;
+  time_point next_report_allowed_{};
   time_point report_due_;
   time_point sums_due_;
   time_point coarse_due_;
--- a/include/rosemaryreach/load_report.h
+++ b/include/rosemaryreach/load_report.h
@@ -17,6 +17,12 @@
 // Maximum size of an encoded message. It fits one Ethernet frame.
 inline constexpr std::size_t kMaxLoadMessageBytes = 1'200;
 
+// Highest count in a report; an instance tracks 50,000 flows at most.
+inline constexpr std::uint32_t kMaxReportedCount = 50'000;
+// Highest sum of response times in a report, so that those of 1,000 instances
+// fit 32 bits.
+inline constexpr std::uint32_t kMaxReportedMillis = 4'000'000;
+
 // Load on one target, as one instance reports it or as a sum over instances.
 struct target_figures {
   std::uint32_t cookie = 0;        // of the target; never 0 in a message
--- a/include/rosemaryreach/shared_load.h
+++ b/include/rosemaryreach/shared_load.h
@@ -25,7 +25,7 @@
   double unanswered = 0;
   duration response_time{};  // mean of recent answers; 0 without any
   duration since_answer = duration::max();  // to any other instance
-  duration age{};                           // of the oldest part of the sums
+  duration age{};  // of the reports in the sums, on average
 };
 
 // First packets that the instances of one data centre were offered, whether
@@ -33,7 +33,7 @@
 struct data_centre_demand {
   std::uint32_t data_centre = 0;  // hash of its name, as in peer_summary
   double offered_per_s = 0;
-  std::size_t instances = 0;  // that reported
+  std::size_t instances = 0;  // that reported load on the service
 
   bool operator==(const data_centre_demand&) const = default;
 };
--- a/src/entry/load_collector.cc
+++ b/src/entry/load_collector.cc
@@ -9,6 +9,8 @@
 
 // Two periods of coarse sums and the jitter of the network.
 constexpr duration kCoarseLifetime = std::chrono::milliseconds(1'250);
+// A rate over a shorter time says little.
+constexpr duration kMinReportPeriod = std::chrono::milliseconds(50);
 // Parts of one round of sums, which receivers reject beyond 16.
 constexpr std::size_t kMaxParts = 16;
 
@@ -144,15 +146,16 @@
     std::uint32_t data_centre) const {
   std::map<std::uint32_t, std::pair<service_figures, double>> sums;
   for (const auto& [address, held] : reports_) {
-    const double seconds =
-        std::chrono::duration<double>(held.message.period).count();
+    const double seconds = std::chrono::duration<double>(
+                               std::max(held.message.period, kMinReportPeriod))
+                               .count();
     for (const service_figures& one : held.message.services) {
       auto& [sum, rate] = sums[one.service];
       sum.service = one.service;
       sum.data_centre = data_centre;
       ++sum.instances;
       sum.in_flight += one.in_flight;
-      rate += seconds > 0 ? one.offered / seconds : 0;
+      rate += one.offered / seconds;
     }
   }
   std::vector<service_figures> services;
--- a/src/entry/load_exchange.cc
+++ b/src/entry/load_exchange.cc
@@ -70,6 +70,18 @@
   }
 }
 
+// Keeps what is reported within the range that receivers accept.
+void LimitCounts(own_load& load) {
+  for (target_figures& one : load.targets) {
+    one.answers = std::min(one.answers, kMaxReportedCount);
+    one.response_ms = std::min(one.response_ms, kMaxReportedMillis);
+    one.unanswered = std::min(one.unanswered, kMaxReportedCount);
+  }
+  for (service_figures& one : load.services) {
+    one.offered = std::min(one.offered, kMaxReportedCount);
+  }
+}
+
 }  // namespace
 
 const char* LoadDropName(load_drop reason) {
@@ -178,7 +190,8 @@
 void load_exchange::UpdateSharing(time_point now) {
   const bool fresh = age(now) < kFadeEnd;
   // Without traffic the sums end; that is no fault.
-  if (fresh == sharing_ || (!fresh && !active_)) {
+  const bool expected = active_ && now - active_since_ >= kFadeEnd;
+  if (fresh == sharing_ || (!fresh && !expected)) {
     return;
   }
   sharing_ = fresh;
@@ -203,8 +216,7 @@
 
 void load_exchange::ReportSoon(time_point now) {
   report_soon_ = true;
-  report_due_ =
-      std::min(report_due_, std::max(now, reported_ + kMinReportDistance));
+  report_due_ = std::min(report_due_, std::max(now, next_report_allowed_));
   next_due_ = std::min(next_due_, report_due_);
 }
 
@@ -226,14 +238,8 @@
 }
 
 load_message load_exchange::MakeReport(time_point now) {
-  own_load load = hooks_.collect(now);
-  duration covered = now - collected_at_;
-  collected_at_ = now;
-  if (covered < period_ / 2) {
-    AddCounts(collected_, load);
-    covered += report_.period;
-  }
-  collected_ = load;
+  duration covered{};
+  own_load load = CollectOwnLoad(covered, now);
   load_message report = NewMessage(load_message_kind::kReport);
   report.sequence = report_.sequence + 1;
   report.period = covered;
@@ -246,6 +252,22 @@
   return report;
 }
 
+own_load load_exchange::CollectOwnLoad(duration& covered, time_point now) {
+  collected_.insert(collected_.begin(),
+                    {hooks_.collect(now), now - collected_at_});
+  collected_at_ = now;
+  own_load load = collected_.front().load;
+  covered = collected_.front().covered;
+  std::size_t used = 1;
+  while (covered < period_ * 3 / 4 && used < collected_.size()) {
+    AddCounts(collected_[used].load, load);
+    covered += collected_[used++].covered;
+  }
+  collected_.resize(used);
+  LimitCounts(load);
+  return load;
+}
+
 void load_exchange::SendReport(time_point now) {
   reported_ = now;
   std::vector<std::uint32_t> to;
@@ -259,10 +281,10 @@
   const std::string bytes = EncodeLoadMessage(report_);
   Send(load_message_kind::kReport, to, bytes);
   const double sent = static_cast<double>(bytes.size() * to.size());
-  report_due_ = std::max(
-      report_due_,
-      now + std::chrono::duration_cast<duration>(
-                std::chrono::duration<double>(sent / kReportedBytesPerS)));
+  const duration distance = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(sent / kReportedBytesPerS));
+  next_report_allowed_ = now + std::max(distance, kMinReportDistance);
+  report_due_ = std::max(report_due_, next_report_allowed_);
 }
 
 load_message load_exchange::NewMessage(load_message_kind kind) const {
@@ -497,7 +519,7 @@
       kMinReportLead +
       std::chrono::milliseconds(HashPair(self(), 1) % kReportLeadSpreadMs);
   if (!report_soon_) {
-    report_due_ = now + period_ - lead;
+    report_due_ = std::max(now + period_ - lead, next_report_allowed_);
   }
   UpdateSharing(now);
 }
--- a/src/entry/load_report_codec.cc
+++ b/src/entry/load_report_codec.cc
@@ -19,11 +19,9 @@
 constexpr std::size_t kHeaderNumbers = 12;
 constexpr std::size_t kServiceNumbers = 5;
 constexpr std::uint64_t kMaxParts = 16;
-// An instance tracks 50,000 flows; a figure beyond that is no valid report.
-constexpr std::uint64_t kMaxReported = 50'000;
-constexpr std::uint64_t kMaxSum = 50'000'000;
+// Sums are those of 1,000 reports at most.
+constexpr std::uint64_t kMaxReports = 1'000;
 constexpr std::uint64_t kMaxMillis = 60'000;
-constexpr std::uint64_t kMaxResponseMillis = 4'000'000'000;
 
 // Members in the order of the mask's bits. Masks below 24 take one byte, so the
 // figures that are rarely set come last.
@@ -124,8 +122,8 @@
   bool valid_ = true;
 };
 
-std::uint64_t HighestFor(load_message_kind kind) {
-  return kind == load_message_kind::kReport ? kMaxReported : kMaxSum;
+std::uint64_t HighestFor(load_message_kind kind, std::uint64_t reported) {
+  return kind == load_message_kind::kReport ? reported : reported * kMaxReports;
 }
 
 std::uint32_t ReadHeader(number_reader& reader, load_message& message) {
@@ -150,11 +148,11 @@
 }
 
 service_figures ReadService(number_reader& reader, load_message_kind kind) {
-  const std::uint64_t highest = HighestFor(kind);
+  const std::uint64_t highest = HighestFor(kind, kMaxReportedCount);
   service_figures read;
   read.service = reader.Take32();
   read.data_centre = reader.Take32();
-  read.offered = reader.Take32(kMaxSum);
+  read.offered = reader.Take32(highest);
   read.instances = reader.Take32(highest);
   read.in_flight = reader.Take32(highest);
   return read;
@@ -167,8 +165,8 @@
   for (std::size_t i = 0; i < kFigures.size(); ++i) {
     if ((mask >> i & 1U) != 0) {
       const bool is_time = kFigures[i] == &target_figures::response_ms;
-      read.*kFigures[i] =
-          reader.Take32(is_time ? kMaxResponseMillis : HighestFor(kind));
+      read.*kFigures[i] = reader.Take32(
+          HighestFor(kind, is_time ? kMaxReportedMillis : kMaxReportedCount));
     }
   }
   return read;
--- a/tests/load_exchange_test.cc
+++ b/tests/load_exchange_test.cc
@@ -357,6 +357,25 @@
   CHECK(reports() - before <= 2 * 21);
 }
 
+// In a storm of suspicions, each report replaces one that no sums contain yet.
+TEST_CASE("Counts of reports that follow each other soon are not lost") {
+  load_fleet fleet({12});
+  for (auto& [address, one] : fleet.members) {
+    service_figures service;
+    service.service = ServiceHash("ledger");
+    service.offered = 4;
+    one.load.services = {service};
+  }
+  fleet.Run(3'000);
+  load_fleet::member& other = fleet.members.at(kOther);
+  other.load.services.front().offered = 1;  // each 50 ms: the same rate
+  fleet.Run(1'000, [&] { other.exchange->ReportSoon(At(fleet.now)); });
+  const std::optional<shared_service_load> service =
+      fleet.members.at(kSecond).exchange->ServiceLoad("ledger", At(fleet.now));
+  REQUIRE(service);
+  CHECK(service->demand.front().offered_per_s == Approx(240).epsilon(0.03));
+}
+
 // A link of 10 Mbit/s and 74 MB must do for the smallest instance.
 TEST_CASE("Sums of a large data centre stay within their bounds") {
   load_fleet fleet({333});
