--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -13,11 +13,13 @@
 #include "entryd/entry_documents.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
+#include "entryd/load_sync.h"
 #include "entryd/packet_forwarder.h"
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/shared_load.h"
 #include "rosemaryreach/suspicion_accuracy.h"
 
 namespace rosemaryreach {
@@ -48,6 +50,7 @@
   admin_hooks AdminHooks();
   readiness Readiness() const;
   entry_components Components() const;
+  // Returns what the other instances report; valid once all are constructed.
   view_freshness CheckFreshness();
   void DetectPause(time_point now);
   void DetectLateness(time_point now);
@@ -80,10 +83,11 @@
   entry_metrics metrics_;
   target_directory directory_;
   flow_tracker tracker_;
+  store_sync sync_;
+  load_sync load_sync_;
   suspicion_accuracy accuracy_;
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
-  store_sync sync_;
   target_picker picker_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
