Report exceptions of event loop callbacks instead of ending

An unexpected exception in a timer, watch, posted callback, HTTP answer or request of an operator left the loop and ended the process. The loop of rosemaryreach-entry and the control loop of rosemaryreachd now log callback_failed and run on; requests of operators are answered with 500. After 100 exceptions within a second the exception ends the process as before, since such a callback would be called for ever. The request and packet threads of rosemaryreachd keep the former behaviour: an exception there leaves HTTP/2 streams in an unknown state.

--- a/src/adapters/admin_server.cc
+++ b/src/adapters/admin_server.cc
@@ -24,6 +24,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 constexpr const char* kJsonType = "application/json";
 constexpr const char* kBinaryType = "application/octet-stream";
@@ -164,7 +165,8 @@
 admin_server::admin_server(event_loop& loop,
                            std::string token,
                            admin_hooks hooks)
-    : token_(std::move(token)),
+    : loop_(loop),
+      token_(std::move(token)),
       hooks_(std::move(hooks)),
       server_(evhttp_new(loop.base())) {
   evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_HEAD);
@@ -201,7 +203,10 @@
     Send(request, ErrorResponse(kUnauthorized, denied));
     return;
   }
-  Send(request, MakeResponse(hooks_, path, http_query(request)));
+  response answer = ErrorResponse(
+      kInternalError, {errc::kIo, path, "unexpected error, see the log"});
+  loop_.Call([&] { answer = MakeResponse(hooks_, path, http_query(request)); });
+  Send(request, answer);
 }
 
 bool admin_server::IsAuthorized(evhttp_request* request,
--- a/src/adapters/admin_server.h
+++ b/src/adapters/admin_server.h
@@ -84,6 +84,7 @@
   void HandleRequest(evhttp_request* request);
   bool IsAuthorized(evhttp_request* request, const std::string& path) const;
 
+  event_loop& loop_;
   std::string token_;
   admin_hooks hooks_;
   std::unique_ptr<evhttp, server_deleter> server_;
--- a/src/adapters/event_loop.cc
+++ b/src/adapters/event_loop.cc
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
+#include <exception>
 #include <utility>
 
 namespace rosemaryreach {
@@ -112,12 +113,30 @@
     batch.swap(posted_);
   }
   for (const callback& run : batch) {
+    Call(run);
+  }
+}
+
+bool event_loop::Call(const callback& run) {
+  try {
     run();
+    return true;
+  } catch (const std::exception& failure) {
+    if (now() - errors_since_ >= std::chrono::seconds(1)) {
+      errors_since_ = now();
+      errors_ = 0;
+    }
+    if (!error_handler_ || ++errors_ > kMaxErrorsPerSecond) {
+      throw;
+    }
+    error_handler_(failure.what());
+    return false;
   }
 }
 
 loop_timer::loop_timer(event_loop& loop, std::function<void()> callback)
-    : callback_(std::move(callback)),
+    : loop_(loop),
+      callback_(std::move(callback)),
       event_(RequireEvent(event_new(loop.base(), -1, 0, OnTimer, this))) {}
 
 loop_timer::~loop_timer() {
@@ -151,14 +170,14 @@
   if (timer.period_ > duration::zero()) {
     timer.Schedule(timer.period_);
   }
-  timer.callback_();
+  timer.loop_.Call(timer.callback_);
 }
 
 descriptor_watch::descriptor_watch(event_loop& loop,
                                    int descriptor,
                                    io_event what,
                                    std::function<void()> callback)
-    : callback_(std::move(callback)) {
+    : loop_(loop), callback_(std::move(callback)) {
   const int events = (what == io_event::kRead ? EV_READ : EV_WRITE);
   event_ = RequireEvent(event_new(loop.base(), descriptor,
                                   static_cast<short>(events | EV_PERSIST),
@@ -189,7 +208,8 @@
 }
 
 void descriptor_watch::OnReady(int /*descriptor*/, short /*what*/, void* self) {
-  static_cast<descriptor_watch*>(self)->callback_();
+  const descriptor_watch& watch = *static_cast<descriptor_watch*>(self);
+  watch.loop_.Call(watch.callback_);
 }
 
 }  // namespace rosemaryreach
--- a/src/adapters/event_loop.h
+++ b/src/adapters/event_loop.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "rosemaryreach/types.h"
@@ -51,6 +53,17 @@
   // Blocks until at least one event is ready and processes the ready events.
   void RunOnce();
 
+  // Sets what is called with the text of an exception that a callback throws;
+  // the loop runs on. Without a handler, or after kMaxErrorsPerSecond, the
+  // exception ends the process.
+  void SetErrorHandler(std::function<void(std::string_view)> handler) {
+    error_handler_ = std::move(handler);
+  }
+
+  // Calls `run` and reports its exceptions, for callbacks that other libraries
+  // make. Returns whether there was none.
+  bool Call(const callback& run);
+
   time_point now() const { return MonotonicNow(); }
   event_base* base() { return base_.get(); }
 
@@ -62,6 +75,13 @@
   static void OnWakeup(int descriptor, short what, void* self);
   void RunPostedCallbacks();
 
+  // A callback that fails each time it is called, such as one of a descriptor
+  // that stays readable, must not keep the process busy for ever.
+  static constexpr int kMaxErrorsPerSecond = 100;
+
+  std::function<void(std::string_view)> error_handler_;
+  time_point errors_since_{};
+  int errors_ = 0;  // since errors_since_
   std::unique_ptr<event_base, base_deleter> base_;
   int wake_descriptor_;
   event* wake_event_;
@@ -90,6 +110,7 @@
   static void OnTimer(int descriptor, short what, void* self);
   void Schedule(duration delay);
 
+  event_loop& loop_;
   std::function<void()> callback_;
   event* event_;
   duration period_{};
@@ -119,6 +140,7 @@
  private:
   static void OnReady(int descriptor, short what, void* self);
 
+  event_loop& loop_;
   std::function<void()> callback_;
   event* event_;
   bool active_ = true;
--- a/src/adapters/http_get.cc
+++ b/src/adapters/http_get.cc
@@ -106,7 +106,7 @@
   deadline_.Stop();
   const http_reply_callback done = std::exchange(done_, nullptr);
   if (done) {
-    done(std::move(reply));
+    loop_.Call([&] { done(std::move(reply)); });
   }
 }
 
--- a/src/daemon/instance.cc
+++ b/src/daemon/instance.cc
@@ -157,6 +157,9 @@
       confirm_(loop_, [this] { OnConfirmTimer(); }) {}
 
 result<void> instance::Start() {
+  loop_.SetErrorHandler([this](std::string_view what) {
+    log_.Write(log_level::kError, "callback_failed", what);
+  });
   BOOST_OUTCOME_TRYV(packets_.Start());
   BOOST_OUTCOME_TRYV(requests_.Start());
   if (settings_.listeners.admin.port != 0) {
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -141,6 +141,10 @@
       settings_mtime_(ModificationTime(options.settings_file)) {}
 
 result<void> entry_instance::Start() {
+  loop_.SetErrorHandler([this](std::string_view what) {
+    const std::array<log_field, 1> fields = {log_field{"detail", what}};
+    log_.LogWarning("callback_failed", fields);
+  });
   BOOST_OUTCOME_TRYV(packet_forwarder_.Start());
   BOOST_OUTCOME_TRYV(sync_.Start());
   BOOST_OUTCOME_TRYV(admin_.Listen(settings_.readiness_endpoint));
--- a/tests/event_loop_test.cc
+++ b/tests/event_loop_test.cc
@@ -3,9 +3,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <stdexcept>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace rosemaryreach {
 namespace {
@@ -105,5 +109,34 @@
   close(pair[1]);
 }
 
+// An unexpected exception in one callback ended the process.
+TEST_CASE("An exception in a callback is reported, and the loop runs on") {
+  event_loop loop;
+  std::vector<std::string> errors;
+  loop.SetErrorHandler(
+      [&](std::string_view what) { errors.emplace_back(what); });
+  loop_timer failing(loop, [] { throw std::runtime_error("timer"); });
+  failing.Start(duration(0));
+  loop.Post([] { throw std::runtime_error("posted"); });
+  loop.Post([&] { loop.Stop(); });
+  loop.Run();
+  loop.RunPending();
+  std::sort(errors.begin(), errors.end());
+  CHECK(errors == std::vector<std::string>{"posted", "timer"});
+}
+
+TEST_CASE("Exceptions without end are not caught for ever") {
+  event_loop loop;
+  int errors = 0;
+  loop.SetErrorHandler([&](std::string_view) { ++errors; });
+  const auto fail = [] { throw std::runtime_error("again"); };
+  CHECK_THROWS([&] {
+    for (int i = 0; i < 10'000; ++i) {
+      loop.Call(fail);
+    }
+  }());
+  CHECK(errors >= 100);
+}
+
 }  // namespace
 }  // namespace rosemaryreach
