Don't take part of a listing for the whole store

A page without items that says that more follow ended the listing, so that everything behind it counted as missing. Such a listing fails now and is read again. A read whose answer raised an exception counted as in progress for ever; the next tick ends it as failed.

--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -130,6 +130,9 @@
   const time_point now = BootTimeNow();
   peers_.Tick(now);
   PurgeTombstones(now);
+  if (reading_ && !store_client_->busy() && !page_timer_.running()) {
+    OnReadFailed({errc::kIo, "", "an answer could not be handled"});
+  }
   const bool unavailable = read_scheduler_.listed() && store_unavailable();
   if (unavailable != std::exchange(store_was_unavailable_, unavailable)) {
     LogStore(unavailable ? "store_lost" : "store_regained",
@@ -225,10 +228,16 @@
     OnReadFailed({errc::kUnavailable, "", "the store was restored meanwhile"});
     return;
   }
+  if (page.has_more && page.items.empty()) {
+    // There is no key to continue after, and what follows is not known to be
+    // absent.
+    OnReadFailed({errc::kTruncated, "", "a page that others follow is empty"});
+    return;
+  }
   listed_items_.insert(listed_items_.end(), page.items.begin(),
                        page.items.end());
   listing_cursor_ = listing_cursor_.value_or(page.cursor);
-  if (page.has_more && !page.items.empty()) {
+  if (page.has_more) {
     page_timer_.Start(
         read_scheduler_.PageDelay(++page_count_, peers_.size() > 0));
     return;
--- /dev/null
+++ b/tests/store_sync_test.cc
@@ -0,0 +1,115 @@
+#include "entryd/store_sync.h"
+
+#include <catch2/catch.hpp>
+#include <stdexcept>
+
+#include "rosemaryreach/metrics.h"
+#include "http_server_fixture.h"
+#include "store_documents.h"
+
+namespace rosemaryreach {
+namespace {
+
+const std::string kFirstPage =
+    R"({"items":[{"key":"op/evacuate/a","value":"eA==","revision":4}],)"
+    R"("storeRevision":9,"hasMore":true})";
+const std::string kLastPage =
+    R"({"items":[{"key":"op/evacuate/b","value":"eA==","revision":5}],)"
+    R"("storeRevision":9,"hasMore":false})";
+
+// Reads a scripted store; `keys` are those of all changes reported.
+class sync_fixture {
+ public:
+  sync_fixture(http_server_fixture::script script, item_decoder decode)
+      : server_(loop_, std::move(script)),
+        sync_(loop_,
+              Settings(),
+              std::move(decode),
+              [this](const view_change& change) {
+                for (const changed_item& changed : change.items) {
+                  keys.push_back(changed.item.key);
+                }
+              },
+              log_,
+              metrics_,
+              1,
+              {}),
+        tick_(loop_, [this] { sync_.Tick(); }) {
+    loop_.SetErrorHandler([this](std::string_view) { ++errors; });
+    REQUIRE(sync_.Start());
+    tick_.StartEvery(std::chrono::milliseconds(20));
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const time_point end = loop_.now() + std::chrono::seconds(20);
+    while (!done() && loop_.now() < end) {
+      loop_.RunOnce();
+    }
+  }
+
+  std::vector<std::string> keys;
+  int errors = 0;
+
+ private:
+  entry_settings Settings() const {
+    entry_settings settings;
+    settings.data_centre = "a";
+    settings.control_endpoint = ParseEndpoint("127.0.0.77:0").value();
+    settings.store_endpoint = server_.address();
+    return settings;
+  }
+
+  event_loop loop_;
+  http_server_fixture server_;
+  null_log_sink sink_;
+  entry_log log_{sink_};
+  std::unique_ptr<metrics_registry> registry_ = MakeMetricsRegistry();
+  entry_metrics metrics_{*registry_};
+  store_sync sync_;
+  loop_timer tick_;
+};
+
+// The part that had been read passed for the whole store, so that all targets
+// of later pages were missing.
+TEST_CASE("A listing that ends in the middle changes nothing") {
+  for (const std::string& broken :
+       {std::string(R"({"items":[],"storeRevision":9,"hasMore":true})"),
+        std::string(R"({"items":null,"storeRevision":9})"),
+        kLastPage.substr(0, kLastPage.size() - 1), std::string()}) {
+    CAPTURE(broken);
+    int pages = 0;
+    sync_fixture fixture(
+        [&](const std::string&) {
+          ++pages;
+          return scripted_reply{200, pages % 2 == 1
+                                         ? kFirstPage
+                                         : (pages == 2 ? broken : kLastPage)};
+        },
+        DecodeItem);
+    fixture.RunUntil([&] { return !fixture.keys.empty(); });
+    CHECK(pages == 4);
+    CHECK(fixture.keys ==
+          std::vector<std::string>{"op/evacuate/a", "op/evacuate/b"});
+  }
+}
+
+// The read counted as in progress for ever.
+TEST_CASE("Reads go on after an answer that could not be handled") {
+  int decoded = 0;
+  sync_fixture fixture(
+      [](const std::string&) {
+        return scripted_reply{200, kLastPage};
+      },
+      [&](const store_item& item) {
+        if (++decoded == 1) {
+          throw std::runtime_error("unexpected");
+        }
+        return DecodeItem(item);
+      });
+  fixture.RunUntil([&] { return !fixture.keys.empty(); });
+  CHECK(fixture.errors == 1);
+  CHECK(fixture.keys == std::vector<std::string>{"op/evacuate/b"});
+}
+
+}  // namespace
+}  // namespace rosemaryreach
