Cut off no answer at a planned stop of the request plane

An exchange ends when its last frame is buffered. After three seconds of a stop the task ended then, with up to 64 KB of an answer unsent, so that a slow reader got a part of it. It now waits until the buffers are empty; the stop timeout still bounds the wait. Connections in the listener's backlog were reset when it closed after one second; all of them are accepted first and answered.

--- a/src/adapters/h2_listener.cc
+++ b/src/adapters/h2_listener.cc
@@ -43,7 +43,10 @@
                          accept_handler accept)
     : descriptor_(descriptor),
       accept_(std::move(accept)),
-      watch_(loop, descriptor, io_event::kRead, [this] { Accept(); }) {}
+      watch_(loop, descriptor, io_event::kRead, [this] {
+        for (int i = 0; i < kMaxAcceptsPerEvent && AcceptOne(); ++i) {
+        }
+      }) {}
 
 h2_listener::~h2_listener() {
   close(descriptor_);
@@ -56,15 +59,19 @@
   return FromSocketAddress(address.storage);
 }
 
-void h2_listener::Accept() {
-  for (int i = 0; i < kMaxAcceptsPerEvent; ++i) {
-    const int accepted =
-        accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0) {
-      return;
-    }
+void h2_listener::AcceptWaiting() {
+  // Bounded, since callers may connect faster than this accepts.
+  for (int i = 0; i < 2 * kBacklog && AcceptOne(); ++i) {
+  }
+}
+
+bool h2_listener::AcceptOne() {
+  const int accepted =
+      accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (accepted >= 0) {
     accept_(accepted);
   }
+  return accepted >= 0;
 }
 
 }  // namespace rosemaryreach
--- a/src/adapters/h2_listener.h
+++ b/src/adapters/h2_listener.h
@@ -26,11 +26,16 @@
   h2_listener(const h2_listener&) = delete;
   h2_listener& operator=(const h2_listener&) = delete;
 
+  // Accepts all connections that wait in the backlog, for example before the
+  // listener is destroyed, which resets them.
+  void AcceptWaiting();
+
   // Returns the bound address.
   endpoint local() const;
 
  private:
-  void Accept();
+  // Accepts one connection; returns false if none waits.
+  bool AcceptOne();
 
   int descriptor_;
   accept_handler accept_;
--- a/src/adapters/request_task.cc
+++ b/src/adapters/request_task.cc
@@ -285,6 +285,9 @@
   if (!stopping_ || stopped_ || now - stop_started_at_ < kAcceptAfterStop) {
     return;
   }
+  for (const std::unique_ptr<h2_listener>& listener : caller_listeners) {
+    listener->AcceptWaiting();
+  }
   caller_listeners.clear();
   if (!router.IsDrained() || !exchanges_.empty()) {
     return;
@@ -293,6 +296,13 @@
       now - stop_started_at_ < kCloseAfterStop) {
     return;
   }
+  // An exchange ends when its last frame is buffered, before the caller has it.
+  const bool sent = std::all_of(
+      server_connections_.begin(), server_connections_.end(),
+      [](const auto& connection) { return connection->output_bytes() == 0; });
+  if (!sent) {
+    return;
+  }
   stopped_ = true;
   if (hooks.on_stopped) {
     hooks.on_stopped();
