Keep the age of a first view that comes from a stale peer

The time as of which a view is known began at the start of the process and never went back, so that a first view from a peer that had been suspended or cut off for an hour counted as fresh: targets that had left were used, the store was not read for half a second, and flows without a route were reset on its word. The age that the beacon states is kept now. An instance whose first view is two seconds old or older opens no flow until it has read the store, at most for the 0.4 s that hold after a pause.

store_sync_test: the age was 323 us instead of one hour; passes now, as do store_read_scheduler_test, entry_path_test and entry_process_test.

--- a/src/entry/store_read_scheduler.cc
+++ b/src/entry/store_read_scheduler.cc
@@ -84,11 +84,13 @@
 }
 
 void store_read_scheduler::OnPeerSync(time_point synced_at) {
-  synced_at_ = std::max(synced_at_, synced_at);
   if (!listed_) {
+    // A first view may be older than this process.
     listed_ = true;
     listed_at_ = synced_at;
+    synced_at_ = synced_at;
   }
+  synced_at_ = std::max(synced_at_, synced_at);
 }
 
 }  // namespace rosemaryreach
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -246,6 +246,14 @@
   const time_point now = BootTimeNow();
   change_lines_left_ = kMaxChangeLines;
   directory_.ApplyBatch(change, now);
+  if (directory_.complete() && !packet_forwarder_.receiving() &&
+      sync_.age() >= kMaxRecentViewAge) {
+    // The peers are as stale as an instance after a pause: no flow is opened
+    // before the store was read, or could not be read in time.
+    refreshing_after_pause_ = true;
+    pause_ended_ = now;
+    sync_.Refresh();
+  }
   if (directory_.complete()) {
     StartForwarding("configuration and targets are loaded");
   }
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -416,8 +416,12 @@
       needs_peer_view_ && answer.value().cursor.era != cache_.cursor().era;
   // A retry may reach a peer with an older view than that of the announcement.
   const bool reaches_goal = cache_.changed() >= pull_goal_.changed;
-  read_scheduler_.OnPeerSync(reaches_goal ? pull_goal_.synced_at
-                                          : read_scheduler_.synced_at());
+  if (first && !reaches_goal) {
+    read_scheduler_.ExpediteNextRead();
+  }
+  read_scheduler_.OnPeerSync(reaches_goal || first
+                                 ? pull_goal_.synced_at
+                                 : read_scheduler_.synced_at());
   ScheduleRead();
   NotifyChanged(change);
   SendBeacon(peers_.RelayRecipients(), false);
--- a/tests/store_sync_test.cc
+++ b/tests/store_sync_test.cc
@@ -3,8 +3,11 @@
 #include <catch2/catch.hpp>
 #include <stdexcept>
 
-#include "rosemaryreach/metrics.h"
+#include "adapters/deflate.h"
 #include "http_server_fixture.h"
+#include "rosemaryreach/metrics.h"
+#include "rosemaryreach/view_codec.h"
+#include "standins/flow_wire.h"
 #include "store_documents.h"
 
 namespace rosemaryreach {
@@ -40,6 +43,34 @@
     tick_.StartEvery(std::chrono::milliseconds(20));
   }
 
+  // Has a peer on 127.0.0.1 announce `view` as of `age` ago and serve it.
+  void Announce(const store_answer& view, duration age) {
+    peer_ = std::make_unique<http_server_fixture>(
+        loop_, [view](const std::string&) {
+          return scripted_reply{200, Deflate(EncodeView(view))};
+        });
+    settings_.control_endpoint.port = peer_->address().port;
+    sync_.Reload(settings_);
+    beacon sent;
+    sent.from = {ToIpv4Endpoint(peer_->address()).address,
+                 1,
+                 1,
+                 1,
+                 1,
+                 false,
+                 view.changed};
+    sent.cursor = view.cursor;
+    sent.age = age;
+    const udp_socket socket =
+        udp_socket::Bind(ParseEndpoint("127.0.0.1:0").value(),
+                         port_sharing::kExclusive, 65'536)
+            .value();
+    SendTo(socket.fd(), {settings_.control_endpoint.address, kPeerPort},
+           EncodeBeacon(sent));
+  }
+
+  const store_sync& sync() const { return sync_; }
+
   void RunUntil(const std::function<bool()>& done) {
     const time_point end = loop_.now() + std::chrono::seconds(20);
     while (!done() && loop_.now() < end) {
@@ -51,16 +82,21 @@
   int errors = 0;
 
  private:
+  static constexpr std::uint16_t kPeerPort = 7'003;
+
   entry_settings Settings() const {
     entry_settings settings;
     settings.data_centre = "a";
     settings.control_endpoint = ParseEndpoint("127.0.0.77:0").value();
+    settings.peer_port = kPeerPort;
     settings.store_endpoint = server_.address();
     return settings;
   }
 
   event_loop loop_;
   http_server_fixture server_;
+  entry_settings settings_ = Settings();
+  std::unique_ptr<http_server_fixture> peer_;
   null_log_sink sink_;
   entry_log log_{sink_};
   std::unique_ptr<metrics_registry> registry_ = MakeMetricsRegistry();
@@ -111,5 +147,19 @@
   CHECK(fixture.keys == std::vector<std::string>{"op/evacuate/b"});
 }
 
+// A view that all peers had long ago counted as read at the start: targets that
+// had left were used, and the store was not read for half a second.
+TEST_CASE("A first view from a stale peer keeps its age") {
+  const store_item known{"op/evacuate/a", "x", 4, false};
+  sync_fixture fixture([](const std::string&) { return scripted_reply{0}; },
+                       DecodeItem);
+  fixture.Announce({{known}, {0, 4}, {0, 4}, false, true},
+                   std::chrono::hours(1));
+  fixture.RunUntil([&] { return !fixture.keys.empty(); });
+  CHECK(fixture.keys == std::vector<std::string>{"op/evacuate/a"});
+  CHECK(fixture.sync().age() >= std::chrono::hours(1));
+  CHECK(fixture.sync().store_unavailable());
+}
+
 }  // namespace
 }  // namespace rosemaryreach
