--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -169,6 +169,10 @@
       settings_mtime_(ModificationTime(options.settings_file)) {}
 
 result<void> entry_instance::Start() {
+  loop_.SetErrorHandler([this](std::string_view what) {
+    const std::array<log_field, 1> fields = {log_field{"detail", what}};
+    log_.LogWarning("callback_failed", fields);
+  });
   BOOST_OUTCOME_TRYV(packet_forwarder_.Start());
   BOOST_OUTCOME_TRYV(sync_.Start());
   BOOST_OUTCOME_TRYV(admin_.Listen(settings_.readiness_endpoint));
@@ -271,6 +275,14 @@
   change_lines_left_ = kMaxChangeLines;
   directory_.ApplyBatch(change, now);
   load_sync_.Update(settings_);
+  if (directory_.complete() && !packet_forwarder_.receiving() &&
+      sync_.age() >= kMaxRecentViewAge) {
+    // The peers are as stale as an instance after a pause: no flow is opened
+    // before the store was read, or could not be read in time.
+    refreshing_after_pause_ = true;
+    pause_ended_ = now;
+    sync_.Refresh();
+  }
   if (directory_.complete()) {
     StartForwarding("configuration and targets are loaded");
   }
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -50,7 +50,6 @@
   admin_hooks AdminHooks();
   readiness Readiness() const;
   entry_components Components() const;
-  // Returns what the other instances report; valid once all are constructed.
   view_freshness CheckFreshness();
   void DetectPause(time_point now);
   void DetectLateness(time_point now);
