Place new flows by expected wait where load is shared

Targets were compared by this instance's own requests times the number of instances, which knows neither slow targets nor the load of others, and by a fixed penalty for other data centres.

Where a route of the service declares a latency objective and other instances report their load, the target with the shortest expected wait is chosen: requests in flight for each slot, times the usual work time, divided by the target's speed, plus the network's extra delay learned from open times. response_times learns speeds from own and shared answers, relative to the kind of request; wait_estimator combines them with shared figures, which count less with age; spillover changes the share of flows that may leave the data centre smoothly. New and returning targets ramp up over 3 s. Targets that look silent to the other instances rank lower.

entry_fixture takes its data centre and the seed of its picker, which was the same at all instances of load_player, so that all drew the same candidates. Without shared figures, an objective or the setting load.placement, the choice is as before; the tests of the picker and of placement_load are unchanged.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -39,6 +39,7 @@
   const char* suspect_reason = "";  // of the last suspicion, kept when it ends
   bool unanswered = false;   // suspected since it left packets unanswered
   bool unreachable = false;  // suspected, and failed probes prove it
+  time_point returned{};     // was last found reachable after being unreachable
 };
 
 enum class flow_phase : std::uint8_t { kOpening, kOpen, kRunning };
@@ -78,6 +79,9 @@
   // Returns whether kUnreachableProbes or more failed probes in a row prove
   // that the target is unreachable. Optional; without it, they do.
   std::function<bool(target_index, time_point now)> proves_unreachable{};
+  // As `answered`, with the flow. Optional.
+  std::function<void(const flow_key&, target_index, duration, time_point now)>
+      flow_answered{};
 };
 
 class flow_tracker {
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -121,6 +121,10 @@
     OnAnswer(flow.target, now);
     if (flow.phase == flow_phase::kRunning) {
       hooks_.answered(flow.target, now - flow.phase_began);
+      if (hooks_.flow_answered) {
+        hooks_.flow_answered(packet.flow, flow.target, now - flow.phase_began,
+                             now);
+      }
       LeavePhase(flow);
       EnterPhase(flow, flow_phase::kOpen, now);
     }
@@ -233,7 +237,9 @@
   const bool disproved = std::exchange(status.unanswered, false);
   status.last_reached = now;
   status.failed_probes = 0;
-  status.unreachable = false;
+  if (std::exchange(status.unreachable, false)) {
+    status.returned = now;
+  }
   if (disproved && hooks_.disproved) {
     hooks_.disproved(target, now);
   }
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -17,17 +17,15 @@
 constexpr double kColdFactor = 2.0;
 // Random tie-breaker, smaller than the weight of one request.
 constexpr double kJitter = 0.2;
-// Larger services are sampled; the best of this many is nearly optimal.
-constexpr std::size_t kMaxCandidates = 32;
 // A draining target may get new flows for the first second after this instance
 // learned of it; the limit is three times that.
 constexpr duration kDrainingGrace = std::chrono::seconds(1);
 // Two instances may own a cold target while their views of the fleet differ.
 constexpr double kMaxColdOwners = 2;
 
-constexpr std::array<const char*, 7> kRules = {
-    "least_load", "entry_missing",       "tried_before", "leaving",
-    "doubted",    "targets_unreachable", "no_target"};
+constexpr std::array<const char*, 9> kRules = {
+    "least_load", "entry_missing", "tried_before",        "silent",   "ejected",
+    "leaving",    "doubted",       "targets_unreachable", "no_target"};
 
 }  // namespace
 
@@ -37,18 +35,23 @@
                              std::string data_centre,
                              entry_bounds bounds,
                              fleet_hooks fleet,
-                             std::uint64_t seed)
+                             std::uint64_t seed,
+                             placement_inputs placement)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
       data_centre_(std::move(data_centre)),
       bounds_(bounds),
       fleet_(std::move(fleet)),
-      random_(seed) {}
+      random_(seed),
+      placement_(std::move(placement)) {}
 
 pick_result target_picker::Pick(const std::string& service,
                                 std::span<const target_index> tried,
                                 time_point now) {
+  if (ComparesByWait(service)) {
+    return PickByWait(service, tried, now);
+  }
   const std::span<const target_index> all = directory_.TargetsOf(service);
   const std::size_t count = std::min(all.size(), kMaxCandidates);
   const std::size_t start = all.empty() ? 0 : random_() % all.size();
@@ -69,13 +72,13 @@
     }
     const double score = Score(index, now);
     if (graded < best_grade || score < best_score) {
-      best = {index, kRules.at(static_cast<std::size_t>(graded))};
+      best = {index, RuleOf(graded)};
       best_grade = graded;
       best_score = score;
     }
   }
   if (best.target == kNoTarget) {
-    best.rule = kRules.at(static_cast<std::size_t>(best_grade));
+    best.rule = RuleOf(best_grade);
     best.unreachable = best_grade == grade::kUnreachable;
   } else {
     RecordColdFlow(*directory_.Find(best.target), now);
@@ -106,6 +109,14 @@
   if (std::find(tried.begin(), tried.end(), index) != tried.end()) {
     return grade::kTried;
   }
+  if (ComparesByWait(target.record.service)) {
+    if (placement_.ejected && placement_.ejected(index)) {
+      return grade::kEjected;
+    }
+    if (placement_.waits->SilentElsewhere(index)) {
+      return grade::kSilent;
+    }
+  }
   const bool avoid = target.listing == target_listing::kMissing &&
                      !target.lapse_excused &&
                      ListedTargetsSuffice(target.record.service, now);
@@ -138,8 +149,12 @@
   return sufficiency_.suffices;
 }
 
+const char* target_picker::RuleOf(grade graded) {
+  return kRules.at(static_cast<std::size_t>(graded));
+}
+
 const char* target_picker::RuleFor(target_index index, time_point now) const {
-  return kRules.at(static_cast<std::size_t>(Grade(index, {}, now)));
+  return RuleOf(Grade(index, {}, now));
 }
 
 std::vector<rule_count> target_picker::CountByRule(const std::string& service,
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kMaxFlows = 50'000;  // 5 MB
 constexpr duration kTickPeriod = std::chrono::milliseconds(100);
+// Reports of the load arrive this often.
+constexpr duration kObservePeriod = std::chrono::milliseconds(200);
 // A tick this late, half the time limit of a probe, means that the process
 // lacks CPU time.
 constexpr duration kLateThreshold = std::chrono::milliseconds(60);
@@ -78,9 +80,11 @@
           {[this](target_index target, const char* reason) {
              suspect_prober_.OnSuspected(target, reason);
            },
-           [this](target_index /*target*/, duration elapsed) {
+           [this](target_index target, duration elapsed) {
              metrics_.open_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
+             times_.OnOpened(directory_.Find(target)->record.data_centre,
+                             elapsed);
            },
            [this](const flow_key& key, target_index target, duration waited) {
              OnRequestStalled(key, target, waited);
@@ -96,8 +100,17 @@
            },
            [this](target_index target, time_point now) {
              return accuracy_.ProvesUnreachable(target, now);
-           }}),
-      accuracy_(directory_, tracker_, {}),
+           },
+           [this](const flow_key& key,
+                  target_index target,
+                  duration elapsed,
+                  time_point now) { OnAnswer(key, target, elapsed, now); }}),
+      accuracy_(directory_, tracker_, SharedLoad()),
+      waits_(directory_,
+             tracker_,
+             times_,
+             PlacementLoad(),
+             settings.data_centre),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
@@ -125,7 +138,8 @@
           {[this] { return sync_.peers().LocalInstances(); },
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
-          seed),
+          seed,
+          {&waits_}),
       director_(directory_, tracker_, reachability_, picker_),
       packet_forwarder_(
           loop_,
@@ -282,6 +296,37 @@
   log_.LogStateChange("directory", fields);
 }
 
+shared_load_hooks entry_instance::SharedLoad() {
+  return {[this](std::uint32_t cookie) {
+            return shared_load_.target ? shared_load_.target(cookie)
+                                       : std::nullopt;
+          },
+          [this](const std::string& service) {
+            return shared_load_.service ? shared_load_.service(service)
+                                        : std::nullopt;
+          }};
+}
+
+shared_load_hooks entry_instance::PlacementLoad() {
+  return {[this, all = SharedLoad()](std::uint32_t cookie) {
+            return settings_.load.placement ? all.target(cookie) : std::nullopt;
+          },
+          [this, all = SharedLoad()](const std::string& service) {
+            return settings_.load.placement ? all.service(service)
+                                            : std::nullopt;
+          }};
+}
+
+void entry_instance::OnAnswer(const flow_key& key,
+                              target_index target,
+                              duration elapsed,
+                              time_point now) {
+  const known_target* known = directory_.Find(target);
+  const entry_route* route = directory_.FindRoute(key.destination);
+  times_.OnAnswer(known->record.service, route == nullptr ? "" : route->name,
+                  known->cookie, elapsed, waits_.Crowding(target), now);
+}
+
 void entry_instance::OnTargetUnreachable(target_index target) {
   const std::vector<flow_tracker::placed_flow> flows = tracker_.FlowsAt(target);
   std::string names;
@@ -382,6 +427,10 @@
   }
   directory_.Tick(sync_.store_unavailable(), now);
   suspect_prober_.Tick();
+  if (now - observed_ >= kObservePeriod) {
+    observed_ = now;
+    waits_.Observe(now);
+  }
   sync_.Tick();
   UpdateReachability(now);
   ConfirmReachability();
@@ -396,6 +445,7 @@
   change_lines_left_ = kMaxChangeLines;
   sync_.LogPeers();
   tracker_.Sweep(BootTimeNow());
+  times_.Sweep(BootTimeNow());
   log_.LogSkippedLines();
   CheckSettingsFile();
 }
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -57,6 +57,10 @@
   void StartForwarding(const char* reason);
   void OnViewChanged(const view_change& change);
   void OnDirectoryChange(const directory_change& change);
+  void OnAnswer(const flow_key& key,
+                target_index target,
+                duration elapsed,
+                time_point now);
   void OnTargetUnreachable(target_index target);
   void OnRequestStalled(const flow_key& key,
                         target_index target,
@@ -71,6 +75,12 @@
   std::string MetricsText();
   void LogLifecycle(const char* event, const std::string& detail);
 
+  // Returns what other instances report; the hooks return nothing where no
+  // reports are exchanged.
+  shared_load_hooks SharedLoad();
+  // The same for placement, which the settings may switch off.
+  shared_load_hooks PlacementLoad();
+
   entry_settings settings_;
   entry_options options_;
   signal_descriptor& signals_;
@@ -80,7 +90,10 @@
   entry_metrics metrics_;
   target_directory directory_;
   flow_tracker tracker_;
+  shared_load_hooks shared_load_;  // empty without load sharing
   suspicion_accuracy accuracy_;
+  response_times times_;
+  wait_estimator waits_;
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   store_sync sync_;
@@ -95,6 +108,7 @@
   time_point last_wake_;
   time_point last_tick_;
   time_point late_until_{};
+  time_point observed_{};  // shared response times
   time_point pause_ended_{};
   bool refreshing_after_pause_ = false;
   bool stopping_ = false;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -64,7 +64,11 @@
 
 // The directory, tracker, picker and director of one instance in dc-a.
 struct entry_fixture {
-  entry_fixture() { directory.Apply({}, Config(1), At(0)); }
+  explicit entry_fixture(const std::string& in_data_centre = "dc-a",
+                         std::uint64_t picker_seed = 7)
+      : data_centre(in_data_centre), seed(picker_seed) {
+    directory.Apply({}, Config(1), At(0));
+  }
 
   target_index Add(const target_record& record, time_point now = At(0)) {
     directory.Apply({}, target_item{record}, now);
@@ -96,26 +100,49 @@
     return director.Direct(packet, freshness, now);
   }
 
+  std::string data_centre;
+  std::uint64_t seed;
   std::vector<directory_change> changes;
   std::vector<target_index> suspected;
   target_directory directory{
       std::chrono::seconds(75),
       [this](const directory_change& change) { changes.push_back(change); },
       [this](target_index target) { tracker.ResetTarget(target); }};
-  flow_tracker tracker{1'000,
-                       {[this](target_index target, const char* /*reason*/) {
-                          suspected.push_back(target);
-                        },
-                        [](target_index, duration) {},
-                        [](const flow_key&, target_index, duration) {},
-                        [](target_index, duration) {}, nullptr,
-                        [this](target_index target, time_point now) {
-                          accuracy.OnDisproved(target, now);
-                        },
-                        [this](target_index target, time_point now) {
-                          return accuracy.ProvesUnreachable(target, now);
-                        }}};
+  flow_tracker tracker{
+      1'000,
+      {[this](target_index target, const char* /*reason*/) {
+         suspected.push_back(target);
+       },
+       [](target_index, duration) {},
+       [](const flow_key&, target_index, duration) {},
+       [](target_index, duration) {}, nullptr,
+       [this](target_index target, time_point now) {
+         accuracy.OnDisproved(target, now);
+       },
+       [this](target_index target, time_point now) {
+         return accuracy.ProvesUnreachable(target, now);
+       },
+       [this](const flow_key& flow,
+              target_index target,
+              duration elapsed,
+              time_point now) {
+         times.OnAnswer("ledger", directory.FindRoute(flow.destination)->name,
+                        directory.Find(target)->cookie, elapsed,
+                        waits.Crowding(target), now);
+       }}};
   shared_load_hooks shared;
+  response_times times;
+  wait_estimator waits{
+      directory,
+      tracker,
+      times,
+      {[this](std::uint32_t cookie) {
+         return shared.target ? shared.target(cookie) : std::nullopt;
+       },
+       [this](const std::string& service) {
+         return shared.service ? shared.service(service) : std::nullopt;
+       }},
+      data_centre};
   suspicion_accuracy accuracy{directory,
                               tracker,
                               {[this](std::uint32_t cookie) {
@@ -126,16 +153,17 @@
   std::uint32_t local_instances = 1;
   std::size_t instances = 1;
   bool owns = true;
-  data_centre_reachability reachability{directory, tracker, "dc-a"};
+  data_centre_reachability reachability{directory, tracker, data_centre};
   target_picker picker{
       directory,
       tracker,
       reachability,
-      "dc-a",
+      data_centre,
       entry_bounds{},
       {[this] { return local_instances; }, [this] { return instances; },
        [this](std::uint32_t /*cookie*/) { return owns; }},
-      7};
+      seed,
+      {&waits}};
   packet_director director{directory, tracker, reachability, picker};
   view_freshness freshness{true, true};
 };
--- a/tests/load_player.h
+++ b/tests/load_player.h
@@ -26,21 +26,36 @@
   double requests_per_s = 300;
   duration work = std::chrono::milliseconds(55);      // mean, exponential
   duration in_time = std::chrono::milliseconds(250);  // limit of an answer
+  // A second data centre, dc-b, with this many instances, targets, which have
+  // the next numbers, and part of the requests.
+  std::size_t remote_instances = 0;
+  std::uint32_t remote_targets = 0;
+  double remote_share = 0;
+  // Instances share their load this often, with a latency objective declared;
+  // 0 if they don't.
+  duration share_period{};
 };
 
 class load_player {
  public:
   load_player(const played_load& load, std::uint64_t seed)
       : load_(load), random_(seed) {
-    for (std::size_t i = 0; i < load.instances; ++i) {
-      instances_.push_back(std::make_unique<entry_fixture>());
-      instances_.back()->local_instances =
-          static_cast<std::uint32_t>(load.instances);
-      instances_.back()->instances = load.instances;
+    const std::size_t all = load.instances + load.remote_instances;
+    for (std::size_t i = 0; i < all; ++i) {
+      const bool remote = i >= load.instances;
+      instances_.push_back(
+          std::make_unique<entry_fixture>(remote ? "dc-b" : "dc-a", i));
+      instances_.back()->local_instances = static_cast<std::uint32_t>(
+          remote ? load.remote_instances : load.instances);
+      instances_.back()->instances = all;
     }
-    for (std::uint32_t i = 1; i <= load.targets; ++i) {
+    for (std::uint32_t i = 1; i <= load.targets + load.remote_targets; ++i) {
       AddTarget(i);
     }
+    if (load.share_period > duration(0)) {
+      DeclareLatency();
+      ShareLoad();
+    }
     Schedule(std::chrono::milliseconds(1), [this] { Arrive(); });
   }
 
@@ -53,6 +68,21 @@
   // Stops a target: it answers nothing from now on.
   void Crash(std::uint32_t number) { served_[Id(number)].alive = false; }
 
+  // From now on, requests take this many times as long at a target.
+  void SlowDown(std::uint32_t number, double factor) {
+    served_[Id(number)].slowness = factor;
+  }
+
+  void SetRate(double requests_per_s) { load_.requests_per_s = requests_per_s; }
+
+  // Returns the requests that wait or run at target `number`.
+  std::size_t InFlight(std::uint32_t number) {
+    const served_target& target = served_[Id(number)];
+    return target.running + target.queue.size();
+  }
+
+  entry_fixture& instance(std::size_t index) { return *instances_[index]; }
+
   // Applies a batch of changes at all instances, as after one listing.
   void ApplyToAll(const std::vector<decoded_item>& changes) {
     view_change batch;
@@ -71,7 +101,9 @@
   }
 
   decoded_item Listed(std::uint32_t number) const {
-    target_record record = Target(Id(number), number, load_.data_centre);
+    target_record record =
+        Target(Id(number), number,
+               number > load_.targets ? "dc-b" : load_.data_centre);
     record.slots = load_.slots;
     return target_item{record};
   }
@@ -79,6 +111,8 @@
     return removed_target{Id(number)};
   }
 
+  void Play(time_point end) { RunUntil(end); }
+
   // Plays until `end`; returns the share of the requests that arrived meanwhile
   // and were answered in time. Plays on until all of them had the time.
   double ShareInTime(time_point end) {
@@ -150,6 +184,8 @@
     bool opened = false;
     bool refused = false;      // at the first packet of the last attempt
     std::size_t instance = 0;  // that forwarded the first packet
+    bool remote = false;       // the caller is in dc-b
+    time_point opened_at{};
     std::optional<duration> answered_after;
   };
 
@@ -158,6 +194,9 @@
     bool alive = false;
     std::size_t flows = 0;
     std::size_t running = 0;
+    double slowness = 1;
+    duration answer_sum{};  // of the answers since the last reports
+    int answers = 0;
     std::vector<std::size_t> queue;
   };
 
@@ -190,6 +229,9 @@
              [this] { Arrive(); });
     requests_.emplace_back();
     requests_.back().arrived = now_;
+    std::uniform_real_distribution<double> draw(0, 1);
+    requests_.back().remote =
+        load_.remote_share > 0 && draw(random_) < load_.remote_share;
     StartAttempt(requests_.size() - 1);
   }
 
@@ -249,6 +291,7 @@
     request& one = requests_[index];
     one.opened = true;
     one.instance = instance;
+    one.opened_at = now_;
     by.Direct(LaterPacket(one.flow, decision.cookie, 1'001, 1, 1), now_);
     target.queue.push_back(index);
     StartNext(id, decision.cookie);
@@ -262,12 +305,15 @@
     const std::size_t index = target.queue.front();
     target.queue.erase(target.queue.begin());
     ++target.running;
-    Schedule(Exponential(static_cast<double>(load_.work.count())),
-             [this, id, cookie, index] {
-               --served_[id].running;
-               Finish(index, cookie);
-               StartNext(id, cookie);
-             });
+    Schedule(
+        Exponential(static_cast<double>(load_.work.count()) * target.slowness),
+        [this, id, cookie, index] {
+          --served_[id].running;
+          served_[id].answer_sum += now_ - requests_[index].opened_at;
+          ++served_[id].answers;
+          Finish(index, cookie);
+          StartNext(id, cookie);
+        });
   }
 
   void Finish(std::size_t index, std::uint32_t cookie) {
@@ -283,8 +329,73 @@
 
   // Returns the instance that routers choose for a caller's packets.
   std::size_t InstanceFor(std::size_t index) const {
+    if (requests_[index].remote) {
+      return load_.instances + index % load_.remote_instances;
+    }
     const std::size_t first = moved_ ? cut_off_ : 0;
-    return first + index % (instances_.size() - first);
+    return first + index % (load_.instances - first);
+  }
+
+  void DeclareLatency() {
+    entry_config config = Config(2);
+    for (entry_route& route : config.routes) {
+      route.latency_target = std::chrono::milliseconds(400);
+    }
+    ApplyToAll({config});
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+      instances_[i]->shared.service = [](const std::string&) {
+        return shared_service_load{};
+      };
+      instances_[i]->shared.target = [this, i](std::uint32_t cookie) {
+        return LoadOfOthers(i, cookie);
+      };
+    }
+  }
+
+  // Takes the figures of all instances at this time as the shared ones.
+  void ShareLoad() {
+    for (auto& [id, target] : served_) {
+      const std::uint32_t cookie = MakeCookie(id, 1);
+      reported_[cookie].clear();
+      for (const std::unique_ptr<entry_fixture>& instance : instances_) {
+        reported_[cookie].push_back(
+            instance->tracker.StatusOf(instance->directory.FindCookie(cookie)));
+      }
+      if (target.answers > 0) {
+        reported_times_[cookie] = target.answer_sum / target.answers;
+      }
+      target.answer_sum = duration(0);
+      target.answers = 0;
+    }
+    shared_at_ = now_;
+    for (const std::unique_ptr<entry_fixture>& instance : instances_) {
+      instance->waits.Observe(now_);
+    }
+    Schedule(load_.share_period, [this] { ShareLoad(); });
+  }
+
+  std::optional<shared_target_load> LoadOfOthers(std::size_t own,
+                                                 std::uint32_t cookie) {
+    const auto found = reported_.find(cookie);
+    if (found == reported_.end()) {
+      return std::nullopt;
+    }
+    shared_target_load load;
+    load.response_time = reported_times_[cookie];
+    load.age = now_ - shared_at_;
+    for (std::size_t i = 0; i < found->second.size(); ++i) {
+      const target_status& status = found->second[i];
+      if (i == own) {
+        continue;
+      }
+      load.running += status.running;
+      load.opening += status.opening;
+      load.open += status.open;
+      load.unanswered += status.unanswered ? 1 : 0;
+      load.since_answer =
+          std::min(load.since_answer, now_ - status.last_answer);
+    }
+    return load;
   }
 
   flow_key NextFlow() {
@@ -301,6 +412,10 @@
   std::vector<std::unique_ptr<entry_fixture>> instances_;
   std::map<std::string, served_target> served_;
   std::vector<request> requests_;
+  // As of the last reports, by cookie: what each instance observed.
+  std::map<std::uint32_t, std::vector<target_status>> reported_;
+  std::map<std::uint32_t, duration> reported_times_;
+  time_point shared_at_{};
   std::uint32_t flows_ = 0;
   std::size_t cut_off_ = 0;  // the first instances reach no target
   bool moved_ = false;       // callers avoid them
