--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kMaxFlows = 50'000;  // 5 MB
 constexpr duration kTickPeriod = std::chrono::milliseconds(100);
+// Reports of the load arrive this often.
+constexpr duration kObservePeriod = std::chrono::milliseconds(200);
 // A tick this late, half the time limit of a probe, means that the process
 // lacks CPU time.
 constexpr duration kLateThreshold = std::chrono::milliseconds(60);
@@ -82,9 +84,11 @@
              suspect_prober_.OnSuspected(target, reason);
              load_sync_.OnSuspected();
            },
-           [this](target_index /*target*/, duration elapsed) {
+           [this](target_index target, duration elapsed) {
              metrics_.open_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
+             times_.OnOpened(directory_.Find(target)->record.data_centre,
+                             elapsed);
            },
            [this](const flow_key& key, target_index target, duration waited) {
              OnRequestStalled(key, target, waited);
@@ -103,7 +107,11 @@
            },
            [this](target_index target, time_point now) {
              return accuracy_.ProvesUnreachable(target, now);
-           }}),
+           },
+           [this](const flow_key& key,
+                  target_index target,
+                  duration elapsed,
+                  time_point now) { OnAnswer(key, target, elapsed, now); }}),
       sync_(
           loop_,
           settings,
@@ -121,6 +129,11 @@
                  log_,
                  *registry_),
       accuracy_(directory_, tracker_, load_sync_.Hooks()),
+      waits_(directory_,
+             tracker_,
+             times_,
+             PlacementLoad(),
+             settings.data_centre),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
@@ -139,7 +152,8 @@
           {[this] { return sync_.peers().LocalInstances(); },
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
-          seed),
+          seed,
+          {&waits_}),
       director_(directory_,
                 tracker_,
                 reachability_,
@@ -315,6 +329,26 @@
   log_.LogStateChange("directory", fields);
 }
 
+shared_load_hooks entry_instance::PlacementLoad() {
+  return {[this, all = load_sync_.Hooks()](std::uint32_t cookie) {
+            return settings_.load.placement ? all.target(cookie) : std::nullopt;
+          },
+          [this, all = load_sync_.Hooks()](const std::string& service) {
+            return settings_.load.placement ? all.service(service)
+                                            : std::nullopt;
+          }};
+}
+
+void entry_instance::OnAnswer(const flow_key& key,
+                              target_index target,
+                              duration elapsed,
+                              time_point now) {
+  const known_target* known = directory_.Find(target);
+  const entry_route* route = directory_.FindRoute(key.destination);
+  times_.OnAnswer(known->record.service, route == nullptr ? "" : route->name,
+                  known->cookie, elapsed, waits_.Crowding(target), now);
+}
+
 void entry_instance::OnTargetUnreachable(target_index target) {
   const std::vector<flow_tracker::placed_flow> flows = tracker_.FlowsAt(target);
   std::string names;
@@ -417,6 +451,10 @@
   }
   directory_.Tick(sync_.store_unavailable(), now);
   suspect_prober_.Tick();
+  if (now - observed_ >= kObservePeriod) {
+    observed_ = now;
+    waits_.Observe(now);
+  }
   sync_.Tick();
   UpdateReachability(now);
   ConfirmReachability();
@@ -433,6 +471,7 @@
   load_sync_.Update(settings_);
   load_sync_.OnSecond();
   tracker_.Sweep(BootTimeNow());
+  times_.Sweep(BootTimeNow());
   log_.LogSkippedLines();
   CheckSettingsFile();
 }
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -59,6 +59,10 @@
   void StartForwarding(const char* reason);
   void OnViewChanged(const view_change& change);
   void OnDirectoryChange(const directory_change& change);
+  void OnAnswer(const flow_key& key,
+                target_index target,
+                duration elapsed,
+                time_point now);
   void OnTargetUnreachable(target_index target);
   void OnRequestStalled(const flow_key& key,
                         target_index target,
@@ -73,6 +77,10 @@
   std::string MetricsText();
   void LogLifecycle(const char* event, const std::string& detail);
 
+  // Returns the load that other instances report, for placement; nothing while
+  // the settings switch placement by load off.
+  shared_load_hooks PlacementLoad();
+
   entry_settings settings_;
   entry_options options_;
   signal_descriptor& signals_;
@@ -85,6 +93,8 @@
   store_sync sync_;
   load_sync load_sync_;
   suspicion_accuracy accuracy_;
+  response_times times_;
+  wait_estimator waits_;
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   target_picker picker_;
@@ -98,6 +108,7 @@
   time_point last_wake_;
   time_point last_tick_;
   time_point late_until_{};
+  time_point observed_{};  // shared response times
   time_point pause_ended_{};
   bool refreshing_after_pause_ = false;
   bool stopping_ = false;
