--- a/tests/packet_director_test.cc
+++ b/tests/packet_director_test.cc
@@ -74,6 +74,27 @@
         opened.target);
 }
 
+// A late copy must neither reach the target of the next flow nor reset it.
+TEST_CASE("A late packet of a former flow follows its own cookie") {
+  entry_fixture fixture;
+  const target_index first = fixture.Add(Target("l1", 1));
+  const packet_decision before = fixture.Direct(FirstPacket(Flow(1)), At(0));
+  flow_packet last = LaterPacket(Flow(1), before.cookie, 1'001, 5'001, 100);
+  last.finishes = true;
+  fixture.Direct(last, At(5));
+  fixture.Drain(Target("l1", 1), At(6));
+  const target_index second = fixture.Add(Target("l2", 2), At(6));
+  const packet_decision reused = fixture.Direct(FirstPacket(Flow(1)), At(50));
+  CHECK(reused.target == second);
+  const packet_decision late = fixture.Direct(last, At(60));
+  CHECK(late.verdict == packet_verdict::kForward);
+  CHECK(late.target == first);
+  const packet_decision next = fixture.Direct(
+      LaterPacket(Flow(1), reused.cookie, 2'001, 7'001, 100), At(70));
+  CHECK(next.verdict == packet_verdict::kForward);
+  CHECK(next.target == second);
+}
+
 TEST_CASE("Flows without a route are reset only with a recent view") {
   entry_fixture fixture;
   fixture.Add(Target("l1", 1));
