--- a/tests/standins/entry_target.h
+++ b/tests/standins/entry_target.h
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "entry_store.h"
 #include "flow_wire.h"
@@ -57,6 +58,9 @@
     if (listener_ >= 0) {
       close(listener_);
     }
+    for (const int filler : fillers_) {
+      close(filler);
+    }
   }
 
   entry_target(const entry_target&) = delete;
@@ -82,6 +86,29 @@
     listener_ = -1;
   }
 
+  // While full, the target answers neither first packets nor the connections
+  // of probes; its open flows go on.
+  void SetFull(bool full) {
+    full_ = full;
+    for (const int filler : fillers_) {
+      close(filler);
+    }
+    fillers_.clear();
+    for (int waiting = 0; waiting >= 0;) {
+      waiting = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      close(waiting);
+    }
+    listen(listener_, full ? 0 : kBacklog);
+    const socket_address local = ToSocketAddress(options_.address);
+    // Two connections fill a queue of no length; the kernel drops the next.
+    for (int i = 0; full && i < 2; ++i) {
+      fillers_.push_back(
+          socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      (void)connect(fillers_.back(), local.get(), local.size);
+    }
+  }
+
+  bool full() const { return full_; }
   const entry_target_options& options() const { return options_; }
   bool draining() const { return draining_; }
   bool silent() const { return silent_; }
@@ -110,7 +137,7 @@
     setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     socket_address local = ToSocketAddress(options_.address);
     if (bind(listener_, local.get(), local.size) == 0) {
-      listen(listener_, 1'024);
+      listen(listener_, kBacklog);
     }
   }
 
@@ -152,6 +179,9 @@
     const wire_packet packet = DecodeWirePacket(bytes);
     const caller_endpoint caller{packet.from_address, packet.from_port};
     if ((packet.flags & kWireSyn) != 0) {
+      if (full_) {
+        return;
+      }
       hooks_.flow_opened(*this);
       flow& opened = flows_[caller];
       opened.sequence =
@@ -221,7 +251,10 @@
   std::optional<udp_socket> socket_;
   std::unique_ptr<descriptor_watch> watch_;
   receive_batch received_;
+  static constexpr int kBacklog = 1'024;
   int listener_ = -1;
+  std::vector<int> fillers_;  // connections that fill the backlog
+  bool full_ = false;
   std::map<caller_endpoint, flow> flows_;
   std::uint64_t heartbeats_ = 0;
   bool draining_ = false;
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -96,14 +97,16 @@
     rewrite_timer_.Start(kRewriteDelay);
   }
 
-  // Adds a target; returns its id.
+  // Adds a target, at `address` or a new one; returns its id.
   std::string AddTarget(const std::string& service,
-                        const std::string& data_centre) {
+                        const std::string& data_centre,
+                        std::optional<endpoint> address = std::nullopt) {
     entry_target_options options;
     options.id = "i-" + std::to_string(100'000 + ++targets_added_);
     options.service = service;
     options.data_centre = data_centre;
-    options.address = {UniqueLoopbackAddress(), kTargetPort};
+    options.address =
+        address.value_or(endpoint{UniqueLoopbackAddress(), kTargetPort});
     options.caller_port = kPacketPort;
     targets_[options.id] = std::make_unique<entry_target>(
         loop_, *store_, options,
@@ -120,6 +123,28 @@
     targets_.erase(id);
   }
 
+  // Removes a target; another one takes its address at once.
+  void ReplaceAtAddress(const std::string& id) {
+    const entry_target_options left = targets_.at(id)->options();
+    RemoveTarget(id);
+    AddTarget(left.service, left.data_centre, left.address);
+  }
+
+  // Removes all targets of a data centre and adds as many new ones.
+  void ReplaceDataCentre(const std::string& data_centre) {
+    std::vector<std::string> leaving;
+    for (const auto& [id, target] : targets_) {
+      if (target->options().data_centre == data_centre && !target->silent() &&
+          !target->draining() && !target->full()) {
+        leaving.push_back(id);
+      }
+    }
+    for (const std::string& id : leaving) {
+      AddTarget(targets_.at(id)->options().service, data_centre);
+      RemoveTarget(id);
+    }
+  }
+
   void Evacuate(const std::string& data_centre, bool out) {
     const std::string key = "op/evacuate/" + data_centre;
     if (out) {
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -29,6 +29,7 @@
   int processes = 9;
   int flows_per_second = 40;
   bool check_time_bounds = true;
+  bool hard_faults = false;
 };
 
 class soak {
@@ -132,7 +133,11 @@
     return recovered && abnormal_ends_ == 0 && testbed_.violations().empty();
   }
 
-  void OpenFlows() { testbed_.OpenFlow(); }
+  void OpenFlows() {
+    for (int i = 0; i < (surge_ ? kSurgeFactor : 1); ++i) {
+      testbed_.OpenFlow();
+    }
+  }
 
   void RestartEndedProcesses() {
     for (const std::unique_ptr<entry_process>& process : processes_) {
@@ -160,11 +165,11 @@
     testbed_.AddTarget(service, kCentres.at(static_cast<std::size_t>(i) % 3));
   }
 
-  // Returns a random target that is neither draining nor silent.
+  // Returns a random target that is neither draining nor silent nor full.
   entry_target& RandomTarget() {
     std::vector<entry_target*> usable;
     for (const auto& [id, target] : testbed_.targets()) {
-      if (!target->draining() && !target->silent()) {
+      if (!target->draining() && !target->silent() && !target->full()) {
         usable.push_back(target.get());
       }
     }
@@ -199,6 +204,10 @@
   }
 
   fault DrawFault() {
+    // Schedules that were kept before the hard faults stay as they are.
+    if (options_.hard_faults && Draw(2) == 0) {
+      return DrawHardFault();
+    }
     switch (Draw(12)) {
       case 0:
         return SignalFault("kill", false, SIGKILL, 0, 300, 800);
@@ -232,6 +241,60 @@
     }
   }
 
+  fault DrawHardFault() {
+    switch (Draw(4)) {
+      case 0:
+        return {"surge", true,
+                [this] {
+                  surge_ = true;
+                  return RandomDuration(2'000, 5'000);
+                },
+                [this] { surge_ = false; }};
+      case 1:
+        return FullFault();
+      case 2:
+        return AddressFault();
+      default:
+        return RestartAllFault();
+    }
+  }
+
+  // The target lives, so that none of its open flows may be reset. A planned
+  // fault, so that the testbed checks this.
+  fault FullFault() {
+    entry_target& target = RandomTarget();
+    return {"target full", true,
+            [this, &target] {
+              target.SetFull(true);
+              return RandomDuration(1'000, 4'000);
+            },
+            [&target] { target.SetFull(false); }};
+  }
+
+  fault AddressFault() {
+    const std::string id = RandomTarget().options().id;
+    return {"address taken", false,
+            [this, id] {
+              testbed_.ReplaceAtAddress(id);
+              return RandomDuration(1'000, 2'000);
+            },
+            [] {}};
+  }
+
+  // Kills all instances and replaces the targets of one data centre.
+  fault RestartAllFault() {
+    const std::string data_centre = "dc-" + std::string(1, "abc"[Draw(3)]);
+    return {"all killed", false,
+            [this, data_centre] {
+              for (const std::unique_ptr<entry_process>& process : processes_) {
+                process->Signal(SIGKILL);
+              }
+              testbed_.ReplaceDataCentre(data_centre);
+              return RandomDuration(1'000, 2'000);
+            },
+            [] {}};
+  }
+
   fault SignalFault(const char* name,
                     bool planned,
                     int first,
@@ -335,6 +398,7 @@
   }
 
   static constexpr int kMaxActiveFaults = 3;
+  static constexpr int kSurgeFactor = 8;
 
   soak_options options_;
   std::mt19937_64 random_;
@@ -351,6 +415,7 @@
   int active_unplanned_faults_ = 0;
   int abnormal_ends_ = 0;
   bool faults_over_ = false;
+  bool surge_ = false;
 };
 
 int Main(int argc, const char** argv) {
@@ -359,6 +424,7 @@
   char* directory = nullptr;
   long seed = 1;
   int skip_time_bounds = 0;
+  int hard_faults = 0;
   const std::vector<poptOption> table = {
       {"program", 'p', POPT_ARG_STRING, &program, 0,
        "path of rosemaryreach-entry", ""},
@@ -370,6 +436,9 @@
       {"processes", 'n', POPT_ARG_INT, &options.processes, 0, "instances", ""},
       {"no-times", 0, POPT_ARG_NONE, &skip_time_bounds, 0,
        "do not check time bounds, for a busy machine", nullptr},
+      {"hard", 0, POPT_ARG_NONE, &hard_faults, 0,
+       "also surges, full targets, addresses taken over, all instances killed",
+       nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("soak", argc, argv, table.data(), 0);
   const int parsed = poptGetNextOpt(context);
@@ -381,6 +450,7 @@
   options.program = program;
   options.directory = directory;
   options.seed = static_cast<std::uint64_t>(seed);
+  options.hard_faults = hard_faults != 0;
   options.check_time_bounds = skip_time_bounds == 0;
   std::filesystem::create_directories(options.directory);
   return soak(options).Run() ? 0 : 1;
