Eject targets that are outliers by own evidence

A target that answers three times slower than the median of its service, or six times in a row faster than the service can, kept getting flows by its rank.

A target that returns is judged by new answers and ramps up. A target that looks silent to other instances is probed; it becomes suspected only if this instance's own probe fails.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -39,7 +39,7 @@
   const char* suspect_reason = "";  // of the last suspicion, kept when it ends
   bool unanswered = false;   // suspected since it left packets unanswered
   bool unreachable = false;  // suspected, and failed probes prove it
-  time_point returned{};     // was last found reachable after being unreachable
+  time_point returned{};     // was last excluded from new flows until then
 };
 
 enum class flow_phase : std::uint8_t { kOpening, kOpen, kRunning };
@@ -125,6 +125,11 @@
   // without evidence of the target's own that it does not answer.
   void MarkSuspected(target_index target, const char* reason);
 
+  // A target gets new flows again after it was excluded from them.
+  void MarkReturned(target_index target, time_point now) {
+    MutableStatus(target).returned = now;
+  }
+
   // Discards the flows and the status of a target whose index is reused.
   void ResetTarget(target_index target);
 
--- a/include/rosemaryreach/response_times.h
+++ b/include/rosemaryreach/response_times.h
@@ -66,6 +66,9 @@
   duration ExtraDelay(const std::string& data_centre,
                       const std::string& local) const;
 
+  // Forgets what this instance observed of a target.
+  void Forget(std::uint32_t cookie) { targets_.erase(cookie); }
+
   // Forgets targets without recent answers.
   void Sweep(time_point now);
 
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -101,6 +101,9 @@
   // centres before the own one is unusable.
   double SpillShare(const std::string& service) const;
 
+  // Returns the flows that went to another data centre by their expected wait.
+  std::uint64_t spilled_flows() const { return spilled_flows_; }
+
  private:
   // Lower is better; kUnreachable and kExcluded targets are never picked.
   enum class grade : std::uint8_t {
@@ -161,6 +164,7 @@
   mutable sufficiency sufficiency_;
   placement_inputs placement_;
   std::map<std::string, spillover> spill_;  // by service
+  std::uint64_t spilled_flows_ = 0;
 };
 
 }  // namespace rosemaryreach
--- a/include/rosemaryreach/wait_estimator.h
+++ b/include/rosemaryreach/wait_estimator.h
@@ -55,6 +55,9 @@
   // and none of them had an answer lately.
   bool SilentElsewhere(target_index index) const;
 
+  // Returns the requests and first packets in flight there, as reported.
+  double InFlight(target_index index) const;
+
   // Returns the requests in flight at the target for each slot, at least 1.
   double Crowding(target_index index) const;
 
--- a/src/entry/target_picker_wait.cc
+++ b/src/entry/target_picker_wait.cc
@@ -113,9 +113,11 @@
   spill.Update(here.mean(), elsewhere.mean(), now);
   std::uniform_real_distribution<double> draw(0, 1);
   const bool may_spill = draw(random_) < spill.share();
-  return may_spill && elsewhere.best.estimate->wait < here.best.estimate->wait
-             ? elsewhere.best
-             : here.best;
+  if (may_spill && elsewhere.best.estimate->wait < here.best.estimate->wait) {
+    ++spilled_flows_;
+    return elsewhere.best;
+  }
+  return here.best;
 }
 
 std::optional<wait_estimate> target_picker::EstimateOf(target_index index,
--- a/src/entry/wait_estimator.cc
+++ b/src/entry/wait_estimator.cc
@@ -64,6 +64,12 @@
       .value_or(shared_target_load{});
 }
 
+double wait_estimator::InFlight(target_index index) const {
+  const shared_target_load load = SharedLoad(index);
+  const target_status& status = tracker_.StatusOf(index);
+  return status.running + status.opening + load.running + load.opening;
+}
+
 double wait_estimator::Crowding(target_index index) const {
   const shared_target_load load = SharedLoad(index);
   const target_status& status = tracker_.StatusOf(index);
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -37,6 +37,22 @@
           {"store_away", components.sync.store_unavailable()}};
 }
 
+// Returns the figures by which a target is compared with others; null if the
+// expected wait does not decide.
+json PlacementDocument(const entry_components& components,
+                       target_index index,
+                       time_point now) {
+  const std::optional<wait_estimate> estimate =
+      components.picker.EstimateOf(index, now);
+  if (!estimate) {
+    return nullptr;
+  }
+  return {{"expected_wait_ms", ToMillis(estimate->wait)},
+          {"network_ms", ToMillis(estimate->network)},
+          {"speed", estimate->speed},
+          {"in_flight", estimate->in_flight}};
+}
+
 json TargetDocument(const entry_components& components,
                     target_index index,
                     time_point now) {
@@ -55,6 +71,7 @@
           {"doubted", status.suspected},
           {"last_doubt", status.suspect_reason},
           {"failed_probes", status.failed_probes},
+          {"placement", PlacementDocument(components, index, now)},
           {"open", status.open},
           {"running", status.running}};
 }
@@ -81,6 +98,7 @@
   answer["service"] = explanation.service;
   answer["action"] = NameOf(explanation.next.verdict);
   answer["rule"] = explanation.next.rule;
+  answer["spill_share"] = components.picker.SpillShare(explanation.service);
   answer["targets"] = json::object();
   for (const rule_count& count : explanation.targets) {
     answer["targets"][count.rule] = count.targets;
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -111,6 +111,7 @@
              times_,
              PlacementLoad(),
              settings.data_centre),
+      outliers_(directory_, tracker_, times_, waits_),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
@@ -139,7 +140,9 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed,
-          {&waits_}),
+          {&waits_,
+           [this](target_index target) { return outliers_.Ejected(target); },
+           [this](target_index target) { suspect_prober_.Check(target); }}),
       director_(directory_, tracker_, reachability_, picker_),
       packet_forwarder_(
           loop_,
@@ -317,6 +320,39 @@
           }};
 }
 
+void entry_instance::UpdatePlacement(time_point now) {
+  if (now - observed_ < kObservePeriod) {
+    return;
+  }
+  observed_ = now;
+  waits_.Observe(now);
+  for (const outlier_change& change : outliers_.Update(now)) {
+    metrics_.ejections.Add(change.ejected ? 1 : 0);
+    LogOutlier(change);
+  }
+  metrics_.ejected_targets.Set(static_cast<std::int64_t>(outliers_.ejected()));
+}
+
+void entry_instance::LogOutlier(const outlier_change& change) {
+  if (change_lines_left_ == 0) {
+    return;
+  }
+  --change_lines_left_;
+  constexpr double kPercent = 100;
+  const std::array<log_field, 7> fields = {
+      log_field{"target", directory_.Find(change.target)->record.id},
+      log_field{"outcome",
+                change.ejected ? "target_ejected" : "target_returned"},
+      log_field{"reason", change.reason},
+      log_field{"speed_percent",
+                static_cast<std::int64_t>(change.speed * kPercent)},
+      log_field{"usual_percent",
+                static_cast<std::int64_t>(change.usual_speed * kPercent)},
+      log_field{"answers", static_cast<std::int64_t>(change.answers)},
+      log_field{"ejected_ms", ToMillis(change.ejected_for)}};
+  log_.LogStateChange("target", fields);
+}
+
 void entry_instance::OnAnswer(const flow_key& key,
                               target_index target,
                               duration elapsed,
@@ -427,10 +463,7 @@
   }
   directory_.Tick(sync_.store_unavailable(), now);
   suspect_prober_.Tick();
-  if (now - observed_ >= kObservePeriod) {
-    observed_ = now;
-    waits_.Observe(now);
-  }
+  UpdatePlacement(now);
   sync_.Tick();
   UpdateReachability(now);
   ConfirmReachability();
@@ -458,6 +491,8 @@
   metrics_.held_items.Set(static_cast<std::int64_t>(directory_.held_items()));
   metrics_.held_ms.Set(ToMillis(directory_.HeldFor(BootTimeNow())));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
+  metrics_.spilled_flows.Set(
+      static_cast<std::int64_t>(picker_.spilled_flows()));
   metrics_.flows.Set(static_cast<std::int64_t>(tracker_.size()));
   return registry_->PrometheusText();
 }
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -17,6 +17,7 @@
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/outlier_detector.h"
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/suspicion_accuracy.h"
 
@@ -61,6 +62,9 @@
                 target_index target,
                 duration elapsed,
                 time_point now);
+  // Takes the shared figures as evidence and ejects outliers.
+  void UpdatePlacement(time_point now);
+  void LogOutlier(const outlier_change& change);
   void OnTargetUnreachable(target_index target);
   void OnRequestStalled(const flow_key& key,
                         target_index target,
@@ -94,6 +98,7 @@
   suspicion_accuracy accuracy_;
   response_times times_;
   wait_estimator waits_;
+  outlier_detector outliers_;
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   store_sync sync_;
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -36,6 +36,14 @@
       peer_datagrams_malformed(
           registry.Counter({"rosemaryreach_entry_peer_bad_total",
                             "Datagrams that are no beacons."})),
+      ejections(registry.Counter(
+          {"rosemaryreach_entry_ejections_total",
+           "Targets ejected, since they were slow or refused requests."})),
+      ejected_targets(registry.Gauge({"rosemaryreach_entry_ejected_targets",
+                                      "Targets that are ejected now."})),
+      spilled_flows(registry.Gauge(
+          {"rosemaryreach_entry_spilled_flows",
+           "Flows that went to another data centre by expected wait."})),
       configuration_version(
           registry.Gauge({"rosemaryreach_entry_configuration_version",
                           "Version of the configuration in force."})),
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -26,6 +26,9 @@
   counter& peer_datagrams_sent;
   counter& peer_datagrams_received;
   counter& peer_datagrams_malformed;
+  counter& ejections;  // of targets that are outliers
+  gauge& ejected_targets;
+  gauge& spilled_flows;  // since the start
   gauge& configuration_version;
   gauge& view_age_ms;
   gauge& store_era;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "rosemaryreach/flow_tracker.h"
+#include "rosemaryreach/outlier_detector.h"
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/shared_load.h"
 #include "rosemaryreach/suspicion_accuracy.h"
@@ -150,6 +151,7 @@
                                                       : std::nullopt;
                                },
                                nullptr}};
+  outlier_detector outliers{directory, tracker, times, waits};
   std::uint32_t local_instances = 1;
   std::size_t instances = 1;
   bool owns = true;
@@ -163,7 +165,8 @@
       {[this] { return local_instances; }, [this] { return instances; },
        [this](std::uint32_t /*cookie*/) { return owns; }},
       seed,
-      {&waits}};
+      {&waits,
+       [this](target_index target) { return outliers.Ejected(target); }}};
   packet_director director{directory, tracker, reachability, picker};
   view_freshness freshness{true, true};
 };
--- a/tests/load_player.h
+++ b/tests/load_player.h
@@ -74,6 +74,7 @@
   }
 
   void SetRate(double requests_per_s) { load_.requests_per_s = requests_per_s; }
+  void SetRemoteShare(double share) { load_.remote_share = share; }
 
   // Returns the requests that wait or run at target `number`.
   std::size_t InFlight(std::uint32_t number) {
@@ -370,6 +371,7 @@
     shared_at_ = now_;
     for (const std::unique_ptr<entry_fixture>& instance : instances_) {
       instance->waits.Observe(now_);
+      instance->outliers.Update(now_);
     }
     Schedule(load_.share_period, [this] { ShareLoad(); });
   }
--- a/tests/placement_wait_test.cc
+++ b/tests/placement_wait_test.cc
@@ -97,6 +97,58 @@
   }
 }
 
+// The same where each keeps the figures of a time when the other was idle.
+TEST_CASE("Spillover by wrong figures settles") {
+  played_load load = Shared();
+  load.remote_instances = load.instances;
+  load.remote_targets = load.targets;
+  load.remote_share = 0.5;
+  load.requests_per_s = 2'600;
+  load_player player(load, 1);
+  for (std::size_t i = 0; i < 2 * load.instances; ++i) {
+    entry_fixture& instance = player.instance(i);
+    instance.shared.target =
+        [&instance, all = instance.shared.target](std::uint32_t cookie) {
+          const known_target& target =
+              *instance.directory.Find(instance.directory.FindCookie(cookie));
+          return target.record.data_centre == instance.data_centre
+                     ? all(cookie)
+                     : shared_target_load{};
+        };
+  }
+  player.Play(At(5'000));
+  double least = 1;
+  double most = 0;
+  for (std::int64_t ms = 5'100; ms < 8'000; ms += 100) {
+    player.Play(At(ms));
+    const double share = player.instance(0).picker.SpillShare("ledger");
+    least = std::min(least, share);
+    most = std::max(most, share);
+  }
+  const double in_time = player.ShareInTime(At(10'000));
+  INFO(least << " to " << most << ", " << in_time << " in time");
+  CHECK(most - least <= 0.3);
+  CHECK(in_time >= 0.85);
+}
+
+TEST_CASE("A cut between data centres ends the spillover at once") {
+  played_load load = Shared();
+  load.remote_instances = 1;
+  load.remote_targets = 40;
+  load.remote_share = 0.01;
+  load.requests_per_s = 2'000;
+  load_player player(load, 1);
+  player.Play(At(3'000));
+  entry_fixture& instance = player.instance(0);
+  CHECK(instance.picker.SpillShare("ledger") > 0.1);
+  for (std::uint32_t i = 0; i < load.remote_targets; ++i) {
+    instance.MakeUnreachable(load.targets + i, At(3'000));
+  }
+  const pick_result chosen = instance.picker.Pick("ledger", {}, At(3'001));
+  CHECK(instance.directory.Find(chosen.target)->record.data_centre == "dc-a");
+  CHECK(instance.picker.SpillShare("ledger") == 0);
+}
+
 TEST_CASE("Targets that fall silent together get few flows after 300 ms") {
   played_load load = Shared();
   load.targets = 120;
