--- a/include/rosemaryreach/spillover.h
+++ b/include/rosemaryreach/spillover.h
@@ -13,9 +13,10 @@
 // The expected wait elsewhere must be shorter by this factor. Then two data
 // centres whose figures of each other are old do not exchange their load.
 inline constexpr double kSpillMargin = 1.5;
-// The share changes by at most this much a second: figures of other data
-// centres are up to a second old, and flows sent meanwhile show late.
-inline constexpr double kSpillPerSecond = 1.0;
+// The share changes by this much a second where the waits differ by half:
+// figures of other data centres are up to a second old, and flows sent meanwhile
+// show late.
+inline constexpr double kSpillPerSecond = 3.0;
 
 class spillover {
  public:
--- a/src/entry/response_times.cc
+++ b/src/entry/response_times.cc
@@ -18,9 +18,10 @@
 constexpr double kOpenTimeRise = 0.02;
 // Assumed between data centres without open times.
 constexpr duration kAssumedExtraDelay = std::chrono::milliseconds(2);
-// Answers assumed in each report of others; a target in use gives them several
-// between two reports, 200 ms apart.
-constexpr double kReportAnswers = 2;
+// Answers that a report of others counts as. A target in use gives them several
+// between two reports, 200 ms apart, but their mean includes waiting. With 2 or
+// 4, chance differences between targets of a busy service counted too much.
+constexpr double kReportAnswers = 1;
 // Answers that the evidence about a target remembers: a busy target that turns
 // slow is known as such after 2 or 3 s.
 constexpr double kMaxAnswers = 32;
