Tell instances that start which targets left, and reset dead flows

An instance that started knew only the listed targets. It dropped each packet of a flow of a target that had left as unknown_cookie, and callers waited for their timeouts.

The directory takes these targets as gone and older than all listed ones, so packets go by cookie, and probes and reused addresses decide about resets.

--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -129,6 +129,24 @@
 struct changed_item {
   store_item item;
   decoded_item decoded;
+  // The last value of the incarnation of a target that this change ends; empty
+  // if it ends none.
+  std::string departed_value = {};
+};
+
+// The last value of the item of a target that is no longer listed.
+struct departed_item {
+  std::string key;
+  std::string value;
+  duration age{};  // since it left
+
+  bool operator==(const departed_item&) const = default;
+};
+
+// What an instance knows of the targets that have left.
+struct departed_answer {
+  std::vector<departed_item> items;
+  duration known_for{};  // every departure within this time is included
 };
 
 // What a new era of the store brought, compared with the view before it.
--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -79,6 +79,10 @@
   // so that peers prefer it to the one in the store.
   void KeepConfig(const cached_item& known, view_change& change);
   void Insert(cached_item inserted);
+  // Returns the value of `known` if it is that of a target whose incarnation
+  // `now` does not continue; empty otherwise.
+  std::string DepartedValue(const store_item& known,
+                            const decoded_item& now) const;
 
   item_decoder decode_;
   std::map<std::string, cached_item> items_;
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -4,6 +4,7 @@
 #define ROSEMARYREACH_PACKET_DIRECTOR_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,10 +53,16 @@
 
 class packet_director {
  public:
+  // Returns whether no live target can have this unknown cookie.
+  using dead_cookie_hook =
+      std::function<bool(std::uint32_t cookie, time_point now)>;
+
+  // Without `is_dead_cookie`, packets with an unknown cookie are dropped.
   packet_director(const target_directory& directory,
                   flow_tracker& tracker,
                   const data_centre_reachability& reachability,
-                  target_picker& picker);
+                  target_picker& picker,
+                  dead_cookie_hook is_dead_cookie = nullptr);
 
   packet_decision Direct(const flow_packet& packet,
                          const view_freshness& freshness,
@@ -67,6 +74,11 @@
                            const view_freshness& freshness,
                            time_point now) const;
 
+  // Returns the rule for packets with data to `route` whose cookie is unknown,
+  // where `view_trusted` tells that it can't be that of a live target.
+  const char* UnknownCookieRule(const entry_route* route,
+                                bool view_trusted) const;
+
   // Drops the flows that wait for an answer of an unreachable target and whose
   // requests may be retried. Returns a packet of each for its reset, since the
   // next retransmission of the caller may be up to 1.6 s away.
@@ -86,6 +98,10 @@
                                       const pick_result& none,
                                       time_point now) const;
   packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
+  packet_decision HandleUnknownCookie(const flow_packet& packet,
+                                      time_point now) const;
+  // Whether the packet asks for an answer to a request that may be retried.
+  bool MayReset(const flow_packet& packet) const;
   // Returns whether requests to `address` may be retried on another target.
   bool IsRetryable(const ipv4_endpoint& address) const;
   packet_decision ExplainOpening(const flow_explanation& explanation,
@@ -107,6 +123,7 @@
   flow_tracker& tracker_;
   const data_centre_reachability& reachability_;
   target_picker& picker_;
+  dead_cookie_hook is_dead_cookie_;
 };
 
 }  // namespace rosemaryreach
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -61,6 +61,9 @@
 inline constexpr duration kTimeoutPerPeer = std::chrono::milliseconds(150);
 // Up to this many peers, beacons describe all peers and updates go to all.
 inline constexpr std::size_t kSmallFleet = 16;
+// Instances that are started together start within 0.3 s of each other. Clocks
+// of machines differ by less than the rest.
+inline constexpr duration kStartSpread = std::chrono::seconds(2);
 
 class peer_group {
  public:
@@ -110,6 +113,11 @@
   // restart.
   std::uint32_t ViewSource(store_cursor known, std::uint32_t failed);
 
+  // Returns the live peer that started first, if it did so before this instance
+  // by more than instances that are started together differ; otherwise any live
+  // peer. None of `excluded`; 0 if there is no other.
+  std::uint32_t HistorySource(std::span<const std::uint32_t> excluded) const;
+
   // Removes peers that have timed out.
   void Tick(time_point now);
 
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -52,6 +52,8 @@
   time_point added{};  // the same for all targets of one batch of changes
   // Another target has taken over the address, so flows to this one are dead.
   bool address_reused = false;
+  // It left before this instance knew it.
+  bool departed = false;
 };
 
 // One change of the directory, for the log.
@@ -84,6 +86,12 @@
              const decoded_item& decoded,
              time_point now);
 
+  // Adds a target that left `age` ago, before this instance knew it. It gets no
+  // new flows; packets of its flows go to it as to any target that is gone. It
+  // counts as older than the listed ones, so that one of them at its address
+  // with a later start time has replaced it. Ignored if it is known or listed.
+  void ApplyDeparted(const target_record& record, duration age, time_point now);
+
   // Marks missing targets as gone after kEntryReturnGrace and removes gone ones
   // after the retention time. While `store_unavailable`, and for
   // kEntryReturnGrace after it, entries of live targets may be missing.
@@ -103,8 +111,20 @@
   duration HeldFor(time_point now) const {
     return held_.empty() ? duration(0) : now - era_began_;
   }
-  // Returns whether there is a configuration and at least one target.
-  bool complete() const { return config_.version > 0 && !by_cookie_.empty(); }
+  // Returns whether there is a configuration and at least one target that is or
+  // was listed to this instance.
+  bool complete() const {
+    return config_.version > 0 && by_cookie_.size() > departed_;
+  }
+  // Targets that left before this instance knew them.
+  std::size_t departed() const { return departed_; }
+  // Whether two known targets have the same cookie.
+  bool cookies_conflict() const { return conflicts_ > 0; }
+  // Whether entries of live targets may be missing, since the store was
+  // unavailable or restored until recently.
+  bool EntriesMayBeMissing(time_point now) const {
+    return store_unavailable_ || now < entries_due_;
+  }
   const entry_config& config() const { return config_; }
   // Returns all targets, including gone ones; unused indices are empty.
   std::span<const std::optional<known_target>> targets() const {
@@ -117,6 +137,8 @@
   void ApplyRemoval(const std::string& id, const char* reason, time_point now);
   void ApplyEvacuation(const evacuation_item& item);
   target_index Add(const target_record& record, time_point now);
+  // Returns the index of this incarnation of the target, or kNoTarget.
+  target_index FindIncarnation(const target_record& record) const;
   void Update(known_target& target,
               const target_record& record,
               time_point now);
@@ -126,11 +148,6 @@
                   time_point now);
   // Excuses the targets of services that lost many entries at `now`.
   void ExcuseLapses(time_point now);
-  // Whether entries of live targets may be missing, since the store was
-  // unavailable or restored until recently.
-  bool EntriesMayBeMissing(time_point now) const {
-    return store_unavailable_ || now < entries_due_;
-  }
   // The restored store lacks a target: it may have started since the copy.
   void ApplyRestoredWithout(const std::string& id, time_point now);
   // Whether an item of a restored store would make a target or a data centre
@@ -156,6 +173,8 @@
   std::map<std::uint32_t, target_index> by_cookie_;
   std::map<ipv4_endpoint, std::vector<target_index>> by_address_;
   std::vector<target_index> free_;
+  std::size_t departed_ = 0;   // targets that are `departed`
+  std::size_t conflicts_ = 0;  // targets with `cookie_conflict`
   // Rebuilt lazily after changes, since a batch may change all targets.
   mutable std::map<std::string, std::vector<target_index>> by_service_;
   mutable bool services_indexed_ = false;
--- a/src/adapters/admin_server.cc
+++ b/src/adapters/admin_server.cc
@@ -89,10 +89,11 @@
                : ErrorResponse(kBadRequest, query.error());
 }
 
-response ItemsResponse(std::optional<std::string> items) {
+response ItemsResponse(const std::string& path,
+                       std::optional<std::string> items) {
   return items ? response{kOk, kBinaryType, std::move(*items)}
-               : ErrorResponse(kUnavailable, {errc::kLimit, "/v1/items",
-                                              "busy with other peers"});
+               : ErrorResponse(kUnavailable,
+                               {errc::kLimit, path, "busy with other peers"});
 }
 
 // Returns the callback for the JSON document at `path`, or nullptr if `path`
@@ -128,8 +129,11 @@
     return {kOk, kTextType, hooks.metrics()};
   }
   if (path == "/v1/items" && hooks.items) {
-    return ItemsResponse(
-        hooks.items(parameters.Number("era"), parameters.Number("after")));
+    return ItemsResponse(path, hooks.items(parameters.Number("era"),
+                                           parameters.Number("after")));
+  }
+  if (path == "/v1/departed" && hooks.departed) {
+    return ItemsResponse(path, hooks.departed());
   }
   if (path == "/v1/flows/explain" && hooks.explain_flow) {
     return ExplainFlowResponse(hooks, parameters);
--- a/src/adapters/admin_server.h
+++ b/src/adapters/admin_server.h
@@ -58,6 +58,9 @@
   std::function<std::optional<std::string>(std::uint64_t era,
                                            std::uint64_t after)>
       items;
+  // Returns the targets that left recently, deflated, for a peer that has
+  // started; nullopt if the peer should ask another instance.
+  std::function<std::optional<std::string>()> departed;
   std::function<result<nlohmann::json>(const flow_query&)> explain_flow;
   std::function<result<nlohmann::json>(const request_query&)> explain_request;
 };
--- /dev/null
+++ b/src/entry/departed_targets.cc
@@ -0,0 +1,84 @@
+#include "rosemaryreach/departed_targets.h"
+
+#include <algorithm>
+
+namespace rosemaryreach {
+
+departed_targets::departed_targets(item_decoder decode, duration retention)
+    : decode_(std::move(decode)), retention_(retention) {}
+
+void departed_targets::OnView(time_point now) {
+  known_since_ = std::min(known_since_.value_or(now), now);
+}
+
+void departed_targets::Apply(const view_change& change, time_point now) {
+  for (const changed_item& changed : change.items) {
+    const std::string& key = changed.item.key;
+    if (!changed.departed_value.empty()) {
+      const decoded_item before =
+          decode_({key, changed.departed_value, 0, false});
+      const target_item* target = std::get_if<target_item>(&before);
+      if (target != nullptr) {
+        Add({key, target->record.incarnation}, {changed.departed_value, now});
+      }
+    }
+    const target_item* listed = std::get_if<target_item>(&changed.decoded);
+    if (listed != nullptr) {
+      departed_.erase({key, listed->record.incarnation});
+    }
+  }
+}
+
+std::vector<departed_target> departed_targets::Merge(
+    const departed_answer& answer,
+    time_point now) {
+  std::vector<departed_target> added;
+  for (const departed_item& item : answer.items) {
+    const decoded_item decoded = decode_({item.key, item.value, 0, false});
+    const target_item* target = std::get_if<target_item>(&decoded);
+    if (target == nullptr || item.age >= retention_) {
+      continue;
+    }
+    const target_key key{item.key, target->record.incarnation};
+    if (!departed_.contains(key)) {
+      Add(key, {item.value, now - item.age});
+      added.push_back({target->record, item.age});
+    }
+  }
+  OnView(now - answer.known_for);
+  return added;
+}
+
+departed_answer departed_targets::Recent(time_point now) const {
+  departed_answer answer;
+  answer.known_for = now - known_since_.value_or(now);
+  for (const auto& [key, departed] : departed_) {
+    const duration age = now - departed.left;
+    if (age < retention_) {
+      answer.items.push_back({key.first, departed.value, age});
+    }
+  }
+  return answer;
+}
+
+bool departed_targets::Complete(time_point now) const {
+  return known_since_ && now - *known_since_ >= retention_;
+}
+
+void departed_targets::Tick(time_point now) {
+  std::erase_if(departed_, [this, now](const auto& entry) {
+    return now - entry.second.left >= retention_;
+  });
+}
+
+void departed_targets::Add(const target_key& key, departed_value value) {
+  departed_[key] = std::move(value);
+  if (departed_.size() > kMaxDepartedTargets) {
+    departed_.erase(std::min_element(departed_.begin(), departed_.end(),
+                                     [](const auto& a, const auto& b) {
+                                       return a.second.left < b.second.left;
+                                     }));
+  }
+}
+
+}  // namespace rosemaryreach
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -98,7 +98,9 @@
     return;
   }
   ++change.era->taken;
-  change.items.push_back({item, std::move(decoded)});
+  std::string departed =
+      known == nullptr ? "" : DepartedValue(known->item, decoded);
+  change.items.push_back({item, std::move(decoded), std::move(departed)});
 }
 
 void item_cache::TakeMissing(const cached_item& known, view_change& change) {
@@ -113,7 +115,22 @@
   decoded_item decoded = decode_(removed);
   Insert({removed, FingerprintOf(decoded), 0, removed.revision});
   ++change.era->missing;
-  change.items.push_back({removed, std::move(decoded)});
+  std::string departed = DepartedValue(known.item, decoded);
+  change.items.push_back({removed, std::move(decoded), std::move(departed)});
+}
+
+std::string item_cache::DepartedValue(const store_item& known,
+                                      const decoded_item& now) const {
+  if (known.key.empty() || known.deleted) {
+    return "";
+  }
+  const decoded_item before = decode_(known);
+  const target_item* target = std::get_if<target_item>(&before);
+  const target_item* present = std::get_if<target_item>(&now);
+  const bool continues = target == nullptr ||
+                         (present != nullptr && present->record.incarnation ==
+                                                    target->record.incarnation);
+  return continues ? "" : known.value;
 }
 
 void item_cache::KeepConfig(const cached_item& known, view_change& change) {
@@ -191,13 +208,14 @@
   const std::uint64_t fingerprint = FingerprintOf(decoded);
   const bool changes =
       cached.changed_revision == 0 || fingerprint != cached.fingerprint;
+  std::string departed = changes ? DepartedValue(cached.item, decoded) : "";
   cached.item = item;
   cached.fingerprint = fingerprint;
   cached.config_version = version;
   if (changes) {
     cached.changed_revision = item.revision;
     changed_ = std::max(changed_, store_cursor{cursor_.era, item.revision});
-    changed.push_back({item, std::move(decoded)});
+    changed.push_back({item, std::move(decoded), std::move(departed)});
   }
 }
 
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -1,5 +1,7 @@
 #include "rosemaryreach/packet_director.h"
 
+#include <utility>
+
 namespace rosemaryreach {
 namespace {
 
@@ -7,6 +9,9 @@
 // retransmission.
 constexpr duration kLateCopyTime = std::chrono::seconds(2);
 
+constexpr const char* kUnknownCookieRule = "unknown_cookie";
+constexpr const char* kDeadCookieRule = "cookie_of_no_target";
+
 // Returns the service of a new flow by the weights of the route. All
 // retransmissions of a first packet get the same one on every instance.
 const std::string& ServiceFor(const entry_route& route, const flow_key& flow) {
@@ -29,11 +34,13 @@
 packet_director::packet_director(const target_directory& directory,
                                  flow_tracker& tracker,
                                  const data_centre_reachability& reachability,
-                                 target_picker& picker)
+                                 target_picker& picker,
+                                 dead_cookie_hook is_dead_cookie)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
-      picker_(picker) {}
+      picker_(picker),
+      is_dead_cookie_(std::move(is_dead_cookie)) {}
 
 packet_decision packet_director::Direct(const flow_packet& packet,
                                         const view_freshness& freshness,
@@ -112,7 +119,7 @@
                                                 time_point now) {
   const target_index target = directory_.FindCookie(packet.cookie);
   if (target == kNoTarget) {
-    return {packet_verdict::kDrop, kNoTarget, 0, "unknown_cookie"};
+    return HandleUnknownCookie(packet, now);
   }
   const known_target& known = *directory_.Find(target);
   const char* why = ResetReason(packet, known, tracker_.StatusOf(target));
@@ -124,6 +131,24 @@
   return {packet_verdict::kForward, target, 0, "cookie"};
 }
 
+packet_decision packet_director::HandleUnknownCookie(const flow_packet& packet,
+                                                     time_point now) const {
+  // Asked for each packet, since the hook notes when a cookie was first seen.
+  const bool dead = is_dead_cookie_ && is_dead_cookie_(packet.cookie, now);
+  return dead && MayReset(packet)
+             ? packet_decision{packet_verdict::kReset, kNoTarget, 0,
+                               kDeadCookieRule}
+             : packet_decision{packet_verdict::kDrop, kNoTarget, 0,
+                               kUnknownCookieRule};
+}
+
+const char* packet_director::UnknownCookieRule(const entry_route* route,
+                                               bool view_trusted) const {
+  return view_trusted && route != nullptr && IsRetryable(route->address)
+             ? kDeadCookieRule
+             : kUnknownCookieRule;
+}
+
 flow_explanation packet_director::Explain(const flow_key& flow,
                                           const view_freshness& freshness,
                                           time_point now) const {
@@ -180,10 +205,7 @@
 const char* packet_director::ResetReason(const flow_packet& packet,
                                          const known_target& target,
                                          const target_status& status) const {
-  if (packet.data_bytes == 0 || packet.resets) {
-    return nullptr;
-  }
-  if (!IsRetryable(packet.flow.destination)) {
+  if (!MayReset(packet)) {
     return nullptr;
   }
   if (target.address_reused) {
@@ -192,6 +214,11 @@
   return Unreachable(status) ? "target_unreachable" : nullptr;
 }
 
+bool packet_director::MayReset(const flow_packet& packet) const {
+  return packet.data_bytes > 0 && !packet.resets &&
+         IsRetryable(packet.flow.destination);
+}
+
 bool packet_director::IsRetryable(const ipv4_endpoint& address) const {
   const entry_route* route = directory_.FindRoute(address);
   return route != nullptr && route->kind != request_kind::kNonIdempotent;
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -242,6 +242,35 @@
   return addresses[draw(random_)];
 }
 
+std::uint32_t peer_group::HistorySource(
+    std::span<const std::uint32_t> excluded) const {
+  std::uint32_t oldest = 0;
+  std::uint64_t oldest_started = self_.incarnation;
+  std::uint32_t other = 0;
+  std::uint64_t other_score = 0;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.summary.leaving || std::find(excluded.begin(), excluded.end(),
+                                          address) != excluded.end()) {
+      continue;
+    }
+    const std::uint64_t started = peer.summary.incarnation;
+    const bool older =
+        started + static_cast<std::uint64_t>(ToMillis(kStartSpread)) <=
+        self_.incarnation;
+    if (older && started < oldest_started) {
+      oldest = address;
+      oldest_started = started;
+    }
+    // Spreads the questions of instances that start together.
+    const std::uint64_t score = HashPair(self_.address, address);
+    if (other == 0 || score > other_score) {
+      other = address;
+      other_score = score;
+    }
+  }
+  return oldest != 0 ? oldest : other;
+}
+
 void peer_group::Tick(time_point now) {
   const duration timeout =
       small() ? kPeerTimeout
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -204,6 +204,12 @@
     }
     SetListing(target, target_listing::kGone, "started again", now);
   }
+  const target_index same = FindIncarnation(record);
+  if (same != kNoTarget) {
+    by_id_[record.id] = same;
+    Update(*targets_[same], record, now);
+    return;
+  }
   const target_index added = Add(record, now);
   report_({record.id,
            record.state == target_state::kActive ? "target_added"
@@ -212,6 +218,48 @@
   IndexAddress(added);
 }
 
+target_index target_directory::FindIncarnation(
+    const target_record& record) const {
+  const target_index index =
+      FindCookie(MakeCookie(record.id, record.incarnation));
+  if (index == kNoTarget) {
+    return kNoTarget;
+  }
+  const target_record& found = targets_[index]->record;
+  return found.id == record.id && found.incarnation == record.incarnation
+             ? index
+             : kNoTarget;
+}
+
+void target_directory::ApplyDeparted(const target_record& record,
+                                     duration age,
+                                     time_point now) {
+  if (age >= retention_ || FindIncarnation(record) != kNoTarget) {
+    return;
+  }
+  const auto newest = by_id_.find(record.id);
+  const bool has_newer =
+      newest != by_id_.end() &&
+      (targets_[newest->second]->listing != target_listing::kGone ||
+       targets_[newest->second]->record.incarnation > record.incarnation);
+  const target_index kept = has_newer ? newest->second : kNoTarget;
+  const target_index added = Add(record, now);
+  if (has_newer) {
+    by_id_[record.id] = kept;
+  }
+  known_target& target = *targets_[added];
+  target.listing = target_listing::kGone;
+  target.listing_changed = now - age;
+  // Listed targets were learned of later, whichever answer came first.
+  target.added = time_point{};
+  target.departed = true;
+  ++departed_;
+  report_({record.id, "target_departed",
+           DescribeTarget(record) + ", " + std::to_string(ToMillis(age)) +
+               " ms ago"});
+  IndexAddress(added);
+}
+
 target_index target_directory::Add(const target_record& record,
                                    time_point now) {
   known_target target;
@@ -230,6 +278,7 @@
   const target_index index = free_.back();
   free_.pop_back();
   target.cookie_conflict = !by_cookie_.emplace(target.cookie, index).second;
+  conflicts_ += target.cookie_conflict ? 1 : 0;
   targets_[index] = target;
   by_id_[record.id] = index;
   services_indexed_ = false;
@@ -255,6 +304,7 @@
     IndexAddress(index);
   }
   target.record = record;
+  departed_ -= std::exchange(target.departed, false) ? 1 : 0;
   SetListing(target, target_listing::kListed, "entry is back", now);
   services_indexed_ = false;
 }
@@ -429,6 +479,8 @@
     by_cookie_.erase(cookie);
   }
   UnindexAddress(index);
+  departed_ -= target.departed ? 1 : 0;
+  conflicts_ -= target.cookie_conflict ? 1 : 0;
   targets_[index].reset();
   free_.push_back(index);
   on_removed_(index);
--- a/src/entry/view_codec.cc
+++ b/src/entry/view_codec.cc
@@ -2,6 +2,7 @@
 // write any bytes; they deflate to a third of the size of base64 text.
 #include "rosemaryreach/view_codec.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <vector>
@@ -48,8 +49,65 @@
   return answer;
 }
 
+constexpr int kDepartedFormat = 1;
+constexpr std::size_t kDepartedMembers = 3;
+
+duration AgeFromJson(const json& value) {
+  // Bounds the number, so that times computed from it cannot overflow.
+  constexpr std::uint64_t kMaxAgeMs = 86'400'000;
+  return std::chrono::milliseconds(
+      std::min(value.get<std::uint64_t>(), kMaxAgeMs));
+}
+
+departed_item ToDepartedItem(const json& array) {
+  if (!array.is_array() || array.size() != kDepartedMembers) {
+    throw std::invalid_argument("departed target with a wrong form");
+  }
+  const json::binary_t& value = array.at(1).get_binary();
+  return {array.at(0).get<std::string>(),
+          std::string(value.begin(), value.end()), AgeFromJson(array.at(2))};
+}
+
+departed_answer ToDepartedAnswer(const json& array) {
+  if (!array.is_array() || array.size() != kDepartedMembers ||
+      array.at(0) != kDepartedFormat || !array.at(2).is_array()) {
+    throw std::invalid_argument("not departed targets of the supported format");
+  }
+  departed_answer answer;
+  answer.known_for = AgeFromJson(array.at(1));
+  for (const json& item : array.at(2)) {
+    answer.items.push_back(ToDepartedItem(item));
+  }
+  return answer;
+}
+
 }  // namespace
 
+std::string EncodeDeparted(const departed_answer& answer) {
+  json items = json::array();
+  for (const departed_item& item : answer.items) {
+    std::vector<std::uint8_t> value(item.value.begin(), item.value.end());
+    items.push_back(
+        json::array({item.key, json::binary(std::move(value)),
+                     std::max<std::int64_t>(ToMillis(item.age), 0)}));
+  }
+  std::string bytes;
+  json::to_cbor(
+      json::array({kDepartedFormat,
+                   std::max<std::int64_t>(ToMillis(answer.known_for), 0),
+                   std::move(items)}),
+      bytes);
+  return bytes;
+}
+
+result<departed_answer> DecodeDeparted(std::string_view bytes) {
+  try {
+    return ToDepartedAnswer(json::from_cbor(bytes));
+  } catch (const std::exception& wrong) {
+    return Fail(errc::kUnsupported, wrong.what());
+  }
+}
+
 std::string EncodeView(const store_answer& answer) {
   json items = json::array();
   for (const store_item& item : answer.items) {
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -34,7 +34,9 @@
           {"store_era", components.sync.cursor().era},
           {"store_revision", components.sync.cursor().revision},
           {"view_age_ms", ToMillis(components.sync.age())},
-          {"store_away", components.sync.store_unavailable()}};
+          {"store_away", components.sync.store_unavailable()},
+          {"departed_targets", components.directory.departed()},
+          {"unknown_cookies", components.unknown.size()}};
 }
 
 json TargetDocument(const entry_components& components,
@@ -85,6 +87,8 @@
   for (const rule_count& count : explanation.targets) {
     answer["targets"][count.rule] = count.targets;
   }
+  answer["unknown_cookie"] = components.director.UnknownCookieRule(
+      explanation.route, components.unknown.trusted());
   answer["followed"] = explanation.tracked == nullptr
                            ? json(nullptr)
                            : TrackedFlowDocument(*explanation.tracked, now);
--- a/src/entryd/entry_documents.h
+++ b/src/entryd/entry_documents.h
@@ -8,6 +8,7 @@
 #include "entryd/store_sync.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/unknown_cookies.h"
 
 namespace rosemaryreach {
 
@@ -19,6 +20,7 @@
   const flow_tracker& tracker;
   const target_picker& picker;
   const packet_director& director;
+  const unknown_cookies& unknown;
 };
 
 // Returns the version and age of the view, the state of the store and the
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -104,6 +104,10 @@
           settings,
           DecodeItem,
           [this](const view_change& change) { OnViewChanged(change); },
+          settings.bounds.flow_lifetime + kRetentionSlack,
+          [this](std::span<const departed_target> targets) {
+            OnTargetsDeparted(targets);
+          },
           log_,
           metrics_,
           seed,
@@ -118,7 +122,13 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
-      director_(directory_, tracker_, reachability_, picker_),
+      director_(directory_,
+                tracker_,
+                reachability_,
+                picker_,
+                [this](std::uint32_t cookie, time_point now) {
+                  return IsDeadCookie(cookie, now);
+                }),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -169,6 +179,7 @@
   hooks.items = [this](std::uint64_t era, std::uint64_t after) {
     return sync_.ItemsAfter({era, after});
   };
+  hooks.departed = [this] { return sync_.DepartedTargets(); };
   return hooks;
 }
 
@@ -254,6 +265,39 @@
   change_lines_left_ = kMaxChangeLines;
 }
 
+void entry_instance::OnTargetsDeparted(
+    std::span<const departed_target> targets) {
+  const time_point now = BootTimeNow();
+  change_lines_left_ = kMaxChangeLines;
+  for (const departed_target& target : targets) {
+    directory_.ApplyDeparted(target.record, target.age, now);
+  }
+  change_lines_left_ = kMaxChangeLines;
+}
+
+bool entry_instance::IsDeadCookie(std::uint32_t cookie, time_point now) {
+  UpdateUnknownCookies(now);
+  return unknown_cookies_.IsDead(cookie, now);
+}
+
+void entry_instance::UpdateUnknownCookies(time_point now) {
+  view_state view;
+  view.complete = directory_.complete();
+  view.store_unavailable = sync_.store_unavailable();
+  view.entries_may_be_missing = directory_.EntriesMayBeMissing(now);
+  view.holds_items = directory_.held_items() > 0;
+  view.cookies_conflict = directory_.cookies_conflict();
+  view.settled = !refreshing_after_pause_;
+  view.departed_known = sync_.departed().Known(now);
+  view.confirmed_at = sync_.synced_at();
+  const bool trusted_before = unknown_cookies_.trusted();
+  unknown_cookies_.Update(view, now);
+  if (unknown_cookies_.trusted() && !trusted_before) {
+    LogLifecycle("unknown_cookies_reset",
+                 "the view has listed all live targets long enough");
+  }
+}
+
 void entry_instance::StartForwarding(const char* reason) {
   if (!packet_forwarder_.receiving()) {
     packet_forwarder_.StartReceiving();
@@ -375,6 +419,7 @@
   directory_.Tick(sync_.store_unavailable(), now);
   suspect_prober_.Tick();
   sync_.Tick();
+  UpdateUnknownCookies(now);
   UpdateReachability(now);
   ConfirmReachability();
   FinishStopWhenDue(now);
@@ -388,6 +433,7 @@
   change_lines_left_ = kMaxChangeLines;
   sync_.LogPeers();
   tracker_.Sweep(BootTimeNow());
+  unknown_cookies_.Tick(settings_.bounds.flow_lifetime, BootTimeNow());
   log_.LogSkippedLines();
   CheckSettingsFile();
 }
@@ -399,13 +445,18 @@
   metrics_.store_era.Set(static_cast<std::int64_t>(sync_.cursor().era));
   metrics_.held_items.Set(static_cast<std::int64_t>(directory_.held_items()));
   metrics_.held_ms.Set(ToMillis(directory_.HeldFor(BootTimeNow())));
+  metrics_.departed_targets.Set(
+      static_cast<std::int64_t>(directory_.departed()));
+  metrics_.unknown_cookies.Set(
+      static_cast<std::int64_t>(unknown_cookies_.size()));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
   metrics_.flows.Set(static_cast<std::int64_t>(tracker_.size()));
   return registry_->PrometheusText();
 }
 
 entry_components entry_instance::Components() const {
-  return {settings_, sync_, directory_, tracker_, picker_, director_};
+  return {settings_, sync_,     directory_,      tracker_,
+          picker_,   director_, unknown_cookies_};
 }
 
 void entry_instance::LogLifecycle(const char* event,
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -18,6 +18,7 @@
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/unknown_cookies.h"
 
 namespace rosemaryreach {
 
@@ -55,6 +56,10 @@
   void ConfirmReachability();
   void StartForwarding(const char* reason);
   void OnViewChanged(const view_change& change);
+  void OnTargetsDeparted(std::span<const departed_target> targets);
+  // Returns whether no live target can have this unknown cookie.
+  bool IsDeadCookie(std::uint32_t cookie, time_point now);
+  void UpdateUnknownCookies(time_point now);
   void OnDirectoryChange(const directory_change& change);
   void OnTargetUnreachable(target_index target);
   void OnRequestStalled(const flow_key& key,
@@ -83,6 +88,7 @@
   suspect_prober suspect_prober_;
   store_sync sync_;
   target_picker picker_;
+  unknown_cookies unknown_cookies_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
   admin_server admin_;
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -27,8 +27,10 @@
   gauge& configuration_version;
   gauge& view_age_ms;
   gauge& store_era;
-  gauge& held_items;  // of a restored store, not trusted yet
-  gauge& held_ms;     // how long they are held
+  gauge& held_items;        // of a restored store, not trusted yet
+  gauge& held_ms;           // how long they are held
+  gauge& departed_targets;  // that left before this instance knew them
+  gauge& unknown_cookies;   // seen in packets lately
   gauge& peers;
   gauge& flows;
   // From the first packet of a flow to the caller's next one.
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -65,6 +65,8 @@
                        const entry_settings& settings,
                        item_decoder decode,
                        changed_hook on_changed,
+                       duration departed_retention,
+                       departed_sync::departed_hook on_departed,
                        entry_log& log,
                        entry_metrics& metrics,
                        std::uint64_t seed,
@@ -74,7 +76,7 @@
       on_changed_(std::move(on_changed)),
       log_(log),
       metrics_(metrics),
-      cache_(std::move(decode)),
+      cache_(decode),
       read_scheduler_(BootTimeNow(), settings.link_mbps, seed),
       peers_(SelfSummary(settings, clock_offset),
              SeedAddresses(settings),
@@ -82,6 +84,13 @@
              [this](std::uint32_t address, const char* outcome) {
                OnPeerChange(address, outcome);
              }),
+      departed_(loop,
+                peers_,
+                settings.control_endpoint.port,
+                std::move(decode),
+                departed_retention,
+                std::move(on_departed),
+                log),
       store_client_(
           std::make_unique<store_client>(loop, settings.store_endpoint)),
       started_(BootTimeNow()),
@@ -130,6 +139,9 @@
   const time_point now = BootTimeNow();
   peers_.Tick(now);
   PurgeTombstones(now);
+  if (cache_.has_view()) {
+    departed_.Tick(now);
+  }
   const bool unavailable = read_scheduler_.listed() && store_unavailable();
   if (unavailable != std::exchange(store_was_unavailable_, unavailable)) {
     LogStore(unavailable ? "store_lost" : "store_regained",
@@ -162,6 +174,17 @@
              : std::nullopt;
 }
 
+std::optional<std::string> store_sync::DepartedTargets() {
+  if (!cache_.has_view()) {
+    return std::nullopt;
+  }
+  const time_point now = BootTimeNow();
+  const std::string& answer = departed_.Answer(now);
+  return budget_.TrySpend(answer.size(), now)
+             ? std::optional<std::string>(answer)
+             : std::nullopt;
+}
+
 void store_sync::ScheduleRead() {
   if (reading_ || (PullInProgress() && !read_scheduler_.listed())) {
     return;
@@ -298,6 +321,9 @@
   }
   if (change.era || !change.items.empty()) {
     on_changed_(change);
+    const time_point now = BootTimeNow();
+    departed_.Apply(change, now);
+    departed_.Tick(now);
   }
 }
 
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -12,6 +12,7 @@
 
 #include "adapters/event_loop.h"
 #include "adapters/udp_socket.h"
+#include "entryd/departed_sync.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
 #include "rosemaryreach/entry_types.h"
@@ -28,11 +29,14 @@
   // Called with the changes of one answer.
   using changed_hook = std::function<void(const view_change&)>;
 
-  // `clock_offset` is added to the wall clock.
+  // Targets that left are kept for `departed_retention`; `on_departed` gets
+  // those learned from peers. `clock_offset` is added to the wall clock.
   store_sync(event_loop& loop,
              const entry_settings& settings,
              item_decoder decode,
              changed_hook on_changed,
+             duration departed_retention,
+             departed_sync::departed_hook on_departed,
              entry_log& log,
              entry_metrics& metrics,
              std::uint64_t seed,
@@ -61,6 +65,11 @@
   // The last answer is cached, since many peers ask the same after a change.
   std::optional<std::string> ItemsAfter(store_cursor cursor);
 
+  // Returns the targets that left recently, deflated, for a peer that has
+  // started; nothing without a view or while the bandwidth budget is used up.
+  std::optional<std::string> DepartedTargets();
+
+  const departed_sync& departed() const { return departed_; }
   const peer_group& peers() const { return peers_; }
   time_point synced_at() const { return read_scheduler_.synced_at(); }
   duration age() const { return BootTimeNow() - read_scheduler_.synced_at(); }
@@ -112,6 +121,7 @@
   item_cache cache_;
   store_read_scheduler read_scheduler_;
   peer_group peers_;
+  departed_sync departed_;
   std::optional<udp_socket> socket_;
   std::unique_ptr<descriptor_watch> watch_;
   receive_batch received_;
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -53,6 +53,72 @@
   CHECK(fixture.testbed().violations().empty());
 }
 
+// Flows of targets that lost power, whose callers send their next request when
+// `next_request` ms have passed.
+struct idle_flows {
+  idle_flows(entry_path_fixture& fixture, std::int64_t next_request) {
+    entry_testbed& testbed = fixture.testbed();
+    for (std::size_t i = 0; i < kFlows; ++i) {
+      testbed.OpenCall(
+          {0xC6120001, 8443}, {"ledger watch 1", "ledger watch 2"},
+          [this](const call_report& report) { ++outcomes[report.outcome]; },
+          std::chrono::milliseconds(next_request));
+    }
+    REQUIRE(fixture.RunUntil(
+        [&] { return outcomes[call_outcome::kAnswered] == kFlows; }));
+  }
+
+  static void ReplaceTargets(entry_path_fixture& fixture, bool same_address) {
+    std::vector<std::string> ids;
+    for (const auto& [id, target] : fixture.testbed().targets()) {
+      if (target->options().service == "ledger") {
+        ids.push_back(id);
+      }
+    }
+    for (const std::string& id : ids) {
+      fixture.testbed().ReplaceTarget(id, same_address);
+    }
+  }
+
+  static constexpr std::size_t kFlows = 40;
+  std::map<call_outcome, std::size_t> outcomes;
+};
+
+// An instance that started after the targets had left dropped the packets of
+// their flows, and callers waited for their timeouts.
+TEST_CASE("A new instance learns which targets left, and resets their flows") {
+  entry_path_fixture fixture(2);
+  entry_testbed& testbed = fixture.testbed();
+  fixture.Start(0);
+  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 1; }));
+  idle_flows flows(fixture, 3'000);
+  idle_flows::ReplaceTargets(fixture, true);
+  REQUIRE(fixture.RunUntil([&] {
+    return !fixture.FindLogLine(0, {{"outcome", "address_reused"}}).is_null();
+  }));
+  fixture.Start(1);
+  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 2; }));
+  REQUIRE(fixture.RunUntil([&] { return testbed.open_flows() == 0; }));
+  CHECK(flows.outcomes[call_outcome::kReset] == idle_flows::kFlows);
+  CHECK_FALSE(fixture.FindLogLine(1, {{"rule", "target_replaced"}}).is_null());
+}
+
+// If all instances have restarted, none knows the targets that left.
+TEST_CASE("Flows of targets that no instance knows are reset in the end") {
+  entry_path_fixture fixture(1);
+  entry_testbed& testbed = fixture.testbed();
+  fixture.Start(0);
+  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 1; }));
+  idle_flows flows(fixture, 5'000);
+  fixture.Stop(0);
+  idle_flows::ReplaceTargets(fixture, false);
+  fixture.Start(0);
+  REQUIRE(fixture.RunUntil([&] { return testbed.open_flows() == 0; }));
+  CHECK(flows.outcomes[call_outcome::kReset] == idle_flows::kFlows);
+  CHECK_FALSE(
+      fixture.FindLogLine(0, {{"rule", "cookie_of_no_target"}}).is_null());
+}
+
 TEST_CASE("An instance without a view serves none to peers") {
   entry_path_fixture fixture(1);
   fixture.testbed().store().SetFault(store_fault::kSilent);
--- a/tests/packet_director_test.cc
+++ b/tests/packet_director_test.cc
@@ -49,6 +49,31 @@
   CHECK(decision.verdict == packet_verdict::kDrop);
 }
 
+// Callers would wait for their timeouts after all instances have restarted; but
+// a request that must not be repeated may have run.
+TEST_CASE("A dead cookie resets only flows whose requests may be retried") {
+  entry_fixture fixture;
+  fixture.Add(Target("l1", 1));
+  bool dead = false;
+  packet_director director(fixture.directory, fixture.tracker,
+                           fixture.reachability, fixture.picker,
+                           [&dead](std::uint32_t cookie, time_point) {
+                             return dead && cookie == 12'345;
+                           });
+  const auto rule = [&](const ipv4_endpoint& to, std::uint16_t bytes) {
+    return std::string(
+        director
+            .Direct(LaterPacket(Flow(1, to), 12'345, 1'001, 5'001, bytes),
+                    fixture.freshness, At(1))
+            .rule);
+  };
+  CHECK(rule(kWatchAddress, 100) == "unknown_cookie");
+  dead = true;
+  CHECK(rule(kWatchAddress, 100) == "cookie_of_no_target");
+  CHECK(rule(kWatchAddress, 0) == "unknown_cookie");
+  CHECK(rule(kBookAddress, 100) == "unknown_cookie");
+}
+
 TEST_CASE("A retransmitted first packet tries another target") {
   entry_fixture fixture;
   fixture.Add(Target("l1", 1));
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -413,5 +413,27 @@
   }
 }
 
+// Instances that start together know no more than each other, so the questions
+// about departed targets must not all go to one of them.
+TEST_CASE("The longest-running peer is asked first, else any") {
+  peer_summary self = Summary(10);
+  self.incarnation = 10'000;
+  peer_group group(self, {}, 1, [](std::uint32_t, const char*) {});
+  CHECK(group.HistorySource({}) == 0);
+  beacon heard;
+  heard.from = Summary(11);
+  heard.from.incarnation = 9'000;
+  group.ApplyBeacon(heard, At(0));
+  CHECK(group.HistorySource({}) == 11);
+  for (const std::uint32_t address : {12U, 13U}) {
+    heard.from = Summary(address);
+    heard.from.incarnation = 8'000 - address;
+    group.ApplyBeacon(heard, At(0));
+  }
+  CHECK(group.HistorySource({}) == 13);
+  CHECK(group.HistorySource(std::vector<std::uint32_t>{13}) == 12);
+  CHECK(group.HistorySource(std::vector<std::uint32_t>{11, 12, 13}) == 0);
+}
+
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -99,11 +99,17 @@
   // Adds a target; returns its id.
   std::string AddTarget(const std::string& service,
                         const std::string& data_centre) {
+    return AddTarget(service, data_centre,
+                     {UniqueLoopbackAddress(), kTargetPort});
+  }
+  std::string AddTarget(const std::string& service,
+                        const std::string& data_centre,
+                        const endpoint& address) {
     entry_target_options options;
     options.id = "i-" + std::to_string(100'000 + ++targets_added_);
     options.service = service;
     options.data_centre = data_centre;
-    options.address = {UniqueLoopbackAddress(), kTargetPort};
+    options.address = address;
     options.caller_port = kPacketPort;
     targets_[options.id] = std::make_unique<entry_target>(
         loop_, *store_, options,
@@ -120,6 +126,16 @@
     targets_.erase(id);
   }
 
+  // Has a target lose power and its entry expire. Another one with a new id
+  // starts, at the same address if `same_address`.
+  void ReplaceTarget(const std::string& id, bool same_address) {
+    const entry_target_options old = targets_.at(id)->options();
+    RemoveTarget(id);
+    AddTarget(old.service, old.data_centre,
+              same_address ? old.address
+                           : endpoint{UniqueLoopbackAddress(), kTargetPort});
+  }
+
   void Evacuate(const std::string& data_centre, bool out) {
     const std::string key = "op/evacuate/" + data_centre;
     if (out) {
@@ -163,9 +179,9 @@
   // Opens a flow whose calls are reported to `report`; returns its key.
   flow_key OpenCall(const ipv4_endpoint& to,
                     std::vector<std::string> requests,
-                    entry_flow::report_hook report) {
-    return callers_[0]->Open(to, std::move(requests),
-                             std::chrono::milliseconds(50), std::move(report));
+                    entry_flow::report_hook report,
+                    duration pause = std::chrono::milliseconds(50)) {
+    return callers_[0]->Open(to, std::move(requests), pause, std::move(report));
   }
 
   endpoint ControlAddress(std::size_t i) const {
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -126,6 +126,62 @@
   }
 }
 
+// An instance that starts learns of the dead target from a peer, after the
+// listed ones; its flows would wait for their timeouts.
+TEST_CASE("A listed target has replaced a departed one at its address") {
+  entry_fixture fixture;
+  fixture.Add(Successor(), At(5'000));
+  target_directory& directory = fixture.directory;
+  directory.ApplyDeparted(Dead(), std::chrono::seconds(70), At(6'000));
+  const target_index dead = directory.FindCookie(MakeCookie("l2", 1'000));
+  REQUIRE(dead != kNoTarget);
+  CHECK(directory.Find(dead)->address_reused);
+  CHECK(directory.TargetsOf("ledger").empty());
+  directory.Tick(false, At(11'000));
+  CHECK(directory.Find(dead) == nullptr);
+}
+
+// A wrong clock must not have a live target's flows reset.
+TEST_CASE("A departed target replaces no listed one") {
+  entry_fixture fixture;
+  const target_index live = fixture.Add(Dead(), At(5'000));
+  fixture.directory.ApplyDeparted(Successor(), {}, At(6'000));
+  CHECK_FALSE(fixture.directory.Find(live)->address_reused);
+}
+
+TEST_CASE("A departed target whose entry returns is listed, without conflict") {
+  for (const bool restored : {false, true}) {
+    entry_fixture fixture;
+    if (restored) {
+      // A store that was restored lists the former incarnation.
+      fixture.Add(Target("l2", 1));
+    }
+    fixture.directory.ApplyDeparted(Dead(), std::chrono::seconds(1), At(1'000));
+    CHECK(fixture.directory.departed() == 1);
+    CHECK(fixture.directory.complete() == restored);
+    const target_index back = fixture.Add(Dead(), At(2'000));
+    CHECK(fixture.directory.Find(back)->listing == target_listing::kListed);
+    CHECK_FALSE(fixture.directory.cookies_conflict());
+    CHECK(fixture.directory.departed() == 0);
+    CHECK(fixture.directory.TargetsOf("ledger").size() == 1);
+  }
+}
+
+TEST_CASE("The former incarnation of a listed target keeps its flows") {
+  entry_fixture fixture;
+  target_record now = Target("l1", 1);
+  now.incarnation = 2;
+  fixture.Add(now);
+  fixture.directory.ApplyDeparted(Target("l1", 1), {}, At(0));
+  const target_index before = fixture.directory.FindCookie(MakeCookie("l1", 1));
+  REQUIRE(before != kNoTarget);
+  CHECK(fixture.directory.Find(before)->address_reused);
+  CHECK(fixture.directory.TargetsOf("ledger").size() == 1);
+  // What is listed is no departed target, whatever a peer says.
+  fixture.directory.ApplyDeparted(now, {}, At(0));
+  CHECK(fixture.directory.departed() == 1);
+}
+
 TEST_CASE("A target replaced twice stays replaced when its successor leaves") {
   entry_fixture fixture;
   const target_index dead = fixture.Add(Dead());
--- a/tests/view_codec_test.cc
+++ b/tests/view_codec_test.cc
@@ -38,5 +38,21 @@
   }
 }
 
+TEST_CASE("Departed targets keep arbitrary bytes, and bad input is refused") {
+  const departed_answer answer{
+      {{"a", std::string("\0\xff{", 3), std::chrono::milliseconds(1'234)}},
+      std::chrono::seconds(9)};
+  const std::string whole = EncodeDeparted(answer);
+  const result<departed_answer> read = DecodeDeparted(whole);
+  REQUIRE(read);
+  CHECK(read.value().items == answer.items);
+  CHECK(read.value().known_for == answer.known_for);
+  for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+    CHECK_FALSE(DecodeDeparted(whole.substr(0, bytes)));
+  }
+  CHECK(rc::check(
+      [](const std::string& bytes) { RC_ASSERT(!DecodeDeparted(bytes)); }));
+}
+
 }  // namespace
 }  // namespace rosemaryreach
