Handle waiting packets when a stop ends, and end before the kill

Packets in the socket were lost when a planned stop ended: the event loop ends with its present events, and more arrived while the log was written. Packets that had been read were not affected, as each batch is sent at once. They are now handled after the loop and after the log.

The grace period was counted from when the signal was read. A process that waited for the processor between the signal and then, or whose last timer was late by more than the 0.7 s kept in reserve less 0.3 s for the last tick and the log, was still there when the period ended. Found by reading; continuous traffic does not delay timers, since at most 16 batches are read at once, and the log is given up after 0.2 s. The period now counts from the last tick before the signal was read, and late timers bring the end forward.

--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -37,13 +37,9 @@
 constexpr duration kRefreshTimeout = std::chrono::milliseconds(400);
 // An older view may lack a route that callers already use.
 constexpr duration kMaxRecentViewAge = std::chrono::seconds(2);
-// Routers stop sending to an instance after two failed readiness probes, 500 ms
-// apart.
-constexpr duration kRouterRemovalTime = std::chrono::milliseconds(2'000);
-// After this time without a packet, none is in flight.
-constexpr duration kQuietPeriod = std::chrono::milliseconds(1'200);
-// The process ends this long before its grace period does in any case.
-constexpr duration kKillMargin = std::chrono::milliseconds(700);
+// Limit for the packets that wait in the socket at the end of a stop; reading a
+// full buffer takes a fraction of it on a core of its own.
+constexpr duration kLastPacketsTime = std::chrono::milliseconds(50);
 // A target that is gone is kept for the lifetime of flows plus this margin.
 constexpr duration kRetentionSlack = std::chrono::seconds(15);
 
@@ -222,6 +218,7 @@
 
 void entry_instance::DetectLateness(time_point now) {
   const duration late = now - std::exchange(last_tick_, now) - kTickPeriod;
+  stop_schedule_.OnTimer(late, now);
   if (late < kLateThreshold) {
     return;
   }
@@ -362,7 +359,7 @@
 
 void entry_instance::BeginStop() {
   stopping_ = true;
-  stop_began_ = BootTimeNow();
+  stop_schedule_.Begin(last_tick_, BootTimeNow());
   LogLifecycle("stopping",
                "not ready; forwarding until no more packets arrive");
   sync_.AnnounceLeaving();
@@ -372,16 +369,20 @@
   if (!stopping_) {
     return;
   }
-  const duration since = now - stop_began_;
-  const bool quiet = since >= kRouterRemovalTime &&
-                     now - packet_forwarder_.last_packet() >= kQuietPeriod;
-  if (quiet || since >= settings_.bounds.grace_period - kKillMargin) {
-    LogLifecycle("stopped", quiet ? "no more packets arrive"
-                                  : "the grace period is nearly over");
+  const stop_verdict verdict = stop_schedule_.Check(
+      settings_.bounds.grace_period, packet_forwarder_.last_packet(), now);
+  if (verdict != stop_verdict::kServe) {
+    LogLifecycle("stopped", verdict == stop_verdict::kQuiet
+                                ? "no more packets arrive"
+                                : "the grace period is nearly over");
     loop_.Stop();
   }
 }
 
+void entry_instance::HandleWaitingPackets() {
+  packet_forwarder_.HandleWaiting(BootTimeNow() + kLastPacketsTime);
+}
+
 void entry_instance::Reload(const char* reason) {
   const result<entry_settings> loaded =
       LoadEntrySettings(options_.settings_file);
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -18,6 +18,7 @@
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/stop_schedule.h"
 #include "rosemaryreach/unknown_cookies.h"
 
 namespace rosemaryreach {
@@ -41,6 +42,10 @@
   // Serves until a graceful stop has ended or Stop() is called.
   void Run() { loop_.Run(); }
 
+  // Handles the packets that wait in the socket, after Run() has returned. They
+  // would be lost with the process.
+  void HandleWaitingPackets();
+
   // Makes Run() return without a graceful stop. Thread-safe.
   void Stop() { loop_.Stop(); }
 
@@ -105,7 +110,7 @@
   bool was_ready_ = false;
   bool reach_confirmed_ = false;       // a target was reached since the start
   std::size_t change_lines_left_ = 0;  // for the current batch of changes
-  time_point stop_began_{};
+  stop_schedule stop_schedule_;
   std::mt19937_64 random_;
   std::int64_t settings_mtime_ = 0;  // modification time, Unix nanoseconds
 };
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -22,6 +22,8 @@
 // Time limit for writing the last log lines at exit; a live reader needs a few
 // milliseconds.
 constexpr std::chrono::milliseconds kLogFlushTimeout(200);
+// For the lines on packets that arrived meanwhile.
+constexpr std::chrono::milliseconds kLastLinesTimeout(20);
 
 enum exit_code : int { kOk = 0, kFailed = 1, kInvalidInput = 2 };
 
@@ -126,7 +128,13 @@
     return kFailed;
   }
   instance.Run();
-  if (!writer.Flush(kLogFlushTimeout)) {
+  // The event loop ends with packets unread, and more arrive while the log is
+  // written. Their lines get no time of their own, so that the process ends
+  // within its grace period.
+  instance.HandleWaitingPackets();
+  const bool flushed = writer.Flush(kLogFlushTimeout);
+  instance.HandleWaitingPackets();
+  if (!flushed || !writer.Flush(kLastLinesTimeout)) {
     // Nothing reads the output, so the destructor of the writer would block
     // forever.
     std::_Exit(kOk);
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -50,24 +50,30 @@
 }
 
 void packet_forwarder::OnPackets() {
-  for (int i = 0; i < kMaxBatchesPerWake; ++i) {
-    const std::span<const datagram> received = received_.Receive(socket_->fd());
-    if (received.empty()) {
-      return;
-    }
-    const view_freshness freshness = check_freshness_();
-    const time_point now = BootTimeNow();
-    last_packet_ = now;
-    for (const datagram& incoming : received) {
-      Handle(incoming.bytes, freshness, now);
-    }
-    send_batch_->Flush();
-    if (received.size() < kBatchDatagrams) {
-      return;
-    }
+  for (int i = 0; i < kMaxBatchesPerWake && HandleBatch(); ++i) {
+  }
+}
+
+void packet_forwarder::HandleWaiting(time_point until) {
+  while (BootTimeNow() < until && HandleBatch()) {
   }
 }
 
+bool packet_forwarder::HandleBatch() {
+  const std::span<const datagram> received = received_.Receive(socket_->fd());
+  if (received.empty()) {
+    return false;
+  }
+  const view_freshness freshness = check_freshness_();
+  const time_point now = BootTimeNow();
+  last_packet_ = now;
+  for (const datagram& incoming : received) {
+    Handle(incoming.bytes, freshness, now);
+  }
+  send_batch_->Flush();
+  return received.size() == kBatchDatagrams;
+}
+
 void packet_forwarder::ResetWaitingFlows(target_index target) {
   const packet_decision decision{packet_verdict::kReset, target, 0,
                                  "target_unreachable"};
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -32,6 +32,9 @@
   void StartReceiving();
   bool receiving() const { return watch_ != nullptr; }
 
+  // Handles the packets that wait in the socket, until `until` at the latest.
+  void HandleWaiting(time_point until);
+
   // Resets the flows that wait for an answer of the unreachable `target`.
   void ResetWaitingFlows(target_index target);
 
@@ -40,6 +43,8 @@
 
  private:
   void OnPackets();
+  // Reads and handles one batch; returns whether there may be more.
+  bool HandleBatch();
   void Handle(std::span<std::uint8_t> bytes,
               const view_freshness& freshness,
               time_point now);
--- a/tests/entry_process_test.cc
+++ b/tests/entry_process_test.cc
@@ -48,6 +48,7 @@
     });
   }
 
+  event_loop& loop() { return loop_; }
   entry_testbed& testbed() { return testbed_; }
   entry_process& process() { return *process_; }
   std::string log() const { return log_ + ".1.log"; }
@@ -89,6 +90,54 @@
   CHECK(fixture.testbed().violations().empty());
 }
 
+// Packets in the buffer of the socket were lost with the process, for example
+// when it waited for the processor as its grace period ended.
+TEST_CASE("Packets that wait when the grace period ends are forwarded") {
+  constexpr std::uint16_t kFlows = 3'000;
+  process_fixture fixture("log");
+  fixture.Start();
+  udp_socket sender =
+      std::move(udp_socket::Bind({UniqueLoopbackAddress(), 0},
+                                 port_sharing::kExclusive, 1'000'000)
+                    .value());
+  endpoint to = fixture.testbed().ControlAddress(0);
+  to.port = kPacketPort;
+  const auto open = [&](std::uint16_t port) {
+    wire_packet packet;
+    packet.flags = kWireSyn;
+    packet.from_address = 0x7F000001;
+    packet.from_port = port;
+    packet.to_address = 0xC6120001;
+    packet.to_port = 8443;
+    SendTo(sender.fd(), to, EncodeWirePacket(packet, {}));
+  };
+  const auto run_for = [&](std::int64_t ms) {
+    const time_point end = MonotonicNow() + std::chrono::milliseconds(ms);
+    loop_timer tick(fixture.loop(), [] {});
+    tick.StartEvery(std::chrono::milliseconds(5));
+    fixture.Until([&] { return MonotonicNow() >= end; });
+  };
+  fixture.process().Signal(SIGTERM);
+  for (int i = 0; i < 49; ++i) {  // keeps the instance from ending early
+    open(1);
+    run_for(100);
+  }
+  fixture.process().Signal(SIGSTOP);
+  for (std::uint16_t port = 1; port <= kFlows; ++port) {
+    open(port);
+  }
+  run_for(500);
+  fixture.process().Signal(SIGCONT);
+  REQUIRE(fixture.Until([&] { return fixture.process().Ended(); }));
+  run_for(200);
+  CHECK_FALSE(fixture.process().ended_abnormally());
+  std::size_t flows = 0;
+  for (const auto& [id, target] : fixture.testbed().targets()) {
+    flows += target->flows();
+  }
+  CHECK(flows == kFlows);
+}
+
 TEST_CASE("Malformed datagrams do not end the process") {
   process_fixture fixture("log");
   fixture.Start();
