--- a/src/entryd/entry_documents.h
+++ b/src/entryd/entry_documents.h
@@ -9,6 +9,7 @@
 #include "entryd/store_sync.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
+#include "rosemaryreach/unknown_cookies.h"
 
 namespace rosemaryreach {
 
@@ -21,6 +22,7 @@
   const target_picker& picker;
   const packet_director& director;
   const load_sync& load;
+  const unknown_cookies& unknown;
 };
 
 // Returns the version and age of the view, the state of the store and the
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -39,13 +39,9 @@
 constexpr duration kRefreshTimeout = std::chrono::milliseconds(400);
 // An older view may lack a route that callers already use.
 constexpr duration kMaxRecentViewAge = std::chrono::seconds(2);
-// Routers stop sending to an instance after two failed readiness probes, 500 ms
-// apart.
-constexpr duration kRouterRemovalTime = std::chrono::milliseconds(2'000);
-// After this time without a packet, none is in flight.
-constexpr duration kQuietPeriod = std::chrono::milliseconds(1'200);
-// The process ends this long before its grace period does in any case.
-constexpr duration kKillMargin = std::chrono::milliseconds(700);
+// Limit for the packets that wait in the socket at the end of a stop; reading a
+// full buffer takes a fraction of it on a core of its own.
+constexpr duration kLastPacketsTime = std::chrono::milliseconds(50);
 // A target that is gone is kept for the lifetime of flows plus this margin.
 constexpr duration kRetentionSlack = std::chrono::seconds(15);
 
@@ -117,6 +113,10 @@
           settings,
           DecodeItem,
           [this](const view_change& change) { OnViewChanged(change); },
+          settings.bounds.flow_lifetime + kRetentionSlack,
+          [this](std::span<const departed_target> targets) {
+            OnTargetsDeparted(targets);
+          },
           log_,
           metrics_,
           seed,
@@ -161,9 +161,12 @@
                 tracker_,
                 reachability_,
                 picker_,
-                [this](const std::string& service) {
-                  load_sync_.OnOffered(service);
-                }),
+                {[this](const std::string& service) {
+                   load_sync_.OnOffered(service);
+                 },
+                 [this](std::uint32_t cookie, time_point now) {
+                   return IsDeadCookie(cookie, now);
+                 }}),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -218,6 +221,7 @@
   hooks.items = [this](std::uint64_t era, std::uint64_t after) {
     return sync_.ItemsAfter({era, after});
   };
+  hooks.departed = [this] { return sync_.DepartedTargets(); };
   return hooks;
 }
 
@@ -260,6 +264,7 @@
 
 void entry_instance::DetectLateness(time_point now) {
   const duration late = now - std::exchange(last_tick_, now) - kTickPeriod;
+  stop_schedule_.OnTimer(late, now);
   if (late < kLateThreshold) {
     return;
   }
@@ -312,6 +317,39 @@
   change_lines_left_ = kMaxChangeLines;
 }
 
+void entry_instance::OnTargetsDeparted(
+    std::span<const departed_target> targets) {
+  const time_point now = BootTimeNow();
+  change_lines_left_ = kMaxChangeLines;
+  for (const departed_target& target : targets) {
+    directory_.ApplyDeparted(target.record, target.age, now);
+  }
+  change_lines_left_ = kMaxChangeLines;
+}
+
+bool entry_instance::IsDeadCookie(std::uint32_t cookie, time_point now) {
+  UpdateUnknownCookies(now);
+  return unknown_cookies_.IsDead(cookie, now);
+}
+
+void entry_instance::UpdateUnknownCookies(time_point now) {
+  view_state view;
+  view.complete = directory_.complete();
+  view.store_unavailable = sync_.store_unavailable();
+  view.entries_may_be_missing = directory_.EntriesMayBeMissing(now);
+  view.holds_items = directory_.held_items() > 0;
+  view.cookies_conflict = directory_.cookies_conflict();
+  view.settled = !refreshing_after_pause_;
+  view.departed_known = sync_.departed().Known(now);
+  view.confirmed_at = sync_.synced_at();
+  const bool trusted_before = unknown_cookies_.trusted();
+  unknown_cookies_.Update(view, now);
+  if (unknown_cookies_.trusted() && !trusted_before) {
+    LogLifecycle("unknown_cookies_reset",
+                 "the view has listed all live targets long enough");
+  }
+}
+
 void entry_instance::StartForwarding(const char* reason) {
   if (!packet_forwarder_.receiving()) {
     packet_forwarder_.StartReceiving();
@@ -430,7 +468,7 @@
 
 void entry_instance::BeginStop() {
   stopping_ = true;
-  stop_began_ = BootTimeNow();
+  stop_schedule_.Begin(last_tick_, BootTimeNow());
   LogLifecycle("stopping",
                "not ready; forwarding until no more packets arrive");
   sync_.AnnounceLeaving();
@@ -440,16 +478,20 @@
   if (!stopping_) {
     return;
   }
-  const duration since = now - stop_began_;
-  const bool quiet = since >= kRouterRemovalTime &&
-                     now - packet_forwarder_.last_packet() >= kQuietPeriod;
-  if (quiet || since >= settings_.bounds.grace_period - kKillMargin) {
-    LogLifecycle("stopped", quiet ? "no more packets arrive"
-                                  : "the grace period is nearly over");
+  const stop_verdict verdict = stop_schedule_.Check(
+      settings_.bounds.grace_period, packet_forwarder_.last_packet(), now);
+  if (verdict != stop_verdict::kServe) {
+    LogLifecycle("stopped", verdict == stop_verdict::kQuiet
+                                ? "no more packets arrive"
+                                : "the grace period is nearly over");
     loop_.Stop();
   }
 }
 
+void entry_instance::HandleWaitingPackets() {
+  packet_forwarder_.HandleWaiting(BootTimeNow() + kLastPacketsTime);
+}
+
 void entry_instance::Reload(const char* reason) {
   const result<entry_settings> loaded =
       LoadEntrySettings(options_.settings_file);
@@ -489,6 +531,7 @@
   suspect_prober_.Tick();
   UpdatePlacement(now);
   sync_.Tick();
+  UpdateUnknownCookies(now);
   UpdateReachability(now);
   ConfirmReachability();
   FinishStopWhenDue(now);
@@ -505,6 +548,7 @@
   load_sync_.OnSecond();
   tracker_.Sweep(BootTimeNow());
   times_.Sweep(BootTimeNow());
+  unknown_cookies_.Tick(settings_.bounds.flow_lifetime, BootTimeNow());
   log_.LogSkippedLines();
   CheckSettingsFile();
 }
@@ -516,6 +560,10 @@
   metrics_.store_era.Set(static_cast<std::int64_t>(sync_.cursor().era));
   metrics_.held_items.Set(static_cast<std::int64_t>(directory_.held_items()));
   metrics_.held_ms.Set(ToMillis(directory_.HeldFor(BootTimeNow())));
+  metrics_.departed_targets.Set(
+      static_cast<std::int64_t>(directory_.departed()));
+  metrics_.unknown_cookies.Set(
+      static_cast<std::int64_t>(unknown_cookies_.size()));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
   load_sync_.UpdateMetrics();
   metrics_.spilled_flows.Set(
@@ -526,7 +574,7 @@
 
 entry_components entry_instance::Components() const {
   return {settings_, sync_,     directory_, tracker_,
-          picker_,   director_, load_sync_};
+          picker_,   director_, load_sync_, unknown_cookies_};
 }
 
 void entry_instance::LogLifecycle(const char* event,
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -21,7 +21,9 @@
 #include "rosemaryreach/outlier_detector.h"
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/shared_load.h"
+#include "rosemaryreach/stop_schedule.h"
 #include "rosemaryreach/suspicion_accuracy.h"
+#include "rosemaryreach/unknown_cookies.h"
 
 namespace rosemaryreach {
 
@@ -44,6 +46,10 @@
   // Serves until a graceful stop has ended or Stop() is called.
   void Run() { loop_.Run(); }
 
+  // Handles the packets that wait in the socket, after Run() has returned. They
+  // would be lost with the process.
+  void HandleWaitingPackets();
+
   // Makes Run() return without a graceful stop. Thread-safe.
   void Stop() { loop_.Stop(); }
 
@@ -59,6 +65,10 @@
   void ConfirmReachability();
   void StartForwarding(const char* reason);
   void OnViewChanged(const view_change& change);
+  void OnTargetsDeparted(std::span<const departed_target> targets);
+  // Returns whether no live target can have this unknown cookie.
+  bool IsDeadCookie(std::uint32_t cookie, time_point now);
+  void UpdateUnknownCookies(time_point now);
   void OnDirectoryChange(const directory_change& change);
   void OnAnswer(const flow_key& key,
                 target_index target,
@@ -103,6 +113,7 @@
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   target_picker picker_;
+  unknown_cookies unknown_cookies_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
   admin_server admin_;
@@ -120,7 +131,7 @@
   bool was_ready_ = false;
   bool reach_confirmed_ = false;       // a target was reached since the start
   std::size_t change_lines_left_ = 0;  // for the current batch of changes
-  time_point stop_began_{};
+  stop_schedule stop_schedule_;
   std::mt19937_64 random_;
   std::int64_t settings_mtime_ = 0;  // modification time, Unix nanoseconds
 };
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -145,6 +145,16 @@
     }
   }
 
+  // Has a target lose power and its entry expire. Another one with a new id
+  // starts, at the same address if `same_address`.
+  void ReplaceTarget(const std::string& id, bool same_address) {
+    const entry_target_options old = targets_.at(id)->options();
+    RemoveTarget(id);
+    AddTarget(old.service, old.data_centre,
+              same_address ? old.address
+                           : endpoint{UniqueLoopbackAddress(), kTargetPort});
+  }
+
   void Evacuate(const std::string& data_centre, bool out) {
     const std::string key = "op/evacuate/" + data_centre;
     if (out) {
@@ -188,9 +198,9 @@
   // Opens a flow whose calls are reported to `report`; returns its key.
   flow_key OpenCall(const ipv4_endpoint& to,
                     std::vector<std::string> requests,
-                    entry_flow::report_hook report) {
-    return callers_[0]->Open(to, std::move(requests),
-                             std::chrono::milliseconds(50), std::move(report));
+                    entry_flow::report_hook report,
+                    duration pause = std::chrono::milliseconds(50)) {
+    return callers_[0]->Open(to, std::move(requests), pause, std::move(report));
   }
 
   endpoint ControlAddress(std::size_t i) const {
