Hold or refuse first packets while a service is full

Cause: at 8 times the usual load two thirds of what targets ran was late. Change: flow_admission admits, holds or refuses first packets by the limit of their service; first_packet_queue orders what is held by priority, fair turns of caller addresses and deadline. packet_director has the verdict kHold, and packet_forwarder keeps the datagrams. Without an objective, or with admission switched off, nothing changes. The fixture of the entry tests takes the seed of its picker, since instances with one seed all pick the same targets.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "rosemaryreach/data_centre_reachability.h"
+#include "rosemaryreach/flow_admission.h"
 #include "rosemaryreach/flow_packet.h"
 #include "rosemaryreach/flow_tracker.h"
 #include "rosemaryreach/target_directory.h"
@@ -20,6 +21,7 @@
   kForward,
   kReset,  // the caller learns of the failure at once
   kDrop,   // silently; the caller retransmits
+  kHold,   // kept until ReleaseHeld() decides
 };
 
 struct packet_decision {
@@ -29,6 +31,12 @@
   const char* rule = "";
 };
 
+// The decision on a packet that was held.
+struct held_decision {
+  flow_packet packet;
+  packet_decision decision;
+};
+
 // Which decisions the age of the view of the store permits.
 struct view_freshness {
   // False from a pause of the process until the view is confirmed or a timeout
@@ -55,12 +63,27 @@
   packet_director(const target_directory& directory,
                   flow_tracker& tracker,
                   const data_centre_reachability& reachability,
-                  target_picker& picker);
+                  target_picker& picker,
+                  flow_admission* admission = nullptr);
 
   packet_decision Direct(const flow_packet& packet,
                          const view_freshness& freshness,
                          time_point now);
 
+  // Returns the next decision on a held packet, until none is due. To be called
+  // after packets were directed, and from time to time while some are held.
+  std::optional<held_decision> ReleaseHeld(const view_freshness& freshness,
+                                           time_point now);
+
+  // Decides on all held packets at the end of the process: they are dropped if
+  // a copy will reach another instance, and refused otherwise.
+  std::vector<held_decision> GiveUpHeld(time_point now);
+
+  // Returns the number of held packets.
+  std::size_t held() const {
+    return admission_ == nullptr ? 0 : admission_->held();
+  }
+
   // Returns what Direct() would decide, without side effects. The pointers are
   // valid until the directory or the tracker changes.
   flow_explanation Explain(const flow_key& flow,
@@ -76,6 +99,13 @@
   packet_decision HandleFirstPacket(const flow_packet& packet,
                                     const view_freshness& freshness,
                                     time_point now);
+  // Returns the decision if a first packet is not to be forwarded now.
+  std::optional<packet_decision> Admit(const flow_packet& packet,
+                                       const entry_route& route,
+                                       time_point now);
+  packet_decision DirectReleased(const released_packet& released,
+                                 const view_freshness& freshness,
+                                 time_point now);
   packet_decision AssignTarget(const flow_packet& packet,
                                const entry_route& route,
                                time_point now);
@@ -88,7 +118,8 @@
   packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
   // Returns whether requests to `address` may be retried on another target.
   bool IsRetryable(const ipv4_endpoint& address) const;
-  packet_decision ExplainOpening(const flow_explanation& explanation,
+  packet_decision ExplainOpening(const flow_key& flow,
+                                 const flow_explanation& explanation,
                                  const view_freshness& freshness,
                                  time_point now) const;
   packet_decision ExplainData(const flow_key& flow, target_index target) const;
@@ -107,6 +138,7 @@
   flow_tracker& tracker_;
   const data_centre_reachability& reachability_;
   target_picker& picker_;
+  flow_admission* admission_;  // nullptr if all flows are admitted
 };
 
 }  // namespace rosemaryreach
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -22,8 +22,8 @@
 }
 
 const char* NameOf(packet_verdict verdict) {
-  static constexpr std::array<const char*, 3> kNames = {"target", "reset",
-                                                        "drop"};
+  static constexpr std::array<const char*, 4> kNames = {"target", "reset",
+                                                        "drop", "hold"};
   return kNames.at(static_cast<std::size_t>(verdict));
 }
 
@@ -59,6 +59,21 @@
           {"running", status.running}};
 }
 
+json AdmissionDocument(const flow_admission& admission) {
+  json all = json::array();
+  for (const admission_summary& service : admission.Summaries()) {
+    all.push_back({{"service", service.service},
+                   {"limited", service.limited},
+                   {"limit", service.limit},
+                   {"room", service.room},
+                   {"in_flight", service.in_flight},
+                   {"held", service.held},
+                   {"work_ms", ToMillis(service.work_time)},
+                   {"expected_ms", ToMillis(service.expected_response)}});
+  }
+  return all;
+}
+
 json TrackedFlowDocument(const flow_state& flow, time_point now) {
   return {{"phase", NameOf(flow.phase)},
           {"phase_ms", ToMillis(now - flow.phase_began)},
@@ -112,6 +127,7 @@
   answer["waiting_for"] = state.waiting_for;
   answer["flows"] = components.tracker.size();
   answer["peers"] = std::move(peers);
+  answer["admission"] = AdmissionDocument(components.admission);
   return answer;
 }
 
--- a/src/entryd/entry_documents.h
+++ b/src/entryd/entry_documents.h
@@ -7,6 +7,7 @@
 #include "adapters/admin_server.h"
 #include "entryd/store_sync.h"
 #include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/flow_admission.h"
 #include "rosemaryreach/packet_director.h"
 
 namespace rosemaryreach {
@@ -19,6 +20,7 @@
   const flow_tracker& tracker;
   const target_picker& picker;
   const packet_director& director;
+  const flow_admission& admission;
 };
 
 // Returns the version and age of the view, the state of the store and the
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -85,11 +85,14 @@
            [this](const flow_key& key, target_index target, duration waited) {
              OnRequestStalled(key, target, waited);
            },
-           [this](target_index /*target*/, duration elapsed) {
+           [this](target_index target, duration elapsed) {
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
+             admission_.OnAnswered(target, elapsed);
            },
-           nullptr}),
+           [this](target_index target, int change) {
+             admission_.OnInFlight(target, change);
+           }}),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
@@ -118,7 +121,17 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
-      director_(directory_, tracker_, reachability_, picker_),
+      admission_(directory_,
+                 tracker_,
+                 static_cast<std::uint32_t>(HashBytes(settings.data_centre)),
+                 {[this] { return sync_.peers().size() + 1; }, nullptr, nullptr,
+                  [this](std::uint32_t priority,
+                         const admission_decision& decision,
+                         duration waited) {
+                    OnAdmissionDecided(priority, decision, waited);
+                  }},
+                 seed),
+      director_(directory_, tracker_, reachability_, picker_, &admission_),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -138,7 +151,9 @@
       last_wake_(started_),
       last_tick_(started_),
       random_(seed),
-      settings_mtime_(ModificationTime(options.settings_file)) {}
+      settings_mtime_(ModificationTime(options.settings_file)) {
+  admission_.SetEnabled(settings_.load.admission);
+}
 
 result<void> entry_instance::Start() {
   BOOST_OUTCOME_TRYV(packet_forwarder_.Start());
@@ -306,6 +321,16 @@
   log_.LogFlow(fields);
 }
 
+void entry_instance::OnAdmissionDecided(std::uint32_t priority,
+                                        const admission_decision& decision,
+                                        duration waited) {
+  metrics_.Admissions(priority, decision.rule).Add();
+  if (decision.verdict != admission_verdict::kHold) {
+    metrics_.hold_seconds.Observe(
+        std::chrono::duration<double>(waited).count());
+  }
+}
+
 void entry_instance::OnSignal() {
   for (int signal = signals_.Read(); signal != 0; signal = signals_.Read()) {
     if (signal == SIGHUP) {
@@ -334,6 +359,7 @@
   if (quiet || since >= settings_.bounds.grace_period - kKillMargin) {
     LogLifecycle("stopped", quiet ? "no more packets arrive"
                                   : "the grace period is nearly over");
+    packet_forwarder_.GiveUpHeld();
     loop_.Stop();
   }
 }
@@ -351,6 +377,7 @@
       loaded.value().control_endpoint != settings_.control_endpoint;
   settings_ = loaded.value();
   sync_.Reload(settings_);
+  admission_.SetEnabled(settings_.load.admission);
   LogLifecycle(
       "reloaded",
       std::string(reason) +
@@ -377,6 +404,7 @@
   sync_.Tick();
   UpdateReachability(now);
   ConfirmReachability();
+  admission_.Recompute(now);
   FinishStopWhenDue(now);
   const readiness state = Readiness();
   if (state.ready != std::exchange(was_ready_, state.ready)) {
@@ -405,7 +433,8 @@
 }
 
 entry_components entry_instance::Components() const {
-  return {settings_, sync_, directory_, tracker_, picker_, director_};
+  return {settings_, sync_,     directory_, tracker_,
+          picker_,   director_, admission_};
 }
 
 void entry_instance::LogLifecycle(const char* event,
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -17,6 +17,7 @@
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/flow_admission.h"
 #include "rosemaryreach/packet_director.h"
 
 namespace rosemaryreach {
@@ -60,6 +61,9 @@
   void OnRequestStalled(const flow_key& key,
                         target_index target,
                         duration waited);
+  void OnAdmissionDecided(std::uint32_t priority,
+                          const admission_decision& decision,
+                          duration waited);
   void OnSignal();
   void BeginStop();
   void FinishStopWhenDue(time_point now);
@@ -83,6 +87,7 @@
   suspect_prober suspect_prober_;
   store_sync sync_;
   target_picker picker_;
+  flow_admission admission_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
   admin_server admin_;
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -8,6 +8,8 @@
 // From a fraction of the shortest round trip to a caller up to the time after
 // which callers give up.
 constexpr histogram_range kOpenRange{0.001, 2, 16};
+// From the period of the timer for held packets up to the longest hold.
+constexpr histogram_range kHoldRange{0.001, 1, 10};
 constexpr histogram_range kRequestRange{0.001, 10, 20};
 
 }  // namespace
@@ -53,8 +55,25 @@
           {"rosemaryreach_entry_request_seconds",
            "Data of a caller to the first sign of an answer."},
           kRequestRange)),
+      hold_seconds(registry.Histogram(
+          {"rosemaryreach_entry_hold_seconds",
+           "Wait of first packets that were held or refused."},
+          kHoldRange)),
       registry_(registry) {}
 
+counter& entry_metrics::Admissions(std::uint32_t priority, const char* rule) {
+  counter*& found = admissions_[{priority, rule}];
+  if (found == nullptr) {
+    const std::array<metric_label, 2> labels = {
+        metric_label{"priority", std::to_string(priority)},
+        metric_label{"rule", rule}};
+    found = &registry_.Counter(
+        {"rosemaryreach_entry_admissions_total",
+         "First packets held, refused, or admitted after a wait.", labels});
+  }
+  return *found;
+}
+
 counter& entry_metrics::Packets(const char* rule) {
   return FindOrAdd(packets_, "rosemaryreach_entry_packets_total",
                    "Packets of callers by the rule that decided.", "rule",
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -2,8 +2,10 @@
 #ifndef ROSEMARYREACH_ENTRYD_ENTRY_METRICS_H_
 #define ROSEMARYREACH_ENTRYD_ENTRY_METRICS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "rosemaryreach/metrics.h"
 
@@ -18,6 +20,10 @@
   // Returns the counter of store calls that ended with `outcome`.
   counter& StoreCalls(const char* outcome);
 
+  // Returns the counter of first packets of this priority that were held or
+  // refused by `rule`, or admitted after a wait.
+  counter& Admissions(std::uint32_t priority, const char* rule);
+
   counter& malformed_packets;
   counter& stalled_requests;
   counter& probes;
@@ -35,6 +41,8 @@
   histogram& open_seconds;
   // From the data of a request to the first sign of an answer.
   histogram& request_seconds;
+  // From the arrival of a held or refused first packet to its decision.
+  histogram& hold_seconds;
 
  private:
   counter& FindOrAdd(std::map<const char*, counter*>& counters,
@@ -46,6 +54,7 @@
   metrics_registry& registry_;
   std::map<const char*, counter*> packets_;
   std::map<const char*, counter*> store_calls_;
+  std::map<std::pair<std::uint32_t, const char*>, counter*> admissions_;
 };
 
 }  // namespace rosemaryreach
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -14,8 +14,11 @@
 // Returns to the event loop after this many batches, so that timers can run.
 constexpr int kMaxBatchesPerWake = 16;
 
-constexpr std::array<const char*, 3> kOutcomes = {"forwarded", "reset",
-                                                  "dropped"};
+// Held packets are checked this often; completions release them sooner.
+constexpr duration kHoldPeriod = std::chrono::milliseconds(5);
+
+constexpr std::array<const char*, 4> kOutcomes = {"forwarded", "reset",
+                                                  "dropped", "held"};
 
 }  // namespace
 
@@ -34,7 +37,8 @@
       check_freshness_(std::move(check_freshness)),
       log_(log),
       metrics_(metrics),
-      last_packet_(BootTimeNow()) {}
+      last_packet_(BootTimeNow()),
+      hold_timer_(loop, [this] { ReleaseHeld(); }) {}
 
 result<void> packet_forwarder::Start() {
   BOOST_OUTCOME_TRY(bound, udp_socket::Bind(address_, port_sharing::kExclusive,
@@ -61,7 +65,8 @@
     for (const datagram& incoming : received) {
       Handle(incoming.bytes, freshness, now);
     }
-    send_batch_->Flush();
+    ReleaseDue(freshness, now);
+    Flush();
     if (received.size() < kBatchDatagrams) {
       return;
     }
@@ -89,20 +94,71 @@
   }
   const packet_decision decision =
       director_.Direct(packet.value(), freshness, now);
+  Apply(bytes, packet.value(), decision, now);
+}
+
+void packet_forwarder::Apply(std::span<std::uint8_t> bytes,
+                             const flow_packet& packet,
+                             const packet_decision& decision,
+                             time_point now) {
   metrics_.Packets(decision.rule).Add();
-  Log(packet.value(), decision, now);
+  Log(packet, decision, now);
   switch (decision.verdict) {
     case packet_verdict::kForward:
       Forward(bytes, decision);
       return;
     case packet_verdict::kReset:
-      Reset(packet.value());
+      Reset(packet);
       return;
     case packet_verdict::kDrop:
       return;
+    case packet_verdict::kHold:
+      held_[packet.flow].assign(bytes.begin(), bytes.end());
+      return;
+  }
+}
+
+void packet_forwarder::ReleaseHeld() {
+  ReleaseDue(check_freshness_(), BootTimeNow());
+  Flush();
+}
+
+void packet_forwarder::ReleaseDue(const view_freshness& freshness,
+                                  time_point now) {
+  while (const std::optional<held_decision> released =
+             director_.ReleaseHeld(freshness, now)) {
+    Release(*released, now);
+  }
+  if (held_.empty()) {
+    hold_timer_.Stop();
+  } else if (!hold_timer_.running()) {
+    hold_timer_.StartEvery(kHoldPeriod);
   }
 }
 
+void packet_forwarder::GiveUpHeld() {
+  const time_point now = BootTimeNow();
+  for (const held_decision& released : director_.GiveUpHeld(now)) {
+    Release(released, now);
+  }
+  Flush();
+}
+
+void packet_forwarder::Release(const held_decision& released, time_point now) {
+  const auto found = held_.find(released.packet.flow);
+  if (found == held_.end()) {
+    return;
+  }
+  released_.push_back(std::move(found->second));
+  held_.erase(found);
+  Apply(released_.back(), released.packet, released.decision, now);
+}
+
+void packet_forwarder::Flush() {
+  send_batch_->Flush();
+  released_.clear();
+}
+
 void packet_forwarder::Forward(std::span<std::uint8_t> bytes,
                                const packet_decision& decision) {
   const known_target& target = *directory_.Find(decision.target);
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -3,8 +3,11 @@
 #ifndef ROSEMARYREACH_ENTRYD_PACKET_FORWARDER_H_
 #define ROSEMARYREACH_ENTRYD_PACKET_FORWARDER_H_
 
+#include <absl/container/flat_hash_map.h>
+
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "adapters/event_loop.h"
 #include "adapters/udp_socket.h"
@@ -35,6 +38,13 @@
   // Resets the flows that wait for an answer of the unreachable `target`.
   void ResetWaitingFlows(target_index target);
 
+  // Decides on held packets whose time has come, after a change that may make
+  // room; done by itself after packets and on a timer while any are held.
+  void ReleaseHeld();
+
+  // Sends the last decisions on held packets, at the end of the process.
+  void GiveUpHeld();
+
   // Time of the last packet of a caller, or of construction before the first.
   time_point last_packet() const { return last_packet_; }
 
@@ -43,6 +53,14 @@
   void Handle(std::span<std::uint8_t> bytes,
               const view_freshness& freshness,
               time_point now);
+  // Applies a decision to a packet; bytes are needed to forward or hold it.
+  void Apply(std::span<std::uint8_t> bytes,
+             const flow_packet& packet,
+             const packet_decision& decision,
+             time_point now);
+  void Release(const held_decision& released, time_point now);
+  void ReleaseDue(const view_freshness& freshness, time_point now);
+  void Flush();
   void Forward(std::span<std::uint8_t> bytes, const packet_decision& decision);
   void Reset(const flow_packet& packet);
   void Log(const flow_packet& packet,
@@ -61,6 +79,10 @@
   std::unique_ptr<descriptor_watch> watch_;
   receive_batch received_;
   time_point last_packet_{};
+  // Datagrams of held packets; the director knows their order.
+  absl::flat_hash_map<flow_key, std::vector<std::uint8_t>> held_;
+  std::vector<std::vector<std::uint8_t>> released_;  // until the next flush
+  loop_timer hold_timer_;
 };
 
 }  // namespace rosemaryreach
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -2,6 +2,8 @@
 #ifndef ROSEMARYREACH_TESTS_ENTRY_FIXTURE_H_
 #define ROSEMARYREACH_TESTS_ENTRY_FIXTURE_H_
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,7 +64,10 @@
 
 // The directory, tracker, picker and director of one instance in dc-a.
 struct entry_fixture {
-  entry_fixture() { directory.Apply({}, Config(1), At(0)); }
+  explicit entry_fixture(std::uint64_t seed_of_picker = 7)
+      : seed(seed_of_picker) {
+    directory.Apply({}, Config(1), At(0));
+  }
 
   target_index Add(const target_record& record, time_point now = At(0)) {
     directory.Apply({}, target_item{record}, now);
@@ -94,6 +99,7 @@
     return director.Direct(packet, freshness, now);
   }
 
+  std::uint64_t seed;
   std::vector<directory_change> changes;
   std::vector<target_index> suspected;
   target_directory directory{
@@ -106,7 +112,12 @@
                         },
                         [](target_index, duration) {},
                         [](const flow_key&, target_index, duration) {},
-                        [](target_index, duration) {}, nullptr}};
+                        [this](target_index target, duration elapsed) {
+                          admission.OnAnswered(target, elapsed);
+                        },
+                        [this](target_index target, int change) {
+                          admission.OnInFlight(target, change);
+                        }}};
   std::uint32_t local_instances = 1;
   std::size_t instances = 1;
   bool owns = true;
@@ -119,8 +130,28 @@
       entry_bounds{},
       {[this] { return local_instances; }, [this] { return instances; },
        [this](std::uint32_t /*cookie*/) { return owns; }},
-      7};
-  packet_director director{directory, tracker, reachability, picker};
+      seed};
+  std::function<std::optional<shared_service_load>()> service_load;
+  std::function<void(std::uint32_t, const admission_decision&, duration)>
+      decided;
+  flow_admission admission{directory,
+                           tracker,
+                           1,
+                           {[this] { return instances; }, nullptr,
+                            [this](const std::string& /*service*/) {
+                              return service_load ? service_load()
+                                                  : std::nullopt;
+                            },
+                            [this](std::uint32_t priority,
+                                   const admission_decision& decision,
+                                   duration waited) {
+                              if (decided) {
+                                decided(priority, decision, waited);
+                              }
+                            }},
+                           7};
+  packet_director director{directory, tracker, reachability, picker,
+                           &admission};
   view_freshness freshness{true, true};
 };
 
