--- a/include/rosemaryreach/service_limit.h
+++ b/include/rosemaryreach/service_limit.h
@@ -51,10 +51,11 @@
 
   std::optional<double> limit_;
   double room_ = 0;
-  double factor_ = 1;        // of the room, by response times
-  double mean_us_ = 0;       // moving mean of response times
-  double deviation_us_ = 0;  // moving mean of the distance from it
-  std::size_t answers_ = 0;  // since the last Recompute()
+  double factor_ = 1;         // of the room, by response times
+  double mean_us_ = 0;        // moving mean of response times
+  double short_mean_us_ = 0;  // the same over fewer answers
+  double deviation_us_ = 0;   // moving mean of the distance from it
+  std::size_t answers_ = 0;   // since the last Recompute()
   duration work_time_{};
   // Medians of recent windows of answers; the least is the work time.
   std::vector<duration> window_;
--- a/src/entry/flow_admission.cc
+++ b/src/entry/flow_admission.cc
@@ -410,7 +410,9 @@
   }
   const double instances = instances_.Update(hooks_.instances());
   for (const auto& [name, state] : services_) {
-    ComputeLimit(*state, instances, now);
+    if (state->objective > duration::zero()) {
+      ComputeLimit(*state, instances, now);
+    }
   }
 }
 
@@ -437,7 +439,7 @@
   state.slots = slots;
   state.has_targets = slots > 0;
   state.in_flight = in_flight;
-  if (state.objective > duration::zero() && state.has_targets) {
+  if (state.has_targets) {
     state.limit.Recompute({slots, ShareOf(state, instances), state.objective},
                           static_cast<double>(state.peak), now);
   }
--- a/src/entry/service_limit.cc
+++ b/src/entry/service_limit.cc
@@ -26,6 +26,13 @@
 constexpr double kLowerAbove = 0.45;
 constexpr double kRaiseBelow = 0.38;
 constexpr double kLowerBy = 0.96;
+// For means this many times the bound: the limit is far too high.
+constexpr double kFarAbove = 1.3;
+constexpr double kLowerFarBy = 0.9;
+// Weight of one answer in the short mean, which shows the end of an overload
+// sooner, and the part of the bound that it must stay below.
+constexpr double kShortWeight = 0.2;
+constexpr double kShortBelow = 0.7;
 constexpr double kRaiseBy = 0.03;
 // Towards the room, while less than kBinding of the limit is used.
 constexpr double kReturnBy = 0.1;
@@ -54,10 +61,12 @@
   const double sample = Micros(elapsed);
   if (mean_us_ == 0) {
     mean_us_ = sample;
+    short_mean_us_ = sample;
     deviation_us_ = sample / 2;
   }
   deviation_us_ +=
       kAnswerWeight * (std::abs(sample - mean_us_) - deviation_us_);
+  short_mean_us_ += kShortWeight * (sample - short_mean_us_);
   mean_us_ += kAnswerWeight * (sample - mean_us_);
   ++answers_;
   if (window_.size() < kMaxWindowAnswers) {
@@ -107,11 +116,13 @@
       kLowerAbove * objective,
       std::min(kWorkAllowance * Micros(work_time_), kMaxWorkShare * objective));
   const double raise_below = lower_above * kRaiseBelow / kLowerAbove;
-  if (answers_ > 0 && mean_us_ > lower_above && binding) {
-    factor_ *= kLowerBy;
+  if (answers_ > 0 && mean_us_ > lower_above &&
+      short_mean_us_ > kShortBelow * raise_below && binding) {
+    factor_ *= mean_us_ > kFarAbove * lower_above ? kLowerFarBy : kLowerBy;
   } else if (!binding && factor_ < 1) {
     factor_ = std::min(1.0, factor_ + kReturnBy);
-  } else if (binding && mean_us_ < raise_below) {
+  } else if (binding && (mean_us_ < raise_below ||
+                         short_mean_us_ < kShortBelow * raise_below)) {
     factor_ += kRaiseBy;
   }
   answers_ = 0;
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -324,7 +324,12 @@
 void entry_instance::OnAdmissionDecided(std::uint32_t priority,
                                         const admission_decision& decision,
                                         duration waited) {
-  metrics_.Admissions(priority, decision.rule).Add();
+  metrics_.Admissions(priority, settings_.data_centre, decision.rule).Add();
+  admission_held_ += decision.verdict == admission_verdict::kHold ? 1 : 0;
+  admission_refused_ += decision.verdict == admission_verdict::kRefuse ||
+                                decision.verdict == admission_verdict::kDrop
+                            ? 1
+                            : 0;
   if (decision.verdict != admission_verdict::kHold) {
     metrics_.hold_seconds.Observe(
         std::chrono::duration<double>(waited).count());
@@ -417,10 +422,51 @@
   sync_.LogPeers();
   tracker_.Sweep(BootTimeNow());
   log_.LogSkippedLines();
+  LogAdmission();
   CheckSettingsFile();
 }
 
+void entry_instance::LogAdmission() {
+  if (admission_held_ + admission_refused_ == 0) {
+    return;
+  }
+  std::string limits;
+  for (const admission_summary& service : admission_.Summaries()) {
+    if (service.limited) {
+      limits += (limits.empty() ? "" : "; ") + service.service + ": " +
+                std::to_string(service.in_flight) + " in flight of " +
+                std::to_string(static_cast<std::int64_t>(service.limit)) +
+                ", answers take " +
+                std::to_string(ToMillis(service.expected_response)) + " ms";
+    }
+  }
+  const std::array<log_field, 3> fields = {
+      log_field{"held",
+                static_cast<std::int64_t>(std::exchange(admission_held_, 0))},
+      log_field{"refused", static_cast<std::int64_t>(
+                               std::exchange(admission_refused_, 0))},
+      log_field{"limits", limits}};
+  log_.LogWarning("over_capacity", fields);
+}
+
 std::string entry_instance::MetricsText() {
+  for (const admission_summary& service : admission_.Summaries()) {
+    if (service.limited) {
+      metrics_
+          .OfService("rosemaryreach_entry_limit",
+                     "Requests in flight that this instance may have.",
+                     service.service)
+          .Set(static_cast<std::int64_t>(service.limit));
+      metrics_
+          .OfService("rosemaryreach_entry_in_flight",
+                     "Requests in flight by this instance.", service.service)
+          .Set(service.in_flight);
+      metrics_
+          .OfService("rosemaryreach_entry_held_packets",
+                     "First packets that wait for room.", service.service)
+          .Set(static_cast<std::int64_t>(service.held));
+    }
+  }
   metrics_.configuration_version.Set(
       static_cast<std::int64_t>(directory_.config().version));
   metrics_.view_age_ms.Set(ToMillis(sync_.age()));
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -72,6 +72,8 @@
   void OnTick();
   void OnSecond();
   std::string MetricsText();
+  // Logs once a second what admission held and refused, if anything.
+  void LogAdmission();
   void LogLifecycle(const char* event, const std::string& detail);
 
   entry_settings settings_;
@@ -104,6 +106,9 @@
   bool was_ready_ = false;
   bool reach_confirmed_ = false;       // a target was reached since the start
   std::size_t change_lines_left_ = 0;  // for the current batch of changes
+  // Since the last line of LogAdmission().
+  std::size_t admission_held_ = 0;
+  std::size_t admission_refused_ = 0;
   time_point stop_began_{};
   std::mt19937_64 random_;
   std::int64_t settings_mtime_ = 0;  // modification time, Unix nanoseconds
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -61,12 +61,14 @@
           kHoldRange)),
       registry_(registry) {}
 
-counter& entry_metrics::Admissions(std::uint32_t priority, const char* rule) {
+counter& entry_metrics::Admissions(std::uint32_t priority,
+                                   const std::string& data_centre,
+                                   const char* rule) {
   counter*& found = admissions_[{priority, rule}];
   if (found == nullptr) {
-    const std::array<metric_label, 2> labels = {
+    const std::array<metric_label, 3> labels = {
         metric_label{"priority", std::to_string(priority)},
-        metric_label{"rule", rule}};
+        metric_label{"data_centre", data_centre}, metric_label{"rule", rule}};
     found = &registry_.Counter(
         {"rosemaryreach_entry_admissions_total",
          "First packets held, refused, or admitted after a wait.", labels});
@@ -80,6 +82,13 @@
                    rule);
 }
 
+gauge& entry_metrics::OfService(const char* name,
+                                const char* help,
+                                const std::string& service) {
+  const std::array<metric_label, 1> labels = {metric_label{"service", service}};
+  return registry_.Gauge({name, help, labels});
+}
+
 counter& entry_metrics::StoreCalls(const char* outcome) {
   return FindOrAdd(store_calls_, "rosemaryreach_entry_store_calls_total",
                    "Calls to the store by outcome.", "outcome", outcome);
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -21,8 +21,15 @@
   counter& StoreCalls(const char* outcome);
 
   // Returns the counter of first packets of this priority that were held or
-  // refused by `rule`, or admitted after a wait.
-  counter& Admissions(std::uint32_t priority, const char* rule);
+  // refused by `rule`, or admitted after a wait, by an instance of
+  // `data_centre`.
+  counter& Admissions(std::uint32_t priority,
+                      const std::string& data_centre,
+                      const char* rule);
+  // Returns the gauge `name` of a service.
+  gauge& OfService(const char* name,
+                   const char* help,
+                   const std::string& service);
 
   counter& malformed_packets;
   counter& stalled_requests;
