--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -35,12 +35,14 @@
                                  flow_tracker& tracker,
                                  const data_centre_reachability& reachability,
                                  target_picker& picker,
-                                 hooks parts)
+                                 director_hooks hooks,
+                                 flow_admission* admission)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
       picker_(picker),
-      hooks_(std::move(parts)) {}
+      hooks_(std::move(hooks)),
+      admission_(admission) {}
 
 packet_decision packet_director::Direct(const flow_packet& packet,
                                         const view_freshness& freshness,
@@ -69,9 +71,92 @@
     }
     tracker_.Drop(packet.flow);
   }
+  // A flow whose first packet was forwarded goes on; only its target changes.
+  if (admission_ != nullptr && tracker_.Find(packet.flow) == nullptr) {
+    const std::optional<packet_decision> kept = Admit(packet, *route, now);
+    if (kept) {
+      return *kept;
+    }
+  }
   return AssignTarget(packet, *route, now);
 }
 
+std::optional<packet_decision> packet_director::Admit(const flow_packet& packet,
+                                                      const entry_route& route,
+                                                      time_point now) {
+  const admission_decision admitted =
+      admission_->Offer(packet, route, ServiceFor(route, packet.flow), now);
+  switch (admitted.verdict) {
+    case admission_verdict::kAdmit:
+      return std::nullopt;
+    case admission_verdict::kHold:
+      return packet_decision{packet_verdict::kHold, kNoTarget, 0,
+                             admitted.rule};
+    case admission_verdict::kRefuse:
+      return packet_decision{packet_verdict::kReset, kNoTarget, 0,
+                             admitted.rule};
+    case admission_verdict::kDrop:
+      break;
+  }
+  return packet_decision{packet_verdict::kDrop, kNoTarget, 0, admitted.rule};
+}
+
+std::optional<held_decision> packet_director::ReleaseHeld(
+    const view_freshness& freshness,
+    time_point now) {
+  if (admission_ == nullptr || admission_->held() == 0) {
+    return std::nullopt;
+  }
+  const std::optional<released_packet> released =
+      admission_->Release(freshness.settled && directory_.complete(), now);
+  if (!released) {
+    return std::nullopt;
+  }
+  return held_decision{released->held.packet,
+                       DirectReleased(*released, freshness, now)};
+}
+
+packet_decision packet_director::DirectReleased(const released_packet& released,
+                                                const view_freshness& freshness,
+                                                time_point now) {
+  const flow_packet& packet = released.held.packet;
+  const admission_decision& admitted = released.decision;
+  if (admitted.verdict == admission_verdict::kDrop) {
+    return {packet_verdict::kDrop, kNoTarget, 0, admitted.rule};
+  }
+  const entry_route* route = directory_.FindRoute(packet.flow.destination);
+  const std::optional<packet_decision> refused =
+      RefuseOpening(route, freshness);
+  if (refused) {
+    return *refused;
+  }
+  if (tracker_.Find(packet.flow) != nullptr) {
+    return {packet_verdict::kDrop, kNoTarget, 0, "late_copy"};
+  }
+  if (admitted.verdict == admission_verdict::kAdmit) {
+    return AssignTarget(packet, *route, now);
+  }
+  pick_result none;
+  none.rule = admitted.rule;
+  none.unreachable = true;
+  return RefuseWithoutTarget(packet, *route, none, now);
+}
+
+std::vector<held_decision> packet_director::GiveUpHeld(time_point now) {
+  std::vector<held_decision> all;
+  if (admission_ == nullptr) {
+    return all;
+  }
+  for (const held_packet& held : admission_->TakeAll()) {
+    const bool refuse =
+        held.packet.retransmit_count >= kLastCopy && MayReset(held, now);
+    all.push_back({held.packet,
+                   {refuse ? packet_verdict::kReset : packet_verdict::kDrop,
+                    kNoTarget, 0, "stopping"}});
+  }
+  return all;
+}
+
 std::optional<packet_decision> packet_director::RefuseOpening(
     const entry_route* route,
     const view_freshness& freshness) const {
@@ -139,7 +224,7 @@
   // Asked for each packet, since the hook notes when a cookie was first seen.
   const bool dead =
       hooks_.is_dead_cookie && hooks_.is_dead_cookie(packet.cookie, now);
-  return dead && MayReset(packet)
+  return dead && MayResetOpenFlow(packet)
              ? packet_decision{packet_verdict::kReset, kNoTarget, 0,
                                kDeadCookieRule}
              : packet_decision{packet_verdict::kDrop, kNoTarget, 0,
@@ -166,7 +251,7 @@
   const bool open = explanation.tracked != nullptr &&
                     explanation.tracked->phase != flow_phase::kOpening;
   explanation.next = open ? ExplainData(flow, explanation.tracked->target)
-                          : ExplainOpening(explanation, freshness, now);
+                          : ExplainOpening(flow, explanation, freshness, now);
   return explanation;
 }
 
@@ -183,6 +268,7 @@
 }
 
 packet_decision packet_director::ExplainOpening(
+    const flow_key& flow,
     const flow_explanation& explanation,
     const view_freshness& freshness,
     time_point now) const {
@@ -195,6 +281,13 @@
     return {packet_verdict::kReset, kNoTarget, 0, "no_target"};
   }
   const rule_count& best = explanation.targets.front();
+  if (best.usable && admission_ != nullptr) {
+    const admission_decision admitted =
+        admission_->Explain(flow, *explanation.route, explanation.service);
+    if (admitted.verdict != admission_verdict::kAdmit) {
+      return {packet_verdict::kHold, kNoTarget, 0, admitted.rule};
+    }
+  }
   if (best.usable) {
     return {packet_verdict::kForward, kNoTarget, 0, best.rule};
   }
@@ -209,7 +302,7 @@
 const char* packet_director::ResetReason(const flow_packet& packet,
                                          const known_target& target,
                                          const target_status& status) const {
-  if (!MayReset(packet)) {
+  if (!MayResetOpenFlow(packet)) {
     return nullptr;
   }
   if (target.address_reused) {
@@ -218,7 +311,7 @@
   return Unreachable(status) ? "target_unreachable" : nullptr;
 }
 
-bool packet_director::MayReset(const flow_packet& packet) const {
+bool packet_director::MayResetOpenFlow(const flow_packet& packet) const {
   return packet.data_bytes > 0 && !packet.resets &&
          IsRetryable(packet.flow.destination);
 }
--- a/src/entryd/entry_documents.h
+++ b/src/entryd/entry_documents.h
@@ -8,6 +8,7 @@
 #include "entryd/load_sync.h"
 #include "entryd/store_sync.h"
 #include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/flow_admission.h"
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/unknown_cookies.h"
 
@@ -23,6 +24,7 @@
   const packet_director& director;
   const load_sync& load;
   const unknown_cookies& unknown;
+  const flow_admission& admission;
 };
 
 // Returns the version and age of the view, the state of the store and the
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -93,9 +93,11 @@
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
              load_sync_.OnAnswered(target, elapsed);
+             admission_.OnAnswered(target, elapsed);
            },
-           [this](target_index target, int /*change*/) {
+           [this](target_index target, int change) {
              load_sync_.OnInFlightChanged(target);
+             admission_.OnInFlight(target, change);
            },
            [this](target_index target, time_point now) {
              metrics_.disproved_suspicions.Add();
@@ -157,6 +159,20 @@
           {&waits_,
            [this](target_index target) { return outliers_.Ejected(target); },
            [this](target_index target) { suspect_prober_.Check(target); }}),
+      admission_(directory_,
+                 tracker_,
+                 static_cast<std::uint32_t>(HashBytes(settings.data_centre)),
+                 {[this] { return sync_.peers().size() + 1; },
+                  [this](target_index target) { return SpeedOf(target); },
+                  [shared = load_sync_.Hooks()](const std::string& service) {
+                    return shared.service(service);
+                  },
+                  [this](std::uint32_t priority,
+                         const admission_decision& decision,
+                         duration waited) {
+                    OnAdmissionDecided(priority, decision, waited);
+                  }},
+                 seed),
       director_(directory_,
                 tracker_,
                 reachability_,
@@ -166,7 +182,8 @@
                  },
                  [this](std::uint32_t cookie, time_point now) {
                    return IsDeadCookie(cookie, now);
-                 }}),
+                 }},
+                &admission_),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -186,7 +203,9 @@
       last_wake_(started_),
       last_tick_(started_),
       random_(seed),
-      settings_mtime_(ModificationTime(options.settings_file)) {}
+      settings_mtime_(ModificationTime(options.settings_file)) {
+  admission_.SetEnabled(settings_.load.admission);
+}
 
 result<void> entry_instance::Start() {
   loop_.SetErrorHandler([this](std::string_view what) {
@@ -423,6 +442,13 @@
                   known->cookie, elapsed, waits_.Crowding(target), now);
 }
 
+double entry_instance::SpeedOf(target_index target) const {
+  const known_target* known = directory_.Find(target);
+  return settings_.load.placement && known != nullptr
+             ? times_.AllEvidenceOf(known->cookie, BootTimeNow()).Speed()
+             : 1;
+}
+
 void entry_instance::OnTargetUnreachable(target_index target) {
   const std::vector<flow_tracker::placed_flow> flows = tracker_.FlowsAt(target);
   std::string names;
@@ -456,6 +482,21 @@
   log_.LogFlow(fields);
 }
 
+void entry_instance::OnAdmissionDecided(std::uint32_t priority,
+                                        const admission_decision& decision,
+                                        duration waited) {
+  metrics_.Admissions(priority, settings_.data_centre, decision.rule).Add();
+  admission_held_ += decision.verdict == admission_verdict::kHold ? 1 : 0;
+  admission_refused_ += decision.verdict == admission_verdict::kRefuse ||
+                                decision.verdict == admission_verdict::kDrop
+                            ? 1
+                            : 0;
+  if (decision.verdict != admission_verdict::kHold) {
+    metrics_.hold_seconds.Observe(
+        std::chrono::duration<double>(waited).count());
+  }
+}
+
 void entry_instance::OnSignal() {
   for (int signal = signals_.Read(); signal != 0; signal = signals_.Read()) {
     if (signal == SIGHUP) {
@@ -490,6 +531,7 @@
 
 void entry_instance::HandleWaitingPackets() {
   packet_forwarder_.HandleWaiting(BootTimeNow() + kLastPacketsTime);
+  packet_forwarder_.GiveUpHeld();
 }
 
 void entry_instance::Reload(const char* reason) {
@@ -506,6 +548,7 @@
   settings_ = loaded.value();
   sync_.Reload(settings_);
   load_sync_.Update(settings_);
+  admission_.SetEnabled(settings_.load.admission);
   LogLifecycle(
       "reloaded",
       std::string(reason) +
@@ -534,6 +577,7 @@
   UpdateUnknownCookies(now);
   UpdateReachability(now);
   ConfirmReachability();
+  admission_.Recompute(now);
   FinishStopWhenDue(now);
   const readiness state = Readiness();
   if (state.ready != std::exchange(was_ready_, state.ready)) {
@@ -550,10 +594,51 @@
   times_.Sweep(BootTimeNow());
   unknown_cookies_.Tick(settings_.bounds.flow_lifetime, BootTimeNow());
   log_.LogSkippedLines();
+  LogAdmission();
   CheckSettingsFile();
 }
 
+void entry_instance::LogAdmission() {
+  if (admission_held_ + admission_refused_ == 0) {
+    return;
+  }
+  std::string limits;
+  for (const admission_summary& service : admission_.Summaries()) {
+    if (service.limited) {
+      limits += (limits.empty() ? "" : "; ") + service.service + ": " +
+                std::to_string(service.in_flight) + " in flight of " +
+                std::to_string(static_cast<std::int64_t>(service.limit)) +
+                ", answers take " +
+                std::to_string(ToMillis(service.expected_response)) + " ms";
+    }
+  }
+  const std::array<log_field, 3> fields = {
+      log_field{"held",
+                static_cast<std::int64_t>(std::exchange(admission_held_, 0))},
+      log_field{"refused", static_cast<std::int64_t>(
+                               std::exchange(admission_refused_, 0))},
+      log_field{"limits", limits}};
+  log_.LogWarning("over_capacity", fields);
+}
+
 std::string entry_instance::MetricsText() {
+  for (const admission_summary& service : admission_.Summaries()) {
+    if (service.limited) {
+      metrics_
+          .OfService("rosemaryreach_entry_limit",
+                     "Requests in flight that this instance may have.",
+                     service.service)
+          .Set(static_cast<std::int64_t>(service.limit));
+      metrics_
+          .OfService("rosemaryreach_entry_in_flight",
+                     "Requests in flight by this instance.", service.service)
+          .Set(service.in_flight);
+      metrics_
+          .OfService("rosemaryreach_entry_held_packets",
+                     "First packets that wait for room.", service.service)
+          .Set(static_cast<std::int64_t>(service.held));
+    }
+  }
   metrics_.configuration_version.Set(
       static_cast<std::int64_t>(directory_.config().version));
   metrics_.view_age_ms.Set(ToMillis(sync_.age()));
@@ -573,8 +658,8 @@
 }
 
 entry_components entry_instance::Components() const {
-  return {settings_, sync_,     directory_, tracker_,
-          picker_,   director_, load_sync_, unknown_cookies_};
+  return {settings_, sync_,      directory_,       tracker_,  picker_,
+          director_, load_sync_, unknown_cookies_, admission_};
 }
 
 void entry_instance::LogLifecycle(const char* event,
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -18,6 +18,7 @@
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/flow_admission.h"
 #include "rosemaryreach/outlier_detector.h"
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/shared_load.h"
@@ -81,6 +82,9 @@
   void OnRequestStalled(const flow_key& key,
                         target_index target,
                         duration waited);
+  void OnAdmissionDecided(std::uint32_t priority,
+                          const admission_decision& decision,
+                          duration waited);
   void OnSignal();
   void BeginStop();
   void FinishStopWhenDue(time_point now);
@@ -89,11 +93,15 @@
   void OnTick();
   void OnSecond();
   std::string MetricsText();
+  // Logs once a second what admission held and refused, if anything.
+  void LogAdmission();
   void LogLifecycle(const char* event, const std::string& detail);
 
   // Returns the load that other instances report, for placement; nothing while
   // the settings switch placement by load off.
   shared_load_hooks PlacementLoad();
+  // Returns the speed of a target relative to its service; 1 if not known.
+  double SpeedOf(target_index target) const;
 
   entry_settings settings_;
   entry_options options_;
@@ -114,6 +122,7 @@
   suspect_prober suspect_prober_;
   target_picker picker_;
   unknown_cookies unknown_cookies_;
+  flow_admission admission_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
   admin_server admin_;
@@ -132,6 +141,9 @@
   bool reach_confirmed_ = false;       // a target was reached since the start
   std::size_t change_lines_left_ = 0;  // for the current batch of changes
   stop_schedule stop_schedule_;
+  // Since the last line of LogAdmission().
+  std::size_t admission_held_ = 0;
+  std::size_t admission_refused_ = 0;
   std::mt19937_64 random_;
   std::int64_t settings_mtime_ = 0;  // modification time, Unix nanoseconds
 };
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -2,6 +2,8 @@
 #ifndef ROSEMARYREACH_TESTS_ENTRY_FIXTURE_H_
 #define ROSEMARYREACH_TESTS_ENTRY_FIXTURE_H_
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -116,7 +118,12 @@
        },
        [](target_index, duration) {},
        [](const flow_key&, target_index, duration) {},
-       [](target_index, duration) {}, nullptr,
+       [this](target_index target, duration elapsed) {
+         admission.OnAnswered(target, elapsed);
+       },
+       [this](target_index target, int change) {
+         admission.OnInFlight(target, change);
+       },
        [this](target_index target, time_point now) {
          accuracy.OnDisproved(target, now);
        },
@@ -167,7 +174,27 @@
       seed,
       {&waits,
        [this](target_index target) { return outliers.Ejected(target); }}};
-  packet_director director{directory, tracker, reachability, picker};
+  std::function<std::optional<shared_service_load>()> service_load;
+  std::function<void(std::uint32_t, const admission_decision&, duration)>
+      decided;
+  flow_admission admission{directory,
+                           tracker,
+                           1,
+                           {[this] { return instances; }, nullptr,
+                            [this](const std::string& /*service*/) {
+                              return service_load ? service_load()
+                                                  : std::nullopt;
+                            },
+                            [this](std::uint32_t priority,
+                                   const admission_decision& decision,
+                                   duration waited) {
+                              if (decided) {
+                                decided(priority, decision, waited);
+                              }
+                            }},
+                           7};
+  packet_director director{directory, tracker, reachability,
+                           picker,    {},      &admission};
   view_freshness freshness{true, true};
 };
 
