--- a/src/entry/first_packet_queue.cc
+++ b/src/entry/first_packet_queue.cc
@@ -1,7 +1,6 @@
 #include "rosemaryreach/first_packet_queue.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace rosemaryreach {
 
@@ -48,7 +47,7 @@
 }
 
 held_packet first_packet_queue::Take(order::iterator found) {
-  held_packet held = std::move(found->second);
+  held_packet held = found->second;
   std::uint64_t& next = next_turn_.at(held.priority).at(BucketOf(held.packet));
   // The turn of a packet that leaves last is free again.
   if (next == found->first.turn + 1) {
--- a/src/entry/flow_admission.cc
+++ b/src/entry/flow_admission.cc
@@ -302,7 +302,7 @@
   if (decided_.empty()) {
     return std::nullopt;
   }
-  released_packet first = std::move(decided_.front());
+  released_packet first = decided_.front();
   decided_.pop_front();
   return first;
 }
@@ -341,13 +341,14 @@
   std::vector<held_packet> all;
   for (const auto& [name, state] : services_) {
     for (std::uint32_t i = 0; i <= kLeastUrgent; ++i) {
-      while (std::optional<held_packet> held = state->queue.TakeFirst(i)) {
-        all.push_back(std::move(*held));
+      while (const std::optional<held_packet> held =
+                 state->queue.TakeFirst(i)) {
+        all.push_back(*held);
       }
     }
   }
-  for (released_packet& released : decided_) {
-    all.push_back(std::move(released.held));
+  for (const released_packet& released : decided_) {
+    all.push_back(released.held);
   }
   decided_.clear();
   return all;
