--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -360,10 +360,18 @@
   void OnReset(const call_report& report) {
     ++(report.opened ? counts_.reset_open : counts_.reset_opening);
     const auto target = targets_.find(report.target);
-    if (!report.opened || target == targets_.end() || !RecoveredFromFaults()) {
+    if (!report.opened || target == targets_.end()) {
       return;
     }
     const entry_target& flow_target = *target->second;
+    if (flow_target.full()) {
+      // No fault explains this: a full target lives.
+      AddViolation("open flow to full target " + report.target + " was reset");
+      return;
+    }
+    if (!RecoveredFromFaults()) {
+      return;
+    }
     if (!flow_target.silent() &&
         !evacuated_.contains(flow_target.options().data_centre)) {
       AddViolation("open flow to live target " + report.target + " was reset");
