Shed first packets on an instance that is short of resources

An instance short of processor time or on a full link served first packets and packets of open flows in the order of arrival, so requests of open flows waited behind first packets that came too late anyway.

instance_load measures packets that wait in the socket, late timers and the link's rate. While short, packets of open flows in a batch go first, and a share of first packets is reset, where the route declares a latency objective and the flow is not tracked. Otherwise nothing changes.

No load was run against a process that is really short.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -68,6 +68,11 @@
                          const view_freshness& freshness,
                          time_point now);
 
+  // Whether a packet of the flow was forwarded and it may still be open.
+  bool Tracks(const flow_key& flow) const {
+    return tracker_.Find(flow) != nullptr;
+  }
+
   // Returns what Direct() would decide, without side effects. The pointers are
   // valid until the directory or the tracker changes.
   flow_explanation Explain(const flow_key& flow,
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -125,11 +125,13 @@
                 [this](std::uint32_t cookie, time_point now) {
                   return IsDeadCookie(cookie, now);
                 }),
+      load_(settings.link_mbps),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
           directory_,
           director_,
+          load_,
           [this] { return CheckFreshness(); },
           log_,
           metrics_),
@@ -219,6 +221,7 @@
 void entry_instance::DetectLateness(time_point now) {
   const duration late = now - std::exchange(last_tick_, now) - kTickPeriod;
   stop_schedule_.OnTimer(late, now);
+  UpdateLoad(late, now);
   if (late < kLateThreshold) {
     return;
   }
@@ -229,6 +232,20 @@
   late_until_ = now + kLateWindow;
 }
 
+void entry_instance::UpdateLoad(duration late, time_point now) {
+  load_.OnTimer(late, now);
+  const bool shedding = load_.shed_share() > 0;
+  if (shedding != std::exchange(shedding_, shedding)) {
+    const char* of =
+        load_.current() == shortage::kLink ? "link rate" : "processor time";
+    LogLifecycle(shedding ? "short" : "no_longer_short",
+                 shedding ? std::string("of ") + of +
+                                "; first packets are shed where the route "
+                                "declares a latency objective"
+                          : "all first packets are served");
+  }
+}
+
 void entry_instance::UpdateReachability(time_point now) {
   for (const target_index target : reachability_.Update(now)) {
     tracker_.MarkSuspected(target,
@@ -450,6 +467,8 @@
       static_cast<std::int64_t>(directory_.departed()));
   metrics_.unknown_cookies.Set(
       static_cast<std::int64_t>(unknown_cookies_.size()));
+  metrics_.shed_permille.Set(
+      static_cast<std::int64_t>(load_.shed_share() * 1'000));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
   metrics_.flows.Set(static_cast<std::int64_t>(tracker_.size()));
   return registry_->PrometheusText();
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -56,6 +56,7 @@
   view_freshness CheckFreshness();
   void DetectPause(time_point now);
   void DetectLateness(time_point now);
+  void UpdateLoad(duration late, time_point now);
   void UpdateReachability(time_point now);
   // Probes targets after the start, until one of them is reached.
   void ConfirmReachability();
@@ -95,6 +96,7 @@
   target_picker picker_;
   unknown_cookies unknown_cookies_;
   packet_director director_;
+  instance_load load_;
   packet_forwarder packet_forwarder_;
   admin_server admin_;
   descriptor_watch signal_watch_;
@@ -106,6 +108,7 @@
   time_point late_until_{};
   time_point pause_ended_{};
   bool refreshing_after_pause_ = false;
+  bool shedding_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
   bool reach_confirmed_ = false;       // a target was reached since the start
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -47,6 +47,9 @@
       unknown_cookies(registry.Gauge(
           {"rosemaryreach_entry_unknown_cookies",
            "Cookies of no known target, seen within the life of a flow."})),
+      shed_permille(registry.Gauge(
+          {"rosemaryreach_entry_shed_permille",
+           "Thousandths of first packets shed for lack of resources."})),
       peers(registry.Gauge(
           {"rosemaryreach_entry_peers", "Other instances that are heard of."})),
       flows(registry.Gauge(
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -31,6 +31,7 @@
   gauge& held_ms;           // how long they are held
   gauge& departed_targets;  // that left before this instance knew them
   gauge& unknown_cookies;   // seen in packets lately
+  gauge& shed_permille;     // of first packets, while short of resources
   gauge& peers;
   gauge& flows;
   // From the first packet of a flow to the caller's next one.
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -14,6 +14,11 @@
 // Returns to the event loop after this many batches, so that timers can run.
 constexpr int kMaxBatchesPerWake = 16;
 
+// Of IP, UDP and Ethernet, which use up the link as well.
+constexpr std::size_t kHeaderBytes = 46;
+// Resolution of the share of first packets that is shed.
+constexpr std::uint64_t kDraws = 1'000;
+
 constexpr std::array<const char*, 3> kOutcomes = {"forwarded", "reset",
                                                   "dropped"};
 
@@ -24,6 +29,7 @@
     const endpoint& address,
     const target_directory& directory,
     packet_director& director,
+    instance_load& load,
     std::function<view_freshness()> check_freshness,
     entry_log& log,
     entry_metrics& metrics)
@@ -31,6 +37,7 @@
       address_(address),
       directory_(directory),
       director_(director),
+      load_(load),
       check_freshness_(std::move(check_freshness)),
       log_(log),
       metrics_(metrics),
@@ -67,11 +74,51 @@
   const view_freshness freshness = check_freshness_();
   const time_point now = BootTimeNow();
   last_packet_ = now;
+  std::size_t bytes = 0;
   for (const datagram& incoming : received) {
-    Handle(incoming.bytes, freshness, now);
+    bytes += incoming.bytes.size() + kHeaderBytes;
+  }
+  const bool more = received.size() == kBatchDatagrams;
+  load_.OnBatch(bytes, !more, now);
+  if (load_.current() != shortage::kNone) {
+    HandleOpenFlowsFirst(received, freshness, now);
+  } else {
+    for (const datagram& incoming : received) {
+      Handle(incoming.bytes, freshness, now);
+    }
   }
   send_batch_->Flush();
-  return received.size() == kBatchDatagrams;
+  return more;
+}
+
+void packet_forwarder::HandleOpenFlowsFirst(std::span<const datagram> received,
+                                            const view_freshness& freshness,
+                                            time_point now) {
+  for (const bool first_packets : {false, true}) {
+    for (const datagram& incoming : received) {
+      const result<flow_packet> packet = ParseFlowPacket(incoming.bytes);
+      if ((packet && packet.value().opens) == first_packets) {
+        Handle(incoming.bytes, freshness, now);
+      }
+    }
+  }
+}
+
+std::optional<packet_decision> packet_forwarder::Shed(
+    const flow_packet& packet) const {
+  // A flow whose first packet was forwarded may be open for its caller.
+  if (!packet.opens || packet.retransmit_count > 0 || load_.shed_share() <= 0 ||
+      director_.Tracks(packet.flow)) {
+    return std::nullopt;
+  }
+  const entry_route* route = directory_.FindRoute(packet.flow.destination);
+  const double draw = static_cast<double>(HashFlow(packet.flow) % kDraws) /
+                      static_cast<double>(kDraws);
+  if (route == nullptr || !load_.Sheds(*route, draw)) {
+    return std::nullopt;
+  }
+  return packet_decision{packet_verdict::kReset, kNoTarget, 0,
+                         "instance_short"};
 }
 
 void packet_forwarder::ResetWaitingFlows(target_index target) {
@@ -93,8 +140,9 @@
     metrics_.malformed_packets.Add();
     return;
   }
+  const std::optional<packet_decision> shed = Shed(packet.value());
   const packet_decision decision =
-      director_.Direct(packet.value(), freshness, now);
+      shed ? *shed : director_.Direct(packet.value(), freshness, now);
   metrics_.Packets(decision.rule).Add();
   Log(packet.value(), decision, now);
   switch (decision.verdict) {
@@ -115,6 +163,7 @@
   if (decision.cookie != 0) {
     WriteCookie(bytes, decision.cookie);
   }
+  load_.OnSent(kHeaderBytes + kTargetPrefixBytes + bytes.size(), last_packet_);
   const std::span<std::uint8_t> prefix = send_batch_->NextHeader();
   WriteTargetPrefix(prefix, target.record.wire_id);
   send_batch_->Add(kTargetPrefixBytes, bytes,
@@ -123,6 +172,7 @@
 
 void packet_forwarder::Reset(const flow_packet& packet) {
   const packet_header reset = MakeReset(packet);
+  load_.OnSent(kHeaderBytes + reset.size(), last_packet_);
   const std::span<std::uint8_t> header = send_batch_->NextHeader();
   std::copy(reset.begin(), reset.end(), header.begin());
   const ipv4_endpoint caller = {packet.flow.caller.address, address_.port};
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -10,6 +10,7 @@
 #include "adapters/udp_socket.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
+#include "rosemaryreach/instance_load.h"
 #include "rosemaryreach/packet_director.h"
 
 namespace rosemaryreach {
@@ -20,6 +21,7 @@
                    const endpoint& address,
                    const target_directory& directory,
                    packet_director& director,
+                   instance_load& load,
                    std::function<view_freshness()> check_freshness,
                    entry_log& log,
                    entry_metrics& metrics);
@@ -45,6 +47,13 @@
   void OnPackets();
   // Reads and handles one batch; returns whether there may be more.
   bool HandleBatch();
+  // Handles the packets of open flows before first packets, so that they don't
+  // wait for them.
+  void HandleOpenFlowsFirst(std::span<const datagram> received,
+                            const view_freshness& freshness,
+                            time_point now);
+  // Returns the decision to shed a first packet if it is to be shed.
+  std::optional<packet_decision> Shed(const flow_packet& packet) const;
   void Handle(std::span<std::uint8_t> bytes,
               const view_freshness& freshness,
               time_point now);
@@ -58,6 +67,7 @@
   endpoint address_;
   const target_directory& directory_;
   packet_director& director_;
+  instance_load& load_;
   std::function<view_freshness()> check_freshness_;
   entry_log& log_;
   entry_metrics& metrics_;
