Let callers move instead of refusing them for lack of room

Cause: an isolated instance may be full because its flows get no answers; its refusals at arrival were sent although callers were about to be moved. Change: refusals for lack of room take the same way as those for lack of a target, which drop first packets while callers move. Measured: tests of admission, director, reachability and entry path pass; no case of its own yet.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -103,6 +103,11 @@
   std::optional<packet_decision> Admit(const flow_packet& packet,
                                        const entry_route& route,
                                        time_point now);
+  // Refuses a first packet for lack of room.
+  packet_decision Refuse(const flow_packet& packet,
+                         const entry_route& route,
+                         const char* rule,
+                         time_point now) const;
   packet_decision DirectReleased(const released_packet& released,
                                  const view_freshness& freshness,
                                  time_point now);
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -83,8 +83,7 @@
       return packet_decision{packet_verdict::kHold, kNoTarget, 0,
                              admitted.rule};
     case admission_verdict::kRefuse:
-      return packet_decision{packet_verdict::kReset, kNoTarget, 0,
-                             admitted.rule};
+      return Refuse(packet, route, admitted.rule, now);
     case admission_verdict::kDrop:
       break;
   }
@@ -126,10 +125,18 @@
   if (admitted.verdict == admission_verdict::kAdmit) {
     return AssignTarget(packet, *route, now);
   }
+  return Refuse(packet, *route, admitted.rule, now);
+}
+
+packet_decision packet_director::Refuse(const flow_packet& packet,
+                                        const entry_route& route,
+                                        const char* rule,
+                                        time_point now) const {
+  // An isolated instance may be full because its flows get no answers.
   pick_result none;
-  none.rule = admitted.rule;
+  none.rule = rule;
   none.unreachable = true;
-  return RefuseWithoutTarget(packet, *route, none, now);
+  return RefuseWithoutTarget(packet, route, none, now);
 }
 
 std::vector<held_decision> packet_director::GiveUpHeld(time_point now) {
