Spill over only for the time of a request, and keep room for urgent flows

Under overload, requests on open flows of the less urgent kind lower the limit, and urgent first packets found no room. Change: another data centre must be ahead by the time of one request, which is what the former constant said. The most urgent flows are limited by the room before response times lower it.

--- a/include/rosemaryreach/wait_estimator.h
+++ b/include/rosemaryreach/wait_estimator.h
@@ -47,6 +47,10 @@
 
   service_averages Averages(std::span<const target_index> targets) const;
 
+  // Returns the usual time of one request at a target without a queue.
+  duration WorkTime(const std::string& service,
+                    const service_averages& averages) const;
+
   wait_estimate Estimate(target_index index,
                          const service_averages& averages,
                          time_point now) const;
--- a/src/entry/flow_admission.cc
+++ b/src/entry/flow_admission.cc
@@ -112,8 +112,13 @@
                           : 1 + (kUrgentReserve * less_urgent -
                                  (1 - kLowerShare) * more_urgent) /
                                     admitted;
+  // Requests on open flows can't be held. Where they raise response times, the
+  // lowered limit applies to less urgent flows only.
+  const bool most_urgent = contended && more_urgent == 0 && less_urgent > 0;
+  const double base =
+      most_urgent ? std::max(*limit, state.limit.room()) : *limit;
   return static_cast<double>(state.in_flight) + kRounding <=
-         std::max(1.0, *limit * part);
+         std::max(1.0, base * part);
 }
 
 admission_decision flow_admission::Report(std::uint32_t priority,
--- a/src/entry/target_picker_wait.cc
+++ b/src/entry/target_picker_wait.cc
@@ -110,10 +110,12 @@
     spill.Stop();
     return here.compared == 0 ? elsewhere.best : here.best;
   }
-  spill.Update(here.mean(), elsewhere.mean(), now);
+  const duration work = placement_.waits->WorkTime(service, averages);
+  spill.Update(here.mean(), elsewhere.mean(), work, now);
   std::uniform_real_distribution<double> draw(0, 1);
   const bool may_spill = draw(random_) < spill.share();
-  if (may_spill && elsewhere.best.estimate->wait < here.best.estimate->wait) {
+  if (may_spill &&
+      elsewhere.best.estimate->wait + work < here.best.estimate->wait) {
     ++spilled_flows_;
     return elsewhere.best;
   }
--- a/src/entry/wait_estimator.cc
+++ b/src/entry/wait_estimator.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Assumed before there are answers.
-constexpr double kAssumedWorkUs = 50'000;
+constexpr duration kAssumedWork = std::chrono::milliseconds(50);
 // An instance waits this long for the answer of a first packet before it counts
 // as unanswered, and reports arrive every 200 ms. Longer than most gaps between
 // answers of a target in use.
@@ -148,7 +148,7 @@
   // Requests of the time of the report have ended by now, in part; which target
   // had more than others then says as much less.
   const double memory_us =
-      std::max(kAssumedWorkUs,
+      std::max(static_cast<double>(kAssumedWork.count()),
                static_cast<double>(load.response_time.count())) /
       speed;
   const double kept =
@@ -156,6 +156,16 @@
   return usual + (load.running + load.opening - usual) * kept;
 }
 
+duration wait_estimator::WorkTime(const std::string& service,
+                                  const service_averages& averages) const {
+  const duration measured = times_.WorkTime(service);
+  if (measured > duration(0)) {
+    return measured;
+  }
+  return averages.response_time > duration(0) ? averages.response_time
+                                              : kAssumedWork;
+}
+
 wait_estimate wait_estimator::Estimate(target_index index,
                                        const service_averages& averages,
                                        time_point now) const {
@@ -171,12 +181,8 @@
       std::max(0.0, status.open + load.open - status.running - load.running);
   const double demand =
       estimate.in_flight + 1 + idle * averages.open_flow_demand;
-  const duration measured = times_.WorkTime(target.record.service);
   const double work_us =
-      measured > duration(0) ? static_cast<double>(measured.count())
-      : averages.response_time > duration(0)
-          ? static_cast<double>(averages.response_time.count())
-          : kAssumedWorkUs;
+      static_cast<double>(WorkTime(target.record.service, averages).count());
   const double ramp =
       std::min(RampAfter(now - target.added), RampAfter(now - status.returned));
   const double cold = now < target.cold_until ? kColdFactor : 1;
--- a/tests/store_sync_test.cc
+++ b/tests/store_sync_test.cc
@@ -25,18 +25,21 @@
  public:
   sync_fixture(http_server_fixture::script script, item_decoder decode)
       : server_(loop_, std::move(script)),
-        sync_(loop_,
-              Settings(),
-              std::move(decode),
-              [this](const view_change& change) {
-                for (const changed_item& changed : change.items) {
-                  keys.push_back(changed.item.key);
-                }
-              },
-              log_,
-              metrics_,
-              1,
-              {}),
+        sync_(
+            loop_,
+            Settings(),
+            std::move(decode),
+            [this](const view_change& change) {
+              for (const changed_item& changed : change.items) {
+                keys.push_back(changed.item.key);
+              }
+            },
+            std::chrono::seconds(75),
+            [](std::span<const departed_target>) {},
+            log_,
+            metrics_,
+            1,
+            {}),
         tick_(loop_, [this] { sync_.Tick(); }) {
     loop_.SetErrorHandler([this](std::string_view) { ++errors; });
     REQUIRE(sync_.Start());
