Compare data centres by queues alone, and lend room the fleet does not use

Change: waits are compared from the time of one request up; an instance may use twice its limit while the fleet uses less than 0.6 of the capacity.

--- a/include/rosemaryreach/flow_admission.h
+++ b/include/rosemaryreach/flow_admission.h
@@ -131,7 +131,8 @@
     // Recent admissions, decaying: by priority, and of returning callers.
     std::array<double, kLeastUrgent + 1> admitted{};
     double returning = 0;
-    double contention = 0;  // packets held recently, decaying
+    double contention = 0;    // packets held recently, decaying
+    double spare_factor = 1;  // above 1 while the fleet has capacity to spare
   };
 
   // The first arrival of a refused caller, which may come back.
@@ -169,7 +170,9 @@
                             admission_verdict verdict,
                             const char* rule,
                             duration waited) const;
-  double ShareOf(const service_state& state, double instances) const;
+  double ShareOf(const service_state& state,
+                 const std::optional<shared_service_load>& load,
+                 double instances) const;
   void ComputeLimit(service_state& state, double instances, time_point now);
   kept_place& PlaceOf(const flow_key& flow, std::uint64_t& caller);
   void KeepPlace(const held_packet& held, time_point now);
--- a/include/rosemaryreach/spillover.h
+++ b/include/rosemaryreach/spillover.h
@@ -10,9 +10,8 @@
 
 namespace rosemaryreach {
 
-// The expected wait elsewhere must be shorter by this factor, and by the time
-// of one request. Then two data centres whose figures of each other are old do
-// not exchange their load, and few flows depend on the links between them.
+// The expected wait elsewhere must be shorter by this factor. Then two data
+// centres whose figures of each other are old do not exchange their load.
 inline constexpr double kSpillMargin = 1.5;
 // The share changes by this much a second where the waits differ by half:
 // figures of other data centres are up to a second old, and flows sent
@@ -21,19 +20,16 @@
 
 class spillover {
  public:
-  // Records the expected waits at random usable targets here and elsewhere.
-  // `work` is the time of one request.
-  void Update(duration here,
-              duration elsewhere,
-              duration work,
-              time_point now) {
+  // Records the expected waits at random usable targets here and elsewhere,
+  // each at least the time of a request: a target with a free slot is as good
+  // as an idle one, and flows that stay here survive a cut between data
+  // centres.
+  void Update(duration here, duration elsewhere, time_point now) {
     const std::chrono::duration<double> elapsed =
         std::min<duration>(now - updated_, std::chrono::milliseconds(100));
     updated_ = now;
     const double local = static_cast<double>(here.count());
-    const double remote =
-        std::max(kSpillMargin * static_cast<double>(elsewhere.count()),
-                 static_cast<double>((elsewhere + work).count()));
+    const double remote = kSpillMargin * static_cast<double>(elsewhere.count());
     const double excess = std::clamp(
         (local - remote) / std::max({local, remote, 1.0}), -1.0, 1.0);
     // Waits at few targets vary much; the share follows their mean.
--- a/src/entry/flow_admission.cc
+++ b/src/entry/flow_admission.cc
@@ -38,6 +38,12 @@
     std::chrono::milliseconds(200), std::chrono::milliseconds(400),
     std::chrono::milliseconds(800)};
 constexpr duration kCopySlack = std::chrono::milliseconds(50);
+// While the fleet uses less than this part of a service's capacity, an instance
+// may exceed its limit by this factor: few requests for each instance arrive
+// unevenly, and must not be held for that.
+constexpr double kSpareShare = 0.6;
+constexpr double kSpareFactor = 2;
+constexpr duration kMaxLoadAge = std::chrono::milliseconds(500);
 // Cold targets are slower by about this factor.
 constexpr double kColdFactor = 2;
 
@@ -112,13 +118,8 @@
                           : 1 + (kUrgentReserve * less_urgent -
                                  (1 - kLowerShare) * more_urgent) /
                                     admitted;
-  // Requests on open flows can't be held. Where they raise response times, the
-  // lowered limit applies to less urgent flows only.
-  const bool most_urgent = contended && more_urgent == 0 && less_urgent > 0;
-  const double base =
-      most_urgent ? std::max(*limit, state.limit.room()) : *limit;
   return static_cast<double>(state.in_flight) + kRounding <=
-         std::max(1.0, base * part);
+         std::max(1.0, *limit * state.spare_factor * part);
 }
 
 admission_decision flow_admission::Report(std::uint32_t priority,
@@ -383,16 +384,15 @@
 }
 
 double flow_admission::ShareOf(const service_state& state,
+                               const std::optional<shared_service_load>& load,
                                double instances) const {
   constexpr double kMicrosPerSecond = 1e6;
   const duration work = state.limit.work_time();
-  if (hooks_.service_load && work > duration::zero()) {
-    const std::optional<shared_service_load> load =
-        hooks_.service_load(state.name);
+  if (load && work > duration::zero()) {
     const double capacity =
         state.slots / static_cast<double>(work.count()) * kMicrosPerSecond;
     const std::optional<double> share =
-        load ? ShareOfCapacity(*load, data_centre_, capacity) : std::nullopt;
+        ShareOfCapacity(*load, data_centre_, capacity);
     if (share) {
       return *share;
     }
@@ -445,9 +445,18 @@
   state.slots = slots;
   state.has_targets = slots > 0;
   state.in_flight = in_flight;
+  const std::optional<shared_service_load> load =
+      hooks_.service_load ? hooks_.service_load(state.name) : std::nullopt;
+  state.spare_factor = 1;
   if (state.has_targets) {
-    state.limit.Recompute({slots, ShareOf(state, instances), state.objective},
+    const double share = ShareOf(state, load, instances);
+    state.limit.Recompute({slots, share, state.objective},
                           static_cast<double>(state.peak), now);
+    const bool spare =
+        load && load->age < kMaxLoadAge &&
+        load->in_flight + static_cast<double>(in_flight) <
+            kSpareShare * state.limit.limit().value_or(0) / share;
+    state.spare_factor = spare ? kSpareFactor : 1;
   }
   state.peak = in_flight;
   for (double& admitted : state.admitted) {
--- a/src/entry/target_picker_wait.cc
+++ b/src/entry/target_picker_wait.cc
@@ -17,11 +17,14 @@
   }
 };
 
+// Adds a candidate; `work` is the time of a request at a target without a
+// queue.
 void Compare(candidate_group& group,
              target_index index,
-             const wait_estimate& estimate) {
+             const wait_estimate& estimate,
+             duration work) {
   ++group.compared;
-  group.sum += estimate.wait;
+  group.sum += std::max(estimate.wait, work);
   if (!group.best.estimate || estimate.wait < group.best.estimate->wait) {
     group.best.target = index;
     group.best.estimate = estimate;
@@ -95,6 +98,7 @@
     std::span<const target_index> candidates,
     const service_averages& averages,
     time_point now) {
+  const duration work = placement_.waits->WorkTime(service, averages);
   candidate_group here;
   candidate_group elsewhere;
   for (const target_index index : candidates) {
@@ -102,7 +106,8 @@
         directory_.Find(index)->record.data_centre == data_centre_ ? here
                                                                    : elsewhere;
     if (group.compared < kWaitCandidates) {
-      Compare(group, index, placement_.waits->Estimate(index, averages, now));
+      Compare(group, index, placement_.waits->Estimate(index, averages, now),
+              work);
     }
   }
   spillover& spill = spill_[service];
@@ -110,12 +115,11 @@
     spill.Stop();
     return here.compared == 0 ? elsewhere.best : here.best;
   }
-  const duration work = placement_.waits->WorkTime(service, averages);
-  spill.Update(here.mean(), elsewhere.mean(), work, now);
+  spill.Update(here.mean(), elsewhere.mean(), now);
   std::uniform_real_distribution<double> draw(0, 1);
   const bool may_spill = draw(random_) < spill.share();
-  if (may_spill &&
-      elsewhere.best.estimate->wait + work < here.best.estimate->wait) {
+  if (may_spill && elsewhere.best.estimate->wait < here.best.estimate->wait &&
+      here.best.estimate->wait > work) {
     ++spilled_flows_;
     return elsewhere.best;
   }
--- a/tests/load_player.h
+++ b/tests/load_player.h
@@ -45,6 +45,8 @@
       const bool remote = i >= load.instances;
       instances_.push_back(
           std::make_unique<entry_fixture>(remote ? "dc-b" : "dc-a", i));
+      // This player holds no packets: it plays placement alone.
+      instances_.back()->admission.SetEnabled(false);
       instances_.back()->local_instances = static_cast<std::uint32_t>(
           remote ? load.remote_instances : load.instances);
       instances_.back()->instances = all;
--- a/tests/overload_player.h
+++ b/tests/overload_player.h
@@ -203,6 +203,7 @@
   std::optional<shared_service_load> SharedLoad(bool hot) const {
     shared_service_load load;
     load.age = std::chrono::milliseconds(100);
+    load.in_flight = in_flight_;
     load.demand.push_back({hot ? 1U : 2U, demand_.first, HotInstances()});
     if (HotInstances() < setup_.instances) {
       load.demand.push_back(
@@ -228,6 +229,12 @@
   void Tick() {
     double hot = 0;
     double cool = 0;
+    in_flight_ = 0;
+    for (const std::unique_ptr<entry_fixture>& instance : instances_) {
+      for (const admission_summary& service : instance->admission.Summaries()) {
+        in_flight_ += static_cast<double>(service.in_flight);
+      }
+    }
     for (std::size_t i = 0; i < instances_.size(); ++i) {
       (IsHot(i) ? hot : cool) += offered_[i];
       offered_[i] = 0;
@@ -454,6 +461,7 @@
   std::vector<std::unique_ptr<entry_fixture>> instances_;
   std::vector<double> offered_;       // first packets since the last tick
   std::pair<double, double> demand_;  // hot and other, a second
+  double in_flight_ = 0;              // of all instances, at the last tick
   std::vector<played_target> targets_;
   std::vector<request> requests_;
   std::map<flow_key, std::size_t> flows_;
--- a/tests/packet_forwarder_test.cc
+++ b/tests/packet_forwarder_test.cc
@@ -16,6 +16,7 @@
     config.routes[0].latency_target = std::chrono::milliseconds(400);
     entry.directory.Apply({}, config, At(0));
     target_record ledger = Target("l1", 1);
+    ledger.slots = 64;  // admission holds nothing back
     ledger.address = ToIpv4Endpoint(target.local());
     entry.Add(ledger);
     REQUIRE(forwarder.Start());
