Recover from slow answers of an outage, and prefer the own data centre

Change: the limit falls only while the last answers are slow, too, and rises faster when they are fast; another data centre must be ahead by 20 ms.

--- a/include/rosemaryreach/spillover.h
+++ b/include/rosemaryreach/spillover.h
@@ -13,6 +13,9 @@
 // The expected wait elsewhere must be shorter by this factor. Then two data
 // centres whose figures of each other are old do not exchange their load.
 inline constexpr double kSpillMargin = 1.5;
+// And by this much, part of a queued request: waits at few targets vary by
+// chance, and flows that stay here survive a cut between data centres.
+inline constexpr duration kLocalPreference = std::chrono::milliseconds(20);
 // The share changes by this much a second where the waits differ by half:
 // figures of other data centres are up to a second old, and flows sent
 // meanwhile show late.
@@ -29,7 +32,9 @@
         std::min<duration>(now - updated_, std::chrono::milliseconds(100));
     updated_ = now;
     const double local = static_cast<double>(here.count());
-    const double remote = kSpillMargin * static_cast<double>(elsewhere.count());
+    const double remote =
+        std::max(kSpillMargin * static_cast<double>(elsewhere.count()),
+                 static_cast<double>((elsewhere + kLocalPreference).count()));
     const double excess = std::clamp(
         (local - remote) / std::max({local, remote, 1.0}), -1.0, 1.0);
     // Waits at few targets vary much; the share follows their mean.
--- a/src/entry/service_limit.cc
+++ b/src/entry/service_limit.cc
@@ -34,6 +34,8 @@
 constexpr double kShortWeight = 0.2;
 constexpr double kShortBelow = 0.7;
 constexpr double kRaiseBy = 0.03;
+// While the limit is below the room and the last answers were fast.
+constexpr double kRaiseFastBy = 0.05;
 // Towards the room, while less than kBinding of the limit is used.
 constexpr double kReturnBy = 0.1;
 // The limit changes only while at least this part of it is used.
@@ -116,11 +118,15 @@
       kLowerAbove * objective,
       std::min(kWorkAllowance * Micros(work_time_), kMaxWorkShare * objective));
   const double raise_below = lower_above * kRaiseBelow / kLowerAbove;
-  if (answers_ > 0 && mean_us_ > lower_above &&
-      short_mean_us_ > kShortBelow * raise_below && binding) {
+  // The last answers must be slow, too: a few very slow ones, as after an
+  // outage, stay in the mean for seconds when a low limit lets few pass.
+  if (answers_ > 0 && mean_us_ > lower_above && short_mean_us_ > raise_below &&
+      binding) {
     factor_ *= mean_us_ > kFarAbove * lower_above ? kLowerFarBy : kLowerBy;
   } else if (!binding && factor_ < 1) {
     factor_ = std::min(1.0, factor_ + kReturnBy);
+  } else if (binding && factor_ < 1 && short_mean_us_ < raise_below) {
+    factor_ = std::min(1.0, factor_ + kRaiseFastBy);
   } else if (binding && (mean_us_ < raise_below ||
                          short_mean_us_ < kShortBelow * raise_below)) {
     factor_ += kRaiseBy;
--- a/src/entry/target_picker_wait.cc
+++ b/src/entry/target_picker_wait.cc
@@ -118,8 +118,8 @@
   spill.Update(here.mean(), elsewhere.mean(), now);
   std::uniform_real_distribution<double> draw(0, 1);
   const bool may_spill = draw(random_) < spill.share();
-  if (may_spill && elsewhere.best.estimate->wait < here.best.estimate->wait &&
-      here.best.estimate->wait > work) {
+  if (may_spill && elsewhere.best.estimate->wait + kLocalPreference <
+                       here.best.estimate->wait) {
     ++spilled_flows_;
     return elsewhere.best;
   }
