--- a/include/rosemaryreach/stop_schedule.h
+++ b/include/rosemaryreach/stop_schedule.h
@@ -19,7 +19,8 @@
 // for the log and the last packets, 100 ms until the next tick, and the rest
 // for a short wait for the processor.
 inline constexpr duration kKillMargin = std::chrono::milliseconds(700);
-// Timers that were late in this time, more than a whole stop, may be late again.
+// Timers that were late in this time, more than a whole stop, may be late
+// again.
 inline constexpr duration kLatenessMemory = std::chrono::seconds(10);
 
 enum class stop_verdict : std::uint8_t { kServe, kQuiet, kGraceNearlyOver };
