--- a/tests/standins/entry_process.h
+++ b/tests/standins/entry_process.h
@@ -65,6 +65,8 @@
     return true;
   }
 
+  pid_t pid() const { return pid_; }  // 0 after it has ended
+
   // Whether the last end was a signal other than SIGKILL or a nonzero status.
   bool ended_abnormally() const { return ended_abnormally_; }
 
--- a/tests/standins/entry_store.h
+++ b/tests/standins/entry_store.h
@@ -101,6 +101,10 @@
 
   std::uint64_t calls() const { return calls_; }
 
+  // Sets the items of a listing's page; small by default, so that listings have
+  // several pages.
+  void SetPageItems(std::size_t items) { page_items_ = items; }
+
  private:
   struct store_copy {
     time_point made{};
@@ -149,7 +153,7 @@
   void List(evhttp_request* request, const std::string& after) {
     nlohmann::json items = nlohmann::json::array();
     auto next = items_.upper_bound(after);
-    for (; next != items_.end() && items.size() < kPageItems; ++next) {
+    for (; next != items_.end() && items.size() < page_items_; ++next) {
       items.push_back(next->second);
     }
     Reply(request, {{"items", std::move(items)},
@@ -191,8 +195,6 @@
     evbuffer_free(buffer);
   }
 
-  // Small, so that listings have several pages.
-  static constexpr std::size_t kPageItems = 10;
   static constexpr duration kCopyPeriod = std::chrono::milliseconds(250);
   static constexpr std::size_t kCopies = 44;  // the last 11 s
 
@@ -208,6 +210,7 @@
   std::uint64_t compacted_ = 0;
   std::uint64_t era_ = 0;
   std::uint64_t calls_ = 0;
+  std::size_t page_items_ = 10;
   store_fault fault_ = store_fault::kNone;
 };
 
