Handle the first packets before log lines and probes of a start

Cause: before the first packet, a start wrote some 40 log lines, set up the logging library (about 30 system calls), started the writer's thread, and asked the kernel twice for all local addresses to bind its HTTP listeners.

Change: the writer's thread starts after the first packets; the library is set up with the first line; listeners are bound by address; the targets of the first view are one line, first_view; packets that wait in the socket are handled as soon as the view is there, before probes and copies of departed targets.

--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -56,6 +56,9 @@
   bool departed = false;
 };
 
+// Outcome of the change that adds an active target.
+inline constexpr const char* kTargetAdded = "target_added";
+
 // One change of the directory, for the log.
 struct directory_change {
   std::string subject;
--- a/src/adapters/admin_server.cc
+++ b/src/adapters/admin_server.cc
@@ -4,6 +4,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <openssl/crypto.h>
+#include <unistd.h>
 
 #include <utility>
 
@@ -20,6 +21,7 @@
 constexpr ev_ssize_t kMaxHeaderBytes = 8'192;
 constexpr ev_ssize_t kMaxBodyBytes = 0;
 constexpr int kIdleTimeoutS = 10;
+constexpr int kListenBacklog = 128;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -154,6 +156,25 @@
   evbuffer_free(body);
 }
 
+// Returns a listening socket, or -1 on failure. evhttp_bind_socket() would ask
+// the kernel for all local addresses first, which slows the start down.
+int OpenListener(const socket_address& address) {
+  const int fd = socket(address.storage.ss_family,
+                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  if (fd < 0 ||
+      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+      setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) != 0 ||
+      bind(fd, address.get(), address.size) != 0 ||
+      listen(fd, kListenBacklog) != 0) {
+    if (fd >= 0) {
+      close(fd);
+    }
+    return -1;
+  }
+  return fd;
+}
+
 std::string RequestPath(evhttp_request* request) {
   const char* path =
       evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
@@ -183,15 +204,17 @@
 admin_server::~admin_server() = default;
 
 result<std::uint16_t> admin_server::Listen(const endpoint& address) {
-  const std::string host = FormatIp(address.address);
-  evhttp_bound_socket* bound =
-      evhttp_bind_socket_with_handle(server_.get(), host.c_str(), address.port);
-  if (bound == nullptr) {
+  socket_address local = ToSocketAddress(address);
+  const int fd = OpenListener(local);
+  if (fd < 0) {
     return Fail(errc::kIo, "can't be bound", FormatEndpoint(address));
   }
-  socket_address local;
+  if (evhttp_accept_socket_with_handle(server_.get(), fd) == nullptr) {
+    close(fd);
+    return Fail(errc::kIo, "can't be watched", FormatEndpoint(address));
+  }
   local.size = sizeof(local.storage);
-  getsockname(evhttp_bound_socket_get_fd(bound), local.get(), &local.size);
+  getsockname(fd, local.get(), &local.size);
   return FromSocketAddress(local.storage).port;
 }
 
--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -100,12 +100,17 @@
   write_(Dump(line));
 }
 
-background_writer::background_writer(line_writer write, std::size_t capacity)
-    : write_(std::move(write)),
-      capacity_(capacity),
-      thread_([this] { Run(); }) {}
+background_writer::background_writer(line_writer write,
+                                     std::size_t capacity,
+                                     writer_start start)
+    : write_(std::move(write)), capacity_(capacity) {
+  if (start == writer_start::kNow) {
+    Start();
+  }
+}
 
 background_writer::~background_writer() {
+  Start();
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     stopping_ = true;
@@ -126,7 +131,14 @@
   not_empty_.notify_one();
 }
 
+void background_writer::Start() {
+  if (!thread_.joinable()) {
+    thread_ = std::thread([this] { Run(); });
+  }
+}
+
 bool background_writer::Flush(std::chrono::milliseconds timeout) {
+  Start();
   std::unique_lock<std::mutex> lock(mutex_);
   return written_.wait_for(lock, timeout,
                            [this] { return lines_.empty() && !writing_; });
--- a/src/adapters/json_log.h
+++ b/src/adapters/json_log.h
@@ -46,6 +46,10 @@
   std::atomic<std::uint32_t> decisions_ = 0;
 };
 
+// When a background_writer starts to write: at once, or with the first call of
+// Start(), Flush() or the destructor.
+enum class writer_start : std::uint8_t { kNow, kDeferred };
+
 // Writes lines on a background thread. Lines that exceed the queue's capacity
 // are dropped, and their total is logged. The destructor writes queued lines.
 class background_writer {
@@ -53,13 +57,18 @@
   static constexpr std::size_t kDefaultCapacityLines = 16'384;
 
   explicit background_writer(line_writer write,
-                             std::size_t capacity = kDefaultCapacityLines);
+                             std::size_t capacity = kDefaultCapacityLines,
+                             writer_start start = writer_start::kNow);
   ~background_writer();
   background_writer(const background_writer&) = delete;
   background_writer& operator=(const background_writer&) = delete;
 
   void Write(std::string line);
 
+  // Starts the thread unless it runs. Called by the thread that constructed
+  // this object.
+  void Start();
+
   // Waits until all queued lines are written; returns false on timeout.
   bool Flush(std::chrono::milliseconds timeout);
 
--- a/src/adapters/json_log_stdout.cc
+++ b/src/adapters/json_log_stdout.cc
@@ -1,6 +1,8 @@
 // The only user of easylogging++: writes complete lines to standard output.
 #include <easylogging++.h>
 
+#include <mutex>
+
 #include "adapters/json_log.h"
 
 INITIALIZE_EASYLOGGINGPP
@@ -23,8 +25,13 @@
 }  // namespace
 
 line_writer MakeStdoutWriter() {
-  Configure();
-  return [](const std::string& line) { CLOG(INFO, kLoggerName) << line; };
+  // Setting the library up takes some 30 system calls, so it waits for the
+  // first line.
+  return [](const std::string& line) {
+    static std::once_flag configured;
+    std::call_once(configured, Configure);
+    CLOG(INFO, kLoggerName) << line;
+  };
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -215,7 +215,7 @@
   }
   const target_index added = Add(record, now);
   report_({record.id,
-           record.state == target_state::kActive ? "target_added"
+           record.state == target_state::kActive ? kTargetAdded
                                                  : "target_added_draining",
            DescribeTarget(record)});
   IndexAddress(added);
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -38,6 +38,8 @@
 // Packets that arrive before the first view are held at most this long, which
 // is less than the time until callers send them a third time.
 constexpr duration kStartupHoldTime = std::chrono::milliseconds(300);
+// Limit for the packets that wait in the socket when the first view arrives.
+constexpr duration kFirstPacketsTime = std::chrono::milliseconds(50);
 // After a pause, the old view is used again if no newer one arrives in time.
 constexpr duration kRefreshTimeout = std::chrono::milliseconds(400);
 // An older view may lack a route that callers already use.
@@ -63,7 +65,8 @@
                                const entry_options& options,
                                signal_descriptor& signals,
                                log_sink& log,
-                               std::uint64_t seed)
+                               std::uint64_t seed,
+                               std::function<void()> on_serving)
     : settings_(settings),
       options_(options),
       signals_(signals),
@@ -207,6 +210,7 @@
       started_(BootTimeNow()),
       last_wake_(started_),
       last_tick_(started_),
+      on_serving_(std::move(on_serving)),
       random_(seed),
       settings_mtime_(ModificationTime(options.settings_file)) {
   admission_.SetEnabled(settings_.load.admission);
@@ -334,8 +338,11 @@
 
 void entry_instance::OnViewChanged(const view_change& change) {
   const time_point now = BootTimeNow();
+  const bool first = !directory_.complete();
   change_lines_left_ = kMaxChangeLines;
+  taking_first_view_ = first;
   directory_.ApplyBatch(change, now);
+  taking_first_view_ = false;
   load_sync_.Update(settings_);
   if (directory_.complete() && !packet_forwarder_.receiving() &&
       sync_.age() >= kMaxRecentViewAge) {
@@ -349,7 +356,9 @@
     StartForwarding("configuration and targets are loaded");
   }
   ConfirmReachability();
-  if (change.items.size() > kMaxChangeLines) {
+  if (first) {
+    LogFirstView();
+  } else if (change.items.size() > kMaxChangeLines) {
     LogLifecycle("changes_taken",
                  std::to_string(change.items.size()) +
                      " items changed; only the first ones are logged");
@@ -394,6 +403,8 @@
   if (!packet_forwarder_.receiving()) {
     packet_forwarder_.StartReceiving();
     LogLifecycle("serving", reason);
+    // Packets wait since the socket was bound.
+    packet_forwarder_.HandleWaiting(BootTimeNow() + kFirstPacketsTime);
   }
 }
 
@@ -531,6 +542,9 @@
   if (now - started_ >= kStartupHoldTime) {
     StartForwarding("no view of the store arrived in time");
   }
+  if (on_serving_ && packet_forwarder_.receiving()) {
+    std::exchange(on_serving_, nullptr)();
+  }
   directory_.Tick(sync_.store_unavailable(), now);
   suspect_prober_.Tick();
   UpdatePlacement(now);
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -3,6 +3,7 @@
 #ifndef ROSEMARYREACH_ENTRYD_ENTRY_INSTANCE_H_
 #define ROSEMARYREACH_ENTRYD_ENTRY_INSTANCE_H_
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -36,11 +37,14 @@
 
 class entry_instance {
  public:
+  // `on_serving` is called soon after the first packets were handled, for work
+  // that can wait until then.
   entry_instance(const entry_settings& settings,
                  const entry_options& options,
                  signal_descriptor& signals,
                  log_sink& log,
-                 std::uint64_t seed);
+                 std::uint64_t seed,
+                 std::function<void()> on_serving = nullptr);
 
   result<void> Start();
 
@@ -66,6 +70,8 @@
   // Probes targets after the start, until one of them is reached.
   void ConfirmReachability();
   void StartForwarding(const char* reason);
+  // Logs what the first view lists, in one line.
+  void LogFirstView();
   void OnViewChanged(const view_change& change);
   void OnTargetsDeparted(std::span<const departed_target> targets);
   // Returns whether no live target can have this unknown cookie.
@@ -141,7 +147,9 @@
   bool shedding_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
+  std::function<void()> on_serving_;   // empty after its call
   bool reach_confirmed_ = false;       // a target was reached since the start
+  bool taking_first_view_ = false;     // one line states all added targets
   std::size_t change_lines_left_ = 0;  // for the current batch of changes
   stop_schedule stop_schedule_;
   // Since the last line of LogAdmission().
--- a/src/entryd/entry_instance_log.cc
+++ b/src/entryd/entry_instance_log.cc
@@ -1,13 +1,17 @@
 // Log lines and metrics of an entry instance.
 #include <array>
+#include <map>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "entryd/entry_instance.h"
 
 namespace rosemaryreach {
 
 void entry_instance::OnDirectoryChange(const directory_change& change) {
-  if (change_lines_left_ == 0) {
+  const bool summarized = taking_first_view_ && change.outcome == kTargetAdded;
+  if (change_lines_left_ == 0 || summarized) {
     return;
   }
   --change_lines_left_;
@@ -19,6 +23,29 @@
   log_.LogStateChange("directory", fields);
 }
 
+void entry_instance::LogFirstView() {
+  // Active targets by service and data centre.
+  std::map<std::pair<std::string, std::string>, std::size_t> counts;
+  for (const std::optional<known_target>& target : directory_.targets()) {
+    if (target && target->record.state == target_state::kActive) {
+      ++counts[{target->record.service, target->record.data_centre}];
+    }
+  }
+  std::string targets;
+  for (const auto& [where, count] : counts) {
+    targets += (targets.empty() ? "" : ", ") + std::to_string(count) + " of " +
+               where.first + " in " + where.second;
+  }
+  const std::array<log_field, 5> fields = {
+      log_field{"outcome", "first_view"},
+      log_field{"configuration",
+                static_cast<std::int64_t>(directory_.config().version)},
+      log_field{"targets", targets},
+      log_field{"revision", static_cast<std::int64_t>(sync_.cursor().revision)},
+      log_field{"age_ms", ToMillis(sync_.age())}};
+  log_.LogStateChange("instance", fields);
+}
+
 void entry_instance::LogOutlier(const outlier_change& change) {
   if (change_lines_left_ == 0) {
     return;
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -115,12 +115,17 @@
   // Created before the writer's thread, so that the thread inherits the signal
   // mask.
   signal_descriptor signals;
-  background_writer writer(MakeStdoutWriter());
+  // Writing starts after the first packets: on a small share of a core, the
+  // lines of a start would take as long as the rest of it.
+  background_writer writer(MakeStdoutWriter(),
+                           background_writer::kDefaultCapacityLines,
+                           writer_start::kDeferred);
   log_settings levels;
   levels.level = level;
   json_log log(levels, settings.instance,
                [&writer](std::string line) { writer.Write(std::move(line)); });
-  entry_instance instance(settings, options, signals, log, RandomSeed());
+  entry_instance instance(settings, options, signals, log, RandomSeed(),
+                          [&writer] { writer.Start(); });
   const result<void> started = instance.Start();
   if (!started) {
     std::fprintf(stderr, "rosemaryreach-entry: %s\n",
--- a/tests/json_log_test.cc
+++ b/tests/json_log_test.cc
@@ -42,6 +42,30 @@
   CHECK(count_logged({log_level::kWarning, 1}) == 0);
 }
 
+// At the start of an instance, packets come before log lines.
+TEST_CASE("A deferred writer writes nothing before its start, then all lines") {
+  std::mutex mutex;
+  std::vector<std::string> lines;
+  const auto count = [&] {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return lines.size();
+  };
+  background_writer writer(
+      [&](std::string line) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        lines.push_back(std::move(line));
+      },
+      background_writer::kDefaultCapacityLines, writer_start::kDeferred);
+  writer.Write("0");
+  writer.Write("1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  CHECK(count() == 0);
+  writer.Start();
+  writer.Start();
+  CHECK(writer.Flush(std::chrono::minutes(1)));
+  CHECK(count() == 2);
+}
+
 TEST_CASE("Flush of a blocked output returns at its timeout") {
   std::binary_semaphore output_gate(0);
   background_writer writer(
