End a data centre's unreachability with the first target reached

Cause: when a cut ends, probes reach one target after the other, and a data centre with more targets than a sample stayed unreachable until fewer than six were left or a flow was answered there. In small data centres the first target reached was suspected again to complete the sample, and held down for 0.5 s.

Change: a probe's success counts like an answer of a flow, and the evaluation follows it at once instead of at the next tick.

Both new tests fail on the parent.

--- a/include/rosemaryreach/data_centre_reachability.h
+++ b/include/rosemaryreach/data_centre_reachability.h
@@ -24,7 +24,8 @@
 inline constexpr std::size_t kMaxConfirmTargets = 12;
 // Targets with failed probes after which the rest of the sample is probed.
 inline constexpr std::size_t kMinFailuresToProbe = 2;
-// A data centre with an answer this recent is reachable.
+// A data centre is reachable while one of its targets answered a flow or a
+// probe this recently.
 inline constexpr duration kRecentAnswer = std::chrono::milliseconds(400);
 // Routers move callers away after two failed readiness probes, 500 ms apart;
 // the rest is the time to find out that the instance is isolated.
--- a/src/entry/data_centre_reachability.cc
+++ b/src/entry/data_centre_reachability.cc
@@ -147,11 +147,12 @@
   std::vector<target_index> others;
   for (const target_index target : targets) {
     const target_status& status = tracker_.StatusOf(target);
-    if (Unreachable(status)) {
-      ++unreachable;
-    } else if (now - status.last_answer < kRecentAnswer) {
+    if (now - status.last_reached < kRecentAnswer) {
+      // Also for those still unreachable: when a cut ends, probes reach one
+      // target after the other.
       return false;
     }
+    unreachable += Unreachable(status) ? 1 : 0;
     suspected += status.suspected ? 1 : 0;
     failing += status.suspected && status.failed_probes > 0 ? 1 : 0;
     if (!status.suspected) {
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -150,6 +150,7 @@
           tracker_,
           [this] { return BootTimeNow() < late_until_; },
           [this](target_index target) { OnTargetUnreachable(target); },
+          [this](target_index target) { OnTargetReached(target); },
           log_,
           metrics_),
       picker_(
@@ -468,6 +469,15 @@
   UpdateReachability(BootTimeNow());
 }
 
+void entry_instance::OnTargetReached(target_index target) {
+  const std::string& data_centre = directory_.Find(target)->record.data_centre;
+  if (reachability_.DataCentreUnreachable(data_centre)) {
+    // Until the next tick, callers would be refused that routers have just
+    // brought back.
+    UpdateReachability(BootTimeNow());
+  }
+}
+
 void entry_instance::OnSignal() {
   for (int signal = signals_.Read(); signal != 0; signal = signals_.Read()) {
     if (signal == SIGHUP) {
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -86,6 +86,7 @@
   void UpdatePlacement(time_point now);
   void LogOutlier(const outlier_change& change);
   void OnTargetUnreachable(target_index target);
+  void OnTargetReached(target_index target);
   void OnRequestStalled(const flow_key& key,
                         target_index target,
                         duration waited);
--- a/src/entryd/suspect_prober.cc
+++ b/src/entryd/suspect_prober.cc
@@ -31,12 +31,14 @@
                                flow_tracker& tracker,
                                std::function<bool()> process_late,
                                std::function<void(target_index)> on_unreachable,
+                               std::function<void(target_index)> on_reached,
                                entry_log& log,
                                entry_metrics& metrics)
     : directory_(directory),
       tracker_(tracker),
       process_late_(std::move(process_late)),
       on_unreachable_(std::move(on_unreachable)),
+      on_reached_(std::move(on_reached)),
       log_(log),
       metrics_(metrics),
       prober_(loop, kMaxConcurrentProbes) {}
@@ -172,6 +174,7 @@
     flap_damper_.OnRecovered(cookie, now);
     ExpediteDataCentreProbes(data_centre, now);
     Log(index, "target_trusted", "a probe reached it", suspected_for);
+    on_reached_(index);
     return;
   }
   found->second.next_probe = now + BackoffAfter(failures);
--- a/src/entryd/suspect_prober.h
+++ b/src/entryd/suspect_prober.h
@@ -25,12 +25,14 @@
  public:
   // `process_late` returns whether this process lacked CPU time: a probe that
   // fails then is no evidence against its target. `on_unreachable` is called
-  // once a target counts as unreachable.
+  // once a target counts as unreachable, `on_reached` once a probe has ended
+  // the suspicion of one.
   suspect_prober(event_loop& loop,
                  const target_directory& directory,
                  flow_tracker& tracker,
                  std::function<bool()> process_late,
                  std::function<void(target_index)> on_unreachable,
+                 std::function<void(target_index)> on_reached,
                  entry_log& log,
                  entry_metrics& metrics);
 
@@ -74,6 +76,7 @@
   flow_tracker& tracker_;
   std::function<bool()> process_late_;
   std::function<void(target_index)> on_unreachable_;
+  std::function<void(target_index)> on_reached_;
   entry_log& log_;
   entry_metrics& metrics_;
   connect_prober prober_;
--- a/tests/data_centre_reachability_test.cc
+++ b/tests/data_centre_reachability_test.cc
@@ -167,6 +167,35 @@
   CHECK_FALSE(fixture.reachability.IsIsolated());
 }
 
+// With more targets than a sample, a data centre stayed unreachable until a
+// flow was answered there or probes had reached nearly all targets: callers
+// were refused for a second after a cut had ended.
+TEST_CASE("One reached target ends the unreachability of a data centre") {
+  reachability_fixture fixture;
+  const std::vector<target_index> targets = fixture.AddMany("dc-b", 80);
+  for (const target_index target : targets) {
+    fixture.MakeUnreachable(target, At(0));
+  }
+  fixture.Update();
+  REQUIRE(fixture.reachability.DataCentreUnreachable("dc-b"));
+  fixture.tracker.OnProbeResult(targets[7], true, At(10'000));
+  CHECK(fixture.Update().empty());
+  CHECK_FALSE(fixture.reachability.DataCentreUnreachable("dc-b"));
+  CHECK(fixture.picker.Pick("ledger", {}, At(10'000)).target == targets[7]);
+}
+
+// The first target reached was suspected again to complete the sample, and held
+// down for half a second.
+TEST_CASE("A target that a probe reached is not suspected with the others") {
+  reachability_fixture fixture;
+  const std::vector<target_index> targets = fixture.AddMany("dc-b", 4);
+  for (const target_index target : targets) {
+    fixture.MakeUnreachable(target, At(0));
+  }
+  fixture.tracker.OnProbeResult(targets[0], true, At(9'900));
+  CHECK(fixture.Update().empty());
+}
+
 TEST_CASE("A data centre with recent answers stays reachable") {
   reachability_fixture fixture;
   const std::vector<target_index> targets = fixture.AddMany("dc-b", 20);
--- a/tests/suspect_prober_test.cc
+++ b/tests/suspect_prober_test.cc
@@ -47,12 +47,14 @@
   entry_metrics metrics{*registry};
   bool process_late = false;
   std::vector<target_index> unreachable_targets;
+  std::vector<target_index> reached_targets;
   suspect_prober prober{
       loop,
       entry.directory,
       entry.tracker,
       [this] { return process_late; },
       [this](target_index target) { unreachable_targets.push_back(target); },
+      [this](target_index target) { reached_targets.push_back(target); },
       log,
       metrics};
 };
@@ -72,6 +74,7 @@
   const target_index target = fixture.Add(server.address());
   fixture.MarkSuspected(target);
   CHECK(fixture.Until([&] { return !fixture.status(target).suspected; }));
+  CHECK(fixture.reached_targets == std::vector<target_index>{target});
   CHECK(fixture.unreachable_targets.empty());
 }
 
