Take a data centre for cut off after one failed probe of each of a sample

Change: six failed probes in all, one at least of each of the sample, make a data centre unreachable, if none of its targets answered a flow or a probe for 0.4 s; the sample is completed after 0.15 s of silence. Targets alone are judged as before, so no open flow is reset earlier.

--- a/include/rosemaryreach/data_centre_reachability.h
+++ b/include/rosemaryreach/data_centre_reachability.h
@@ -14,9 +14,10 @@
 
 namespace rosemaryreach {
 
-// A data centre is unreachable when this many of its targets are, or all if
-// there are fewer, and no other target answers. That many independent failures
-// at once are unlikely, and so few probes are cheap in large data centres.
+// A data centre is unreachable when probes of this many of its targets, or of
+// all if there are fewer, have failed this often in all, and no target answers.
+// That many independent failures at once are unlikely, so a sample need not
+// wait for each of its targets to count as unreachable.
 inline constexpr std::size_t kReachabilitySample = 6;
 // Probes of targets at a time, and targets probed in all, to find one that an
 // instance reaches after its start.
@@ -24,6 +25,8 @@
 inline constexpr std::size_t kMaxConfirmTargets = 12;
 // Targets with failed probes after which the rest of the sample is probed.
 inline constexpr std::size_t kMinFailuresToProbe = 2;
+// The rest of the sample is probed once no target has answered for this long.
+inline constexpr duration kSilenceToProbe = std::chrono::milliseconds(150);
 // A data centre is reachable while one of its targets answered a flow or a
 // probe this recently.
 inline constexpr duration kRecentAnswer = std::chrono::milliseconds(400);
--- a/src/entry/data_centre_reachability.cc
+++ b/src/entry/data_centre_reachability.cc
@@ -141,31 +141,33 @@
     const std::vector<target_index>& targets,
     time_point now,
     std::vector<target_index>& to_suspect) const {
-  std::size_t unreachable = 0;
-  std::size_t failing = 0;  // at least one probe failed
+  std::size_t failing = 0;     // targets of which at least one probe failed
+  std::uint32_t failures = 0;  // failed probes of all targets
   std::size_t suspected = 0;
+  time_point last_reached{};
   std::vector<target_index> others;
   for (const target_index target : targets) {
     const target_status& status = tracker_.StatusOf(target);
-    if (now - status.last_reached < kRecentAnswer) {
-      // Also for those still unreachable: when a cut ends, probes reach one
-      // target after the other.
-      return false;
-    }
-    unreachable += Unreachable(status) ? 1 : 0;
-    suspected += status.suspected ? 1 : 0;
-    failing += status.suspected && status.failed_probes > 0 ? 1 : 0;
+    last_reached = std::max(last_reached, status.last_reached);
     if (!status.suspected) {
       others.push_back(target);
+      continue;
     }
+    ++suspected;
+    failing += status.failed_probes > 0 ? 1 : 0;
+    failures += std::min(status.failed_probes, kUnreachableProbes);
   }
   const std::size_t sample = std::min(kReachabilitySample, targets.size());
-  if (failing >= kMinFailuresToProbe && suspected < sample) {
+  if (now - last_reached >= kSilenceToProbe && failing >= kMinFailuresToProbe &&
+      suspected < sample) {
     const std::size_t missing = std::min(sample - suspected, others.size());
     to_suspect.insert(to_suspect.end(), others.begin(),
                       others.begin() + static_cast<std::ptrdiff_t>(missing));
   }
-  return unreachable > 0 && unreachable >= sample;
+  const std::size_t enough =
+      std::min(kReachabilitySample, kUnreachableProbes * targets.size());
+  return now - last_reached >= kRecentAnswer && failing >= sample &&
+         failures >= enough;
 }
 
 data_centre_reachability::reach_summary data_centre_reachability::Summarize()
--- a/tests/data_centre_reachability_test.cc
+++ b/tests/data_centre_reachability_test.cc
@@ -167,6 +167,40 @@
   CHECK_FALSE(fixture.reachability.IsIsolated());
 }
 
+// Each target of a sample had to fail three probes, which took half a second
+// more while callers waited at an instance that was cut off.
+TEST_CASE("One failed probe of each of a sample makes a centre unreachable") {
+  reachability_fixture fixture;
+  const std::vector<target_index> targets = fixture.AddMany("dc-b", 80);
+  const auto fail_once = [&](std::size_t i) {
+    fixture.tracker.MarkSuspected(targets[i], "test");
+    fixture.tracker.OnProbeResult(targets[i], false, At(9'900));
+  };
+  for (std::size_t i = 0; i + 1 < kReachabilitySample; ++i) {
+    fail_once(i);
+  }
+  fixture.Update();
+  CHECK_FALSE(fixture.reachability.DataCentreUnreachable("dc-b"));
+  fail_once(kReachabilitySample);
+  fixture.Update();
+  CHECK(fixture.reachability.DataCentreUnreachable("dc-b"));
+  CHECK_FALSE(Unreachable(fixture.tracker.StatusOf(targets[0])));
+}
+
+// Fewer targets make up for their number by repeated failures.
+TEST_CASE("A data centre of two targets is unreachable after six failures") {
+  reachability_fixture fixture;
+  const std::vector<target_index> targets = fixture.AddMany("dc-b", 2);
+  for (int round = 1; round <= 3; ++round) {
+    for (const target_index target : targets) {
+      fixture.tracker.MarkSuspected(target, "test");
+      fixture.tracker.OnProbeResult(target, false, At(9'900));
+    }
+    fixture.Update();
+    CHECK(fixture.reachability.DataCentreUnreachable("dc-b") == (round == 3));
+  }
+}
+
 // With more targets than a sample, a data centre stayed unreachable until a
 // flow was answered there or probes had reached nearly all targets: callers
 // were refused for a second after a cut had ended.
