--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -182,15 +182,6 @@
   bool operator==(const entry_bounds&) const = default;
 };
 
-// Parts that the settings file switches on.
-struct load_settings {
-  bool sharing = false;    // load reports between instances
-  bool placement = false;  // by shared load and measured speed
-  bool admission = false;  // limits, order and refusals under overload
-
-  bool operator==(const load_settings&) const = default;
-};
-
 // The settings of one entry instance.
 struct entry_settings {
   std::string instance;
@@ -204,8 +195,6 @@
   std::vector<endpoint> seeds;  // control endpoints of some instances
   endpoint store_endpoint;
   entry_bounds bounds;
-  std::uint16_t load_port = 0;  // UDP, load reports; 0 if there is no port
-  load_settings load;
 
   bool operator==(const entry_settings&) const = default;
 };
--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -71,18 +71,12 @@
   std::function<void(const flow_key&, target_index, duration)> stalled;
   // A request got the first part of its answer after this time.
   std::function<void(target_index, duration)> answered;
-  // The first packets and requests without an answer at a target changed by
-  // this number. Optional.
-  std::function<void(target_index, int change)> in_flight_changed;
   // A target that was suspected since it left packets unanswered has answered,
   // or a probe reached it. Optional.
   std::function<void(target_index, time_point now)> disproved{};
   // Returns whether kUnreachableProbes or more failed probes in a row prove
   // that the target is unreachable. Optional; without it, they do.
   std::function<bool(target_index, time_point now)> proves_unreachable{};
-  // As `answered`, with the flow. Optional.
-  std::function<void(const flow_key&, target_index, duration, time_point now)>
-      flow_answered{};
 };
 
 class flow_tracker {
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "rosemaryreach/data_centre_reachability.h"
-#include "rosemaryreach/flow_admission.h"
 #include "rosemaryreach/flow_packet.h"
 #include "rosemaryreach/flow_tracker.h"
 #include "rosemaryreach/target_directory.h"
@@ -22,7 +21,6 @@
   kForward,
   kReset,  // the caller learns of the failure at once
   kDrop,   // silently; the caller retransmits
-  kHold,   // kept until ReleaseHeld() decides
 };
 
 struct packet_decision {
@@ -32,12 +30,6 @@
   const char* rule = "";
 };
 
-// The decision on a packet that was held.
-struct held_decision {
-  flow_packet packet;
-  packet_decision decision;
-};
-
 // Which decisions the age of the view of the store permits.
 struct view_freshness {
   // False from a pause of the process until the view is confirmed or a timeout
@@ -61,9 +53,6 @@
 
 // Observations and decisions of other parts. Optional.
 struct director_hooks {
-  // Called with the service of each new flow, whatever is decided; not for
-  // retransmissions.
-  std::function<void(const std::string& service)> offered{};
   // Returns whether no live target can have this unknown cookie. Without it,
   // packets with an unknown cookie are dropped.
   std::function<bool(std::uint32_t cookie, time_point now)> is_dead_cookie{};
@@ -75,32 +64,12 @@
                   flow_tracker& tracker,
                   const data_centre_reachability& reachability,
                   target_picker& picker,
-                  director_hooks hooks = {},
-                  flow_admission* admission = nullptr);
+                  director_hooks hooks = {});
 
   packet_decision Direct(const flow_packet& packet,
                          const view_freshness& freshness,
                          time_point now);
 
-  // Returns the next decision on a held packet, until none is due. To be called
-  // after packets were directed, and from time to time while some are held.
-  std::optional<held_decision> ReleaseHeld(const view_freshness& freshness,
-                                           time_point now);
-
-  // Decides on all held packets at the end of the process: they are dropped if
-  // a copy will reach another instance, and refused otherwise.
-  std::vector<held_decision> GiveUpHeld(time_point now);
-
-  // Returns the number of held packets.
-  std::size_t held() const {
-    return admission_ == nullptr ? 0 : admission_->held();
-  }
-
-  // Whether a packet of the flow was forwarded and it may still be open.
-  bool Tracks(const flow_key& flow) const {
-    return tracker_.Find(flow) != nullptr;
-  }
-
   // Returns what Direct() would decide, without side effects. The pointers are
   // valid until the directory or the tracker changes.
   flow_explanation Explain(const flow_key& flow,
@@ -121,18 +90,6 @@
   packet_decision HandleFirstPacket(const flow_packet& packet,
                                     const view_freshness& freshness,
                                     time_point now);
-  // Returns the decision if a first packet is not to be forwarded now.
-  std::optional<packet_decision> Admit(const flow_packet& packet,
-                                       const entry_route& route,
-                                       time_point now);
-  // Refuses a first packet for lack of room.
-  packet_decision Refuse(const flow_packet& packet,
-                         const entry_route& route,
-                         const char* rule,
-                         time_point now) const;
-  packet_decision DirectReleased(const released_packet& released,
-                                 const view_freshness& freshness,
-                                 time_point now);
   packet_decision AssignTarget(const flow_packet& packet,
                                const entry_route& route,
                                time_point now);
@@ -170,7 +127,6 @@
   const data_centre_reachability& reachability_;
   target_picker& picker_;
   director_hooks hooks_;
-  flow_admission* admission_;  // nullptr if all flows are admitted
 };
 
 }  // namespace rosemaryreach
--- a/include/rosemaryreach/suspicion_accuracy.h
+++ b/include/rosemaryreach/suspicion_accuracy.h
@@ -10,7 +10,6 @@
 #include <string>
 
 #include "rosemaryreach/flow_tracker.h"
-#include "rosemaryreach/shared_load.h"
 #include "rosemaryreach/target_directory.h"
 
 namespace rosemaryreach {
@@ -32,8 +31,7 @@
 class suspicion_accuracy {
  public:
   suspicion_accuracy(const target_directory& directory,
-                     const flow_tracker& tracker,
-                     shared_load_hooks shared);
+                     const flow_tracker& tracker);
 
   // Records that a target answered, or a probe reached it, after it was
   // suspected since first packets or requests went unanswered.
@@ -52,7 +50,6 @@
 
   const target_directory& directory_;
   const flow_tracker& tracker_;
-  shared_load_hooks shared_;
   std::map<std::string, std::deque<time_point>> disproved_;  // by service
 };
 
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -14,20 +13,12 @@
 
 #include "rosemaryreach/data_centre_reachability.h"
 #include "rosemaryreach/flow_tracker.h"
-#include "rosemaryreach/spillover.h"
 #include "rosemaryreach/target_directory.h"
-#include "rosemaryreach/wait_estimator.h"
 
 namespace rosemaryreach {
 
 // Larger services are sampled; the best of this many is nearly optimal.
 inline constexpr std::size_t kMaxCandidates = 32;
-// Candidates here, and as many elsewhere, that are compared by expected wait:
-// random ones of those with the fewest requests of this instance. Figures of
-// other instances are up to 200 ms old, several times the work time, and all
-// instances see the same; more candidates send them all to the same targets.
-inline constexpr std::size_t kWaitCandidates = 2;
-
 // Queries about the other instances.
 struct fleet_hooks {
   // Returns the live instances of this data centre, including this one.
@@ -39,16 +30,6 @@
   std::function<bool(std::uint32_t cookie)> owns;
 };
 
-// Placement by expected wait. Without estimates, targets are compared by the
-// load that this instance observes.
-struct placement_inputs {
-  const wait_estimator* waits = nullptr;
-  // Returns whether the outlier detector has ejected the target. Optional.
-  std::function<bool(target_index)> ejected{};
-  // The shared figures make a target look silent. Optional.
-  std::function<void(target_index)> silent_elsewhere{};
-};
-
 // The number of targets of a service that one rule applies to for a new flow.
 struct rule_count {
   const char* rule = "";
@@ -63,7 +44,6 @@
   const char* rule = "";
   // There is no target, but there are some that this instance can't reach.
   bool unreachable = false;
-  std::optional<wait_estimate> estimate{};  // if the expected wait decided
 };
 
 class target_picker {
@@ -74,8 +54,7 @@
                 std::string data_centre,
                 entry_bounds bounds,
                 fleet_hooks fleet,
-                std::uint64_t seed,
-                placement_inputs placement = {});
+                std::uint64_t seed);
 
   // Returns the target for a new flow to `service`; avoids `tried` targets if
   // there is an alternative.
@@ -91,26 +70,12 @@
   std::vector<rule_count> CountByRule(const std::string& service,
                                       time_point now) const;
 
-  // Returns the figures by which a target is compared; nothing if the expected
-  // wait does not decide for its service.
-  std::optional<wait_estimate> EstimateOf(target_index index,
-                                          time_point now) const;
-
-  // Returns the share of the new flows of `service` that may go to other data
-  // centres before the own one is unusable.
-  double SpillShare(const std::string& service) const;
-
-  // Returns the flows that went to another data centre by their expected wait.
-  std::uint64_t spilled_flows() const { return spilled_flows_; }
-
  private:
   // Lower is better; kUnreachable and kExcluded targets are never picked.
   enum class grade : std::uint8_t {
     kGood,
     kMissing,      // its entry disappeared, and the listed ones suffice
     kTried,        // did not answer this flow's first packet
-    kSilent,       // has not answered other instances lately
-    kEjected,      // an outlier by this instance's own evidence
     kDraining,     // draining for less than kDrainingGrace
     kSuspected,    // may not answer
     kUnreachable,  // probes fail to reach it or its data centre
@@ -163,21 +128,6 @@
   // centre, in the order of `load`.
   target_index ChooseDataCentre(std::span<const candidate> best,
                                 const service_load& load) const;
-  bool ComparesByWait(const std::string& service) const;
-  // Returns the requests of this instance for each slot of the target.
-  double OwnLoad(target_index index) const;
-  // Returns up to kMaxCandidates targets of `service`, evenly spread.
-  std::vector<target_index> Sample(const std::string& service,
-                                   std::size_t start) const;
-  pick_result PickByWait(const std::string& service,
-                         std::span<const target_index> tried,
-                         time_point now);
-  // Returns the candidate with the shortest expected wait, from the random
-  // candidates here and, by the spill share, elsewhere.
-  pick_result ShortestWait(const std::string& service,
-                           std::span<const target_index> candidates,
-                           const service_averages& averages,
-                           time_point now);
   bool ColdRateAllows(const known_target& target, time_point now) const;
   duration ColdInterval(const std::string& service) const;
   void RecordColdFlow(const known_target& target, time_point now);
@@ -192,9 +142,6 @@
   std::map<std::uint32_t, time_point> cold_next_;  // by cookie
   mutable sufficiency sufficiency_;
   std::map<std::string, service_load> loads_;  // by service
-  placement_inputs placement_;
-  std::map<std::string, spillover> spill_;  // by service
-  std::uint64_t spilled_flows_ = 0;
 };
 
 }  // namespace rosemaryreach
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -121,10 +121,6 @@
     OnAnswer(flow.target, now);
     if (flow.phase == flow_phase::kRunning) {
       hooks_.answered(flow.target, now - flow.phase_began);
-      if (hooks_.flow_answered) {
-        hooks_.flow_answered(packet.flow, flow.target, now - flow.phase_began,
-                             now);
-      }
       LeavePhase(flow);
       EnterPhase(flow, flow_phase::kOpen, now);
     }
@@ -177,15 +173,8 @@
   }
 }
 
-void flow_tracker::NotifyInFlight(const flow_state& flow, int change) {
-  if (flow.phase != flow_phase::kOpen && hooks_.in_flight_changed) {
-    hooks_.in_flight_changed(flow.target, change);
-  }
-}
-
 void flow_tracker::LeavePhase(flow_state& flow) {
   target_status& status = MutableStatus(flow.target);
-  NotifyInFlight(flow, -1);
   switch (flow.phase) {
     case flow_phase::kOpening:
       Decrement(status.opening);
@@ -208,7 +197,6 @@
   flow.stalled = false;
   flow.phase_began = now;
   flow.last_packet = now;
-  NotifyInFlight(flow, 1);
   if (phase == flow_phase::kOpening) {
     if (status.opening++ == 0) {
       status.opening_since = now;
@@ -290,12 +278,8 @@
 }
 
 void flow_tracker::ResetTarget(target_index target) {
-  absl::erase_if(flows_, [this, target](const auto& entry) {
-    if (entry.second.target != target) {
-      return false;
-    }
-    NotifyInFlight(entry.second, -1);
-    return true;
+  absl::erase_if(flows_, [target](const auto& entry) {
+    return entry.second.target == target;
   });
   MutableStatus(target) = {};
 }
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -35,14 +35,12 @@
                                  flow_tracker& tracker,
                                  const data_centre_reachability& reachability,
                                  target_picker& picker,
-                                 director_hooks hooks,
-                                 flow_admission* admission)
+                                 director_hooks hooks)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
       picker_(picker),
-      hooks_(std::move(hooks)),
-      admission_(admission) {}
+      hooks_(std::move(hooks)) {}
 
 packet_decision packet_director::Direct(const flow_packet& packet,
                                         const view_freshness& freshness,
@@ -61,9 +59,6 @@
   if (refused) {
     return *refused;
   }
-  if (hooks_.offered && packet.retransmit_count == 0) {
-    hooks_.offered(ServiceFor(*route, packet.flow));
-  }
   const flow_state* known = tracker_.Find(packet.flow);
   if (known != nullptr && known->phase != flow_phase::kOpening) {
     if (now - known->phase_began < kLateCopyTime) {
@@ -71,99 +66,9 @@
     }
     tracker_.Drop(packet.flow);
   }
-  // A flow whose first packet was forwarded goes on; only its target changes.
-  if (admission_ != nullptr && tracker_.Find(packet.flow) == nullptr) {
-    const std::optional<packet_decision> kept = Admit(packet, *route, now);
-    if (kept) {
-      return *kept;
-    }
-  }
   return AssignTarget(packet, *route, now);
 }
 
-std::optional<packet_decision> packet_director::Admit(const flow_packet& packet,
-                                                      const entry_route& route,
-                                                      time_point now) {
-  const admission_decision admitted =
-      admission_->Offer(packet, route, ServiceFor(route, packet.flow), now);
-  switch (admitted.verdict) {
-    case admission_verdict::kAdmit:
-      return std::nullopt;
-    case admission_verdict::kHold:
-      return packet_decision{packet_verdict::kHold, kNoTarget, 0,
-                             admitted.rule};
-    case admission_verdict::kRefuse:
-      return Refuse(packet, route, admitted.rule, now);
-    case admission_verdict::kDrop:
-      break;
-  }
-  return packet_decision{packet_verdict::kDrop, kNoTarget, 0, admitted.rule};
-}
-
-std::optional<held_decision> packet_director::ReleaseHeld(
-    const view_freshness& freshness,
-    time_point now) {
-  if (admission_ == nullptr || admission_->held() == 0) {
-    return std::nullopt;
-  }
-  const std::optional<released_packet> released =
-      admission_->Release(freshness.settled && directory_.complete(), now);
-  if (!released) {
-    return std::nullopt;
-  }
-  return held_decision{released->held.packet,
-                       DirectReleased(*released, freshness, now)};
-}
-
-packet_decision packet_director::DirectReleased(const released_packet& released,
-                                                const view_freshness& freshness,
-                                                time_point now) {
-  const flow_packet& packet = released.held.packet;
-  const admission_decision& admitted = released.decision;
-  if (admitted.verdict == admission_verdict::kDrop) {
-    return {packet_verdict::kDrop, kNoTarget, 0, admitted.rule};
-  }
-  const entry_route* route = directory_.FindRoute(packet.flow.destination);
-  const std::optional<packet_decision> refused =
-      RefuseOpening(route, freshness);
-  if (refused) {
-    return *refused;
-  }
-  if (tracker_.Find(packet.flow) != nullptr) {
-    return {packet_verdict::kDrop, kNoTarget, 0, "late_copy"};
-  }
-  if (admitted.verdict == admission_verdict::kAdmit) {
-    return AssignTarget(packet, *route, now);
-  }
-  return Refuse(packet, *route, admitted.rule, now);
-}
-
-packet_decision packet_director::Refuse(const flow_packet& packet,
-                                        const entry_route& route,
-                                        const char* rule,
-                                        time_point now) const {
-  // An isolated instance may be full because its flows get no answers.
-  pick_result none;
-  none.rule = rule;
-  none.unreachable = true;
-  return RefuseWithoutTarget(packet, route, none, now);
-}
-
-std::vector<held_decision> packet_director::GiveUpHeld(time_point now) {
-  std::vector<held_decision> all;
-  if (admission_ == nullptr) {
-    return all;
-  }
-  for (const held_packet& held : admission_->TakeAll()) {
-    const bool refuse =
-        held.packet.retransmit_count >= kLastCopy && MayReset(held, now);
-    all.push_back({held.packet,
-                   {refuse ? packet_verdict::kReset : packet_verdict::kDrop,
-                    kNoTarget, 0, "stopping"}});
-  }
-  return all;
-}
-
 std::optional<packet_decision> packet_director::RefuseOpening(
     const entry_route* route,
     const view_freshness& freshness) const {
@@ -288,13 +193,6 @@
     return {packet_verdict::kReset, kNoTarget, 0, "no_target"};
   }
   const rule_count& best = explanation.targets.front();
-  if (best.usable && admission_ != nullptr) {
-    const admission_decision admitted =
-        admission_->Explain(flow, *explanation.route, explanation.service);
-    if (admitted.verdict != admission_verdict::kAdmit) {
-      return {packet_verdict::kHold, kNoTarget, 0, admitted.rule};
-    }
-  }
   if (best.usable) {
     return {packet_verdict::kForward, kNoTarget, 0, best.rule};
   }
--- a/src/entry/suspicion_accuracy.cc
+++ b/src/entry/suspicion_accuracy.cc
@@ -1,8 +1,6 @@
 #include "rosemaryreach/suspicion_accuracy.h"
 
 #include <algorithm>
-#include <optional>
-#include <utility>
 
 namespace rosemaryreach {
 namespace {
@@ -15,9 +13,8 @@
 }  // namespace
 
 suspicion_accuracy::suspicion_accuracy(const target_directory& directory,
-                                       const flow_tracker& tracker,
-                                       shared_load_hooks shared)
-    : directory_(directory), tracker_(tracker), shared_(std::move(shared)) {}
+                                       const flow_tracker& tracker)
+    : directory_(directory), tracker_(tracker) {}
 
 void suspicion_accuracy::OnDisproved(target_index target, time_point now) {
   const known_target* known = directory_.Find(target);
@@ -39,13 +36,8 @@
     return true;
   }
   const target_status& status = tracker_.StatusOf(target);
-  if (status.failed_probes < kDistrustedProbes ||
-      now - status.last_reached < kDistrustedSilence) {
-    return false;
-  }
-  const std::optional<shared_target_load> others =
-      shared_.target ? shared_.target(known->cookie) : std::nullopt;
-  return !others || others->since_answer >= kDistrustedSilence;
+  return status.failed_probes >= kDistrustedProbes &&
+         now - status.last_reached >= kDistrustedSilence;
 }
 
 bool suspicion_accuracy::MostlyDisproved(const std::string& service,
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -33,9 +33,9 @@
 // Two instances may own a cold target while their views of the fleet differ.
 constexpr double kMaxColdOwners = 2;
 
-constexpr std::array<const char*, 9> kRules = {
-    "least_load", "entry_missing", "tried_before",        "silent",   "ejected",
-    "leaving",    "doubted",       "targets_unreachable", "no_target"};
+constexpr std::array<const char*, 7> kRules = {
+    "least_load", "entry_missing",       "tried_before", "leaving",
+    "doubted",    "targets_unreachable", "no_target"};
 
 }  // namespace
 
@@ -45,23 +45,18 @@
                              std::string data_centre,
                              entry_bounds bounds,
                              fleet_hooks fleet,
-                             std::uint64_t seed,
-                             placement_inputs placement)
+                             std::uint64_t seed)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
       data_centre_(std::move(data_centre)),
       bounds_(bounds),
       fleet_(std::move(fleet)),
-      random_(seed),
-      placement_(std::move(placement)) {}
+      random_(seed) {}
 
 pick_result target_picker::Pick(const std::string& service,
                                 std::span<const target_index> tried,
                                 time_point now) {
-  if (ComparesByWait(service)) {
-    return PickByWait(service, tried, now);
-  }
   service_load& load = UpdateLoad(service, now);
   const std::span<const target_index> all = directory_.TargetsOf(service);
   const std::size_t count = std::min(all.size(), kMaxCandidates);
@@ -202,14 +197,6 @@
   if (std::find(tried.begin(), tried.end(), index) != tried.end()) {
     return grade::kTried;
   }
-  if (ComparesByWait(target.record.service)) {
-    if (placement_.ejected && placement_.ejected(index)) {
-      return grade::kEjected;
-    }
-    if (placement_.waits->SilentElsewhere(index)) {
-      return grade::kSilent;
-    }
-  }
   const bool avoid = target.listing == target_listing::kMissing &&
                      !target.lapse_excused &&
                      ListedTargetsSuffice(target.record.service, now);
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -22,8 +22,8 @@
 }
 
 const char* NameOf(packet_verdict verdict) {
-  static constexpr std::array<const char*, 4> kNames = {"target", "reset",
-                                                        "drop", "hold"};
+  static constexpr std::array<const char*, 3> kNames = {"target", "reset",
+                                                        "drop"};
   return kNames.at(static_cast<std::size_t>(verdict));
 }
 
@@ -39,22 +39,6 @@
           {"unknown_cookies", components.unknown.size()}};
 }
 
-// Returns the figures by which a target is compared with others; null if the
-// expected wait does not decide.
-json PlacementDocument(const entry_components& components,
-                       target_index index,
-                       time_point now) {
-  const std::optional<wait_estimate> estimate =
-      components.picker.EstimateOf(index, now);
-  if (!estimate) {
-    return nullptr;
-  }
-  return {{"expected_wait_ms", ToMillis(estimate->wait)},
-          {"network_ms", ToMillis(estimate->network)},
-          {"speed", estimate->speed},
-          {"in_flight", estimate->in_flight}};
-}
-
 json TargetDocument(const entry_components& components,
                     target_index index,
                     time_point now) {
@@ -73,25 +57,8 @@
           {"doubted", status.suspected},
           {"last_doubt", status.suspect_reason},
           {"failed_probes", status.failed_probes},
-          {"placement", PlacementDocument(components, index, now)},
           {"open", status.open},
-          {"running", status.running},
-          {"others", components.load.TargetDocument(target.cookie)}};
-}
-
-json AdmissionDocument(const flow_admission& admission) {
-  json all = json::array();
-  for (const admission_summary& service : admission.Summaries()) {
-    all.push_back({{"service", service.service},
-                   {"limited", service.limited},
-                   {"limit", service.limit},
-                   {"room", service.room},
-                   {"in_flight", service.in_flight},
-                   {"held", service.held},
-                   {"work_ms", ToMillis(service.work_time)},
-                   {"expected_ms", ToMillis(service.expected_response)}});
-  }
-  return all;
+          {"running", status.running}};
 }
 
 json TrackedFlowDocument(const flow_state& flow, time_point now) {
@@ -116,7 +83,6 @@
   answer["service"] = explanation.service;
   answer["action"] = NameOf(explanation.next.verdict);
   answer["rule"] = explanation.next.rule;
-  answer["spill_share"] = components.picker.SpillShare(explanation.service);
   answer["targets"] = json::object();
   for (const rule_count& count : explanation.targets) {
     answer["targets"][count.rule] = count.targets;
@@ -150,8 +116,6 @@
   answer["waiting_for"] = state.waiting_for;
   answer["flows"] = components.tracker.size();
   answer["peers"] = std::move(peers);
-  answer["load_sharing"] = components.load.StatusDocument();
-  answer["admission"] = AdmissionDocument(components.admission);
   return answer;
 }
 
--- a/src/entryd/entry_documents.h
+++ b/src/entryd/entry_documents.h
@@ -5,10 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include "adapters/admin_server.h"
-#include "entryd/load_sync.h"
 #include "entryd/store_sync.h"
 #include "rosemaryreach/entry_types.h"
-#include "rosemaryreach/flow_admission.h"
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/unknown_cookies.h"
 
@@ -22,9 +20,7 @@
   const flow_tracker& tracker;
   const target_picker& picker;
   const packet_director& director;
-  const load_sync& load;
   const unknown_cookies& unknown;
-  const flow_admission& admission;
 };
 
 // Returns the version and age of the view, the state of the store and the
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -15,11 +15,6 @@
 
 constexpr std::size_t kMaxFlows = 50'000;  // 5 MB
 constexpr duration kTickPeriod = std::chrono::milliseconds(100);
-// Reports of the load arrive this often.
-constexpr duration kObservePeriod = std::chrono::milliseconds(200);
-// Each further such number of targets adds a period between two evaluations of
-// all of them, which bounds their cost at thousands of targets.
-constexpr duration::rep kTargetsPerPeriod = 500;
 // A tick this late, half the time limit of a probe, means that the process
 // lacks CPU time.
 constexpr duration kLateThreshold = std::chrono::milliseconds(60);
@@ -76,21 +71,15 @@
       directory_(
           settings.bounds.flow_lifetime + kRetentionSlack,
           [this](const directory_change& change) { OnDirectoryChange(change); },
-          [this](target_index target) {
-            tracker_.ResetTarget(target);
-            load_sync_.OnRemoved(target);
-          }),
+          [this](target_index target) { tracker_.ResetTarget(target); }),
       tracker_(
           kMaxFlows,
           {[this](target_index target, const char* reason) {
              suspect_prober_.OnSuspected(target, reason);
-             load_sync_.OnSuspected();
            },
            [this](target_index target, duration elapsed) {
              metrics_.open_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
-             times_.OnOpened(directory_.Find(target)->record.data_centre,
-                             elapsed);
            },
            [this](const flow_key& key, target_index target, duration waited) {
              OnRequestStalled(key, target, waited);
@@ -98,12 +87,6 @@
            [this](target_index target, duration elapsed) {
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
-             load_sync_.OnAnswered(target, elapsed);
-             admission_.OnAnswered(target, elapsed);
-           },
-           [this](target_index target, int change) {
-             load_sync_.OnInFlightChanged(target);
-             admission_.OnInFlight(target, change);
            },
            [this](target_index target, time_point now) {
              metrics_.disproved_suspicions.Add();
@@ -111,11 +94,7 @@
            },
            [this](target_index target, time_point now) {
              return accuracy_.ProvesUnreachable(target, now);
-           },
-           [this](const flow_key& key,
-                  target_index target,
-                  duration elapsed,
-                  time_point now) { OnAnswer(key, target, elapsed, now); }}),
+           }}),
       sync_(
           loop_,
           settings,
@@ -129,20 +108,7 @@
           metrics_,
           seed,
           options.clock_offset),
-      load_sync_(loop_,
-                 settings,
-                 directory_,
-                 tracker_,
-                 sync_.peers(),
-                 log_,
-                 *registry_),
-      accuracy_(directory_, tracker_, load_sync_.Hooks()),
-      waits_(directory_,
-             tracker_,
-             times_,
-             PlacementLoad(),
-             settings.data_centre),
-      outliers_(directory_, tracker_, times_, waits_),
+      accuracy_(directory_, tracker_),
       reachability_(directory_, tracker_, settings.data_centre),
       suspect_prober_(
           loop_,
@@ -162,42 +128,19 @@
           {[this] { return sync_.peers().LocalInstances(); },
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
-          seed,
-          {&waits_,
-           [this](target_index target) { return outliers_.Ejected(target); },
-           [this](target_index target) { suspect_prober_.Check(target); }}),
-      admission_(directory_,
-                 tracker_,
-                 static_cast<std::uint32_t>(HashBytes(settings.data_centre)),
-                 {[this] { return sync_.peers().size() + 1; },
-                  [this](target_index target) { return SpeedOf(target); },
-                  [shared = load_sync_.Hooks()](const std::string& service) {
-                    return shared.service(service);
-                  },
-                  [this](std::uint32_t priority,
-                         const admission_decision& decision,
-                         duration waited) {
-                    OnAdmissionDecided(priority, decision, waited);
-                  }},
-                 seed),
+          seed),
       director_(directory_,
                 tracker_,
                 reachability_,
                 picker_,
-                {[this](const std::string& service) {
-                   load_sync_.OnOffered(service);
-                 },
-                 [this](std::uint32_t cookie, time_point now) {
-                   return IsDeadCookie(cookie, now);
-                 }},
-                &admission_),
-      load_(settings.link_mbps),
+                {[this](std::uint32_t cookie, time_point now) {
+                  return IsDeadCookie(cookie, now);
+                }}),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
           directory_,
           director_,
-          load_,
           [this] { return CheckFreshness(); },
           log_,
           metrics_),
@@ -213,10 +156,7 @@
       last_tick_(started_),
       on_serving_(std::move(on_serving)),
       random_(seed),
-      settings_mtime_(ModificationTime(options.settings_file)) {
-  admission_.SetEnabled(settings_.load.admission);
-  load_.SetSheds(settings_.load.admission);
-}
+      settings_mtime_(ModificationTime(options.settings_file)) {}
 
 result<void> entry_instance::Start() {
   loop_.SetErrorHandler([this](std::string_view what) {
@@ -295,7 +235,6 @@
 void entry_instance::DetectLateness(time_point now) {
   const duration late = now - std::exchange(last_tick_, now) - kTickPeriod;
   stop_schedule_.OnTimer(late, now);
-  UpdateLoad(late, now);
   if (late < kLateThreshold) {
     return;
   }
@@ -306,20 +245,6 @@
   late_until_ = now + kLateWindow;
 }
 
-void entry_instance::UpdateLoad(duration late, time_point now) {
-  load_.OnTimer(late, now);
-  const bool shedding = load_.shed_share() > 0;
-  if (shedding != std::exchange(shedding_, shedding)) {
-    const char* of =
-        load_.current() == shortage::kLink ? "link rate" : "processor time";
-    LogLifecycle(shedding ? "short" : "no_longer_short",
-                 shedding ? std::string("of ") + of +
-                                "; first packets are shed where the route "
-                                "declares a latency objective"
-                          : "all first packets are served");
-  }
-}
-
 void entry_instance::UpdateReachability(time_point now) {
   for (const target_index target : reachability_.Update(now)) {
     tracker_.MarkSuspected(target,
@@ -344,7 +269,6 @@
   taking_first_view_ = first;
   directory_.ApplyBatch(change, now);
   taking_first_view_ = false;
-  load_sync_.Update(settings_);
   if (directory_.complete() && !packet_forwarder_.receiving() &&
       sync_.age() >= kMaxRecentViewAge) {
     // The peers are as stale as an instance after a pause: no flow is opened
@@ -409,50 +333,6 @@
   }
 }
 
-shared_load_hooks entry_instance::PlacementLoad() {
-  return {[this, all = load_sync_.Hooks()](std::uint32_t cookie) {
-            return settings_.load.placement ? all.target(cookie) : std::nullopt;
-          },
-          [this, all = load_sync_.Hooks()](const std::string& service) {
-            return settings_.load.placement ? all.service(service)
-                                            : std::nullopt;
-          }};
-}
-
-void entry_instance::UpdatePlacement(time_point now) {
-  const duration period =
-      kObservePeriod *
-      (1 + static_cast<duration::rep>(directory_.targets().size()) /
-               kTargetsPerPeriod);
-  if (now - observed_ < period) {
-    return;
-  }
-  observed_ = now;
-  waits_.Observe(now);
-  for (const outlier_change& change : outliers_.Update(now)) {
-    metrics_.ejections.Add(change.ejected ? 1 : 0);
-    LogOutlier(change);
-  }
-  metrics_.ejected_targets.Set(static_cast<std::int64_t>(outliers_.ejected()));
-}
-
-void entry_instance::OnAnswer(const flow_key& key,
-                              target_index target,
-                              duration elapsed,
-                              time_point now) {
-  const known_target* known = directory_.Find(target);
-  const entry_route* route = directory_.FindRoute(key.destination);
-  times_.OnAnswer(known->record.service, route == nullptr ? "" : route->name,
-                  known->cookie, elapsed, waits_.Crowding(target), now);
-}
-
-double entry_instance::SpeedOf(target_index target) const {
-  const known_target* known = directory_.Find(target);
-  return settings_.load.placement && known != nullptr
-             ? times_.AllEvidenceOf(known->cookie, BootTimeNow()).Speed()
-             : 1;
-}
-
 void entry_instance::OnTargetUnreachable(target_index target) {
   const std::vector<flow_tracker::placed_flow> flows = tracker_.FlowsAt(target);
   std::string names;
@@ -512,7 +392,6 @@
 
 void entry_instance::HandleWaitingPackets() {
   packet_forwarder_.HandleWaiting(BootTimeNow() + kLastPacketsTime);
-  packet_forwarder_.GiveUpHeld();
 }
 
 void entry_instance::Reload(const char* reason) {
@@ -528,9 +407,6 @@
       loaded.value().control_endpoint != settings_.control_endpoint;
   settings_ = loaded.value();
   sync_.Reload(settings_);
-  load_sync_.Update(settings_);
-  admission_.SetEnabled(settings_.load.admission);
-  load_.SetSheds(settings_.load.admission);
   LogLifecycle(
       "reloaded",
       std::string(reason) +
@@ -557,12 +433,10 @@
   }
   directory_.Tick(sync_.store_unavailable(), now);
   suspect_prober_.Tick();
-  UpdatePlacement(now);
   sync_.Tick();
   UpdateUnknownCookies(now);
   UpdateReachability(now);
   ConfirmReachability();
-  admission_.Recompute(now);
   FinishStopWhenDue(now);
   const readiness state = Readiness();
   if (state.ready != std::exchange(was_ready_, state.ready)) {
@@ -573,19 +447,15 @@
 void entry_instance::OnSecond() {
   change_lines_left_ = kMaxChangeLines;
   sync_.LogPeers();
-  load_sync_.Update(settings_);
-  load_sync_.OnSecond();
   tracker_.Sweep(BootTimeNow());
-  times_.Sweep(BootTimeNow());
   unknown_cookies_.Tick(settings_.bounds.flow_lifetime, BootTimeNow());
   log_.LogSkippedLines();
-  LogAdmission();
   CheckSettingsFile();
 }
 
 entry_components entry_instance::Components() const {
-  return {settings_, sync_,      directory_,       tracker_,  picker_,
-          director_, load_sync_, unknown_cookies_, admission_};
+  return {settings_, sync_,     directory_,      tracker_,
+          picker_,   director_, unknown_cookies_};
 }
 
 }  // namespace rosemaryreach
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -14,15 +14,11 @@
 #include "entryd/entry_documents.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
-#include "entryd/load_sync.h"
 #include "entryd/packet_forwarder.h"
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
-#include "rosemaryreach/flow_admission.h"
-#include "rosemaryreach/outlier_detector.h"
 #include "rosemaryreach/packet_director.h"
-#include "rosemaryreach/shared_load.h"
 #include "rosemaryreach/stop_schedule.h"
 #include "rosemaryreach/suspicion_accuracy.h"
 #include "rosemaryreach/unknown_cookies.h"
@@ -65,7 +61,6 @@
   view_freshness CheckFreshness();
   void DetectPause(time_point now);
   void DetectLateness(time_point now);
-  void UpdateLoad(duration late, time_point now);
   void UpdateReachability(time_point now);
   // Probes targets after the start, until one of them is reached.
   void ConfirmReachability();
@@ -78,21 +73,11 @@
   bool IsDeadCookie(std::uint32_t cookie, time_point now);
   void UpdateUnknownCookies(time_point now);
   void OnDirectoryChange(const directory_change& change);
-  void OnAnswer(const flow_key& key,
-                target_index target,
-                duration elapsed,
-                time_point now);
-  // Takes the shared figures as evidence and ejects outliers.
-  void UpdatePlacement(time_point now);
-  void LogOutlier(const outlier_change& change);
   void OnTargetUnreachable(target_index target);
   void OnTargetReached(target_index target);
   void OnRequestStalled(const flow_key& key,
                         target_index target,
                         duration waited);
-  void OnAdmissionDecided(std::uint32_t priority,
-                          const admission_decision& decision,
-                          duration waited);
   void OnSignal();
   void BeginStop();
   void FinishStopWhenDue(time_point now);
@@ -101,16 +86,8 @@
   void OnTick();
   void OnSecond();
   std::string MetricsText();
-  // Logs once a second what admission held and refused, if anything.
-  void LogAdmission();
   void LogLifecycle(const char* event, const std::string& detail);
 
-  // Returns the load that other instances report, for placement; nothing while
-  // the settings switch placement by load off.
-  shared_load_hooks PlacementLoad();
-  // Returns the speed of a target relative to its service; 1 if not known.
-  double SpeedOf(target_index target) const;
-
   entry_settings settings_;
   entry_options options_;
   signal_descriptor& signals_;
@@ -121,18 +98,12 @@
   target_directory directory_;
   flow_tracker tracker_;
   store_sync sync_;
-  load_sync load_sync_;
   suspicion_accuracy accuracy_;
-  response_times times_;
-  wait_estimator waits_;
-  outlier_detector outliers_;
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   target_picker picker_;
   unknown_cookies unknown_cookies_;
-  flow_admission admission_;
   packet_director director_;
-  instance_load load_;
   packet_forwarder packet_forwarder_;
   admin_server admin_;
   descriptor_watch signal_watch_;
@@ -142,10 +113,8 @@
   time_point last_wake_;
   time_point last_tick_;
   time_point late_until_{};
-  time_point observed_{};  // shared response times
   time_point pause_ended_{};
   bool refreshing_after_pause_ = false;
-  bool shedding_ = false;
   bool stopping_ = false;
   bool was_ready_ = false;
   std::function<void()> on_serving_;   // empty after its call
@@ -153,9 +122,6 @@
   bool taking_first_view_ = false;     // one line states all added targets
   std::size_t change_lines_left_ = 0;  // for the current batch of changes
   stop_schedule stop_schedule_;
-  // Since the last line of LogAdmission().
-  std::size_t admission_held_ = 0;
-  std::size_t admission_refused_ = 0;
   std::mt19937_64 random_;
   std::int64_t settings_mtime_ = 0;  // modification time, Unix nanoseconds
 };
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -38,14 +38,6 @@
       peer_datagrams_malformed(
           registry.Counter({"rosemaryreach_entry_peer_bad_total",
                             "Datagrams that are no beacons."})),
-      ejections(registry.Counter(
-          {"rosemaryreach_entry_ejections_total",
-           "Targets ejected, since they were slow or refused requests."})),
-      ejected_targets(registry.Gauge({"rosemaryreach_entry_ejected_targets",
-                                      "Targets that are ejected now."})),
-      spilled_flows(registry.Gauge(
-          {"rosemaryreach_entry_spilled_flows",
-           "Flows that went to another data centre by expected wait."})),
       configuration_version(
           registry.Gauge({"rosemaryreach_entry_configuration_version",
                           "Version of the configuration in force."})),
@@ -64,9 +56,6 @@
       unknown_cookies(registry.Gauge(
           {"rosemaryreach_entry_unknown_cookies",
            "Cookies of no known target, seen within the life of a flow."})),
-      shed_permille(registry.Gauge(
-          {"rosemaryreach_entry_shed_permille",
-           "Thousandths of first packets shed for lack of resources."})),
       peers(registry.Gauge(
           {"rosemaryreach_entry_peers", "Other instances that are heard of."})),
       flows(registry.Gauge(
@@ -79,40 +68,14 @@
           {"rosemaryreach_entry_request_seconds",
            "Data of a caller to the first sign of an answer."},
           kRequestRange)),
-      hold_seconds(registry.Histogram(
-          {"rosemaryreach_entry_hold_seconds",
-           "Wait of first packets that were held or refused."},
-          kHoldRange)),
       registry_(registry) {}
 
-counter& entry_metrics::Admissions(std::uint32_t priority,
-                                   const std::string& data_centre,
-                                   const char* rule) {
-  counter*& found = admissions_[{priority, rule}];
-  if (found == nullptr) {
-    const std::array<metric_label, 3> labels = {
-        metric_label{"priority", std::to_string(priority)},
-        metric_label{"data_centre", data_centre}, metric_label{"rule", rule}};
-    found = &registry_.Counter(
-        {"rosemaryreach_entry_admissions_total",
-         "First packets held, refused, or admitted after a wait.", labels});
-  }
-  return *found;
-}
-
 counter& entry_metrics::Packets(const char* rule) {
   return FindOrAdd(packets_, "rosemaryreach_entry_packets_total",
                    "Packets of callers by the rule that decided.", "rule",
                    rule);
 }
 
-gauge& entry_metrics::OfService(const char* name,
-                                const char* help,
-                                const std::string& service) {
-  const std::array<metric_label, 1> labels = {metric_label{"service", service}};
-  return registry_.Gauge({name, help, labels});
-}
-
 counter& entry_metrics::StoreCalls(const char* outcome) {
   return FindOrAdd(store_calls_, "rosemaryreach_entry_store_calls_total",
                    "Calls to the store by outcome.", "outcome", outcome);
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -20,17 +20,6 @@
   // Returns the counter of store calls that ended with `outcome`.
   counter& StoreCalls(const char* outcome);
 
-  // Returns the counter of first packets of this priority that were held or
-  // refused by `rule`, or admitted after a wait, by an instance of
-  // `data_centre`.
-  counter& Admissions(std::uint32_t priority,
-                      const std::string& data_centre,
-                      const char* rule);
-  // Returns the gauge `name` of a service.
-  gauge& OfService(const char* name,
-                   const char* help,
-                   const std::string& service);
-
   counter& malformed_packets;
   counter& stalled_requests;
   counter& probes;
@@ -39,9 +28,6 @@
   counter& peer_datagrams_sent;
   counter& peer_datagrams_received;
   counter& peer_datagrams_malformed;
-  counter& ejections;  // of targets that are outliers
-  gauge& ejected_targets;
-  gauge& spilled_flows;  // since the start
   gauge& configuration_version;
   gauge& view_age_ms;
   gauge& store_era;
@@ -49,15 +35,12 @@
   gauge& held_ms;           // how long they are held
   gauge& departed_targets;  // that left before this instance knew them
   gauge& unknown_cookies;   // seen in packets lately
-  gauge& shed_permille;     // of first packets, while short of resources
   gauge& peers;
   gauge& flows;
   // From the first packet of a flow to the caller's next one.
   histogram& open_seconds;
   // From the data of a request to the first sign of an answer.
   histogram& request_seconds;
-  // From the arrival of a held or refused first packet to its decision.
-  histogram& hold_seconds;
 
  private:
   counter& FindOrAdd(std::map<const char*, counter*>& counters,
@@ -69,7 +52,6 @@
   metrics_registry& registry_;
   std::map<const char*, counter*> packets_;
   std::map<const char*, counter*> store_calls_;
-  std::map<std::pair<std::uint32_t, const char*>, counter*> admissions_;
 };
 
 }  // namespace rosemaryreach
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -3,17 +3,13 @@
 #ifndef ROSEMARYREACH_ENTRYD_PACKET_FORWARDER_H_
 #define ROSEMARYREACH_ENTRYD_PACKET_FORWARDER_H_
 
-#include <absl/container/flat_hash_map.h>
-
 #include <memory>
 #include <optional>
-#include <vector>
 
 #include "adapters/event_loop.h"
 #include "adapters/udp_socket.h"
 #include "entryd/entry_log.h"
 #include "entryd/entry_metrics.h"
-#include "rosemaryreach/instance_load.h"
 #include "rosemaryreach/packet_director.h"
 
 namespace rosemaryreach {
@@ -24,7 +20,6 @@
                    const endpoint& address,
                    const target_directory& directory,
                    packet_director& director,
-                   instance_load& load,
                    std::function<view_freshness()> check_freshness,
                    entry_log& log,
                    entry_metrics& metrics);
@@ -43,13 +38,6 @@
   // Resets the flows that wait for an answer of the unreachable `target`.
   void ResetWaitingFlows(target_index target);
 
-  // Decides on held packets whose time has come, after a change that may make
-  // room; done by itself after packets and on a timer while any are held.
-  void ReleaseHeld();
-
-  // Sends the last decisions on held packets, at the end of the process.
-  void GiveUpHeld();
-
   // Time of the last packet of a caller, or of construction before the first.
   time_point last_packet() const { return last_packet_; }
 
@@ -57,24 +45,14 @@
   void OnPackets();
   // Reads and handles one batch; returns whether there may be more.
   bool HandleBatch();
-  // Handles the packets of open flows before first packets, so that they don't
-  // wait for them.
-  void HandleOpenFlowsFirst(std::span<const datagram> received,
-                            const view_freshness& freshness,
-                            time_point now);
-  // Returns the decision to shed a first packet if it is to be shed.
-  std::optional<packet_decision> Shed(const flow_packet& packet) const;
   void Handle(std::span<std::uint8_t> bytes,
               const view_freshness& freshness,
               time_point now);
-  // Applies a decision to a packet; bytes are needed to forward or hold it.
+  // Applies a decision to a packet; bytes are needed to forward it.
   void Apply(std::span<std::uint8_t> bytes,
              const flow_packet& packet,
              const packet_decision& decision,
              time_point now);
-  void Release(const held_decision& released, time_point now);
-  void ReleaseDue(const view_freshness& freshness, time_point now);
-  void Flush();
   void Forward(std::span<std::uint8_t> bytes, const packet_decision& decision);
   void Reset(const flow_packet& packet);
   void Log(const flow_packet& packet,
@@ -85,7 +63,6 @@
   endpoint address_;
   const target_directory& directory_;
   packet_director& director_;
-  instance_load& load_;
   std::function<view_freshness()> check_freshness_;
   entry_log& log_;
   entry_metrics& metrics_;
@@ -94,10 +71,6 @@
   std::unique_ptr<descriptor_watch> watch_;
   receive_batch received_;
   time_point last_packet_{};
-  // Datagrams of held packets; the director knows their order.
-  absl::flat_hash_map<flow_key, std::vector<std::uint8_t>> held_;
-  std::vector<std::vector<std::uint8_t>> released_;  // until the next flush
-  loop_timer hold_timer_;
 };
 
 }  // namespace rosemaryreach
--- a/src/entryd/suspect_prober.cc
+++ b/src/entryd/suspect_prober.cc
@@ -13,8 +13,6 @@
 // Ten round trips between the data centres of a region.
 constexpr duration kProbeDeadline = std::chrono::milliseconds(120);
 constexpr duration kInitialBackoff = std::chrono::milliseconds(40);
-// Between two probes of a target that is not suspected.
-constexpr duration kCheckPeriod = std::chrono::milliseconds(500);
 constexpr duration kMaxBackoff = std::chrono::seconds(1);
 
 // Returns the delay before the next probe. It doubles up to one second, which
@@ -58,32 +56,6 @@
   Probe(target, added);
 }
 
-void suspect_prober::Check(target_index target) {
-  const known_target* known = directory_.Find(target);
-  const time_point now = BootTimeNow();
-  std::erase_if(checked_, [now](const auto& one) {
-    return now - one.second >= kCheckPeriod;
-  });
-  if (known == nullptr || suspects_.contains(target) ||
-      checked_.contains(known->cookie) || !TakeProbe(now)) {
-    return;
-  }
-  const std::uint32_t cookie = known->cookie;
-  checked_[cookie] = now;
-  const bool probing = prober_.Probe(
-      ToEndpoint(known->record.address), kProbeDeadline,
-      [this, target, cookie](bool reached) {
-        const known_target* checked = directory_.Find(target);
-        if (!reached && !process_late_() && checked != nullptr &&
-            checked->cookie == cookie) {
-          tracker_.MarkSuspected(target, "others report no answer");
-        }
-      });
-  if (probing) {
-    metrics_.probes.Add();
-  }
-}
-
 void suspect_prober::Tick() {
   const time_point now = BootTimeNow();
   std::erase_if(suspects_, [this](const auto& one) {
--- a/src/entryd/suspect_prober.h
+++ b/src/entryd/suspect_prober.h
@@ -39,10 +39,6 @@
   // Starts to probe a target that became suspected.
   void OnSuspected(target_index target, const char* reason);
 
-  // Probes a target that other instances seem to get no answers from. It
-  // becomes suspected if the probe fails.
-  void Check(target_index target);
-
   // Sends the probes that are due.
   void Tick();
 
@@ -82,7 +78,6 @@
   connect_prober prober_;
   flap_damper flap_damper_;
   std::map<target_index, suspect> suspects_;
-  std::map<std::uint32_t, time_point> checked_;  // by cookie
   double probes_left_ = kProbeBurst;
   time_point probes_refilled_{};
 };
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -9,9 +9,7 @@
 #include <vector>
 
 #include "rosemaryreach/flow_tracker.h"
-#include "rosemaryreach/outlier_detector.h"
 #include "rosemaryreach/packet_director.h"
-#include "rosemaryreach/shared_load.h"
 #include "rosemaryreach/suspicion_accuracy.h"
 #include "rosemaryreach/target_directory.h"
 #include "rosemaryreach/target_picker.h"
@@ -111,54 +109,20 @@
       std::chrono::seconds(75),
       [this](const directory_change& change) { changes.push_back(change); },
       [this](target_index target) { tracker.ResetTarget(target); }};
-  flow_tracker tracker{
-      1'000,
-      {[this](target_index target, const char* /*reason*/) {
-         suspected.push_back(target);
-       },
-       [](target_index, duration) {},
-       [](const flow_key&, target_index, duration) {},
-       [this](target_index target, duration elapsed) {
-         admission.OnAnswered(target, elapsed);
-       },
-       [this](target_index target, int change) {
-         admission.OnInFlight(target, change);
-       },
-       [this](target_index target, time_point now) {
-         accuracy.OnDisproved(target, now);
-       },
-       [this](target_index target, time_point now) {
-         return accuracy.ProvesUnreachable(target, now);
-       },
-       [this](const flow_key& flow,
-              target_index target,
-              duration elapsed,
-              time_point now) {
-         times.OnAnswer("ledger", directory.FindRoute(flow.destination)->name,
-                        directory.Find(target)->cookie, elapsed,
-                        waits.Crowding(target), now);
-       }}};
-  shared_load_hooks shared;
-  response_times times;
-  wait_estimator waits{
-      directory,
-      tracker,
-      times,
-      {[this](std::uint32_t cookie) {
-         return shared.target ? shared.target(cookie) : std::nullopt;
-       },
-       [this](const std::string& service) {
-         return shared.service ? shared.service(service) : std::nullopt;
-       }},
-      data_centre};
-  suspicion_accuracy accuracy{directory,
-                              tracker,
-                              {[this](std::uint32_t cookie) {
-                                 return shared.target ? shared.target(cookie)
-                                                      : std::nullopt;
-                               },
-                               nullptr}};
-  outlier_detector outliers{directory, tracker, times, waits};
+  flow_tracker tracker{1'000,
+                       {[this](target_index target, const char* /*reason*/) {
+                          suspected.push_back(target);
+                        },
+                        [](target_index, duration) {},
+                        [](const flow_key&, target_index, duration) {},
+                        [](target_index, duration) {},
+                        [this](target_index target, time_point now) {
+                          accuracy.OnDisproved(target, now);
+                        },
+                        [this](target_index target, time_point now) {
+                          return accuracy.ProvesUnreachable(target, now);
+                        }}};
+  suspicion_accuracy accuracy{directory, tracker};
   std::uint32_t local_instances = 1;
   std::size_t instances = 1;
   bool owns = true;
@@ -171,30 +135,8 @@
       entry_bounds{},
       {[this] { return local_instances; }, [this] { return instances; },
        [this](std::uint32_t /*cookie*/) { return owns; }},
-      seed,
-      {&waits,
-       [this](target_index target) { return outliers.Ejected(target); }}};
-  std::function<std::optional<shared_service_load>()> service_load;
-  std::function<void(std::uint32_t, const admission_decision&, duration)>
-      decided;
-  flow_admission admission{directory,
-                           tracker,
-                           1,
-                           {[this] { return instances; }, nullptr,
-                            [this](const std::string& /*service*/) {
-                              return service_load ? service_load()
-                                                  : std::nullopt;
-                            },
-                            [this](std::uint32_t priority,
-                                   const admission_decision& decision,
-                                   duration waited) {
-                              if (decided) {
-                                decided(priority, decision, waited);
-                              }
-                            }},
-                           7};
-  packet_director director{directory, tracker, reachability,
-                           picker,    {},      &admission};
+      seed};
+  packet_director director{directory, tracker, reachability, picker};
   view_freshness freshness{true, true};
 };
 
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -196,28 +196,5 @@
   }
 }
 
-// Held datagrams must neither be lost nor sent twice on their way through the
-// forwarder.
-TEST_CASE("A burst beyond the limit is held and then served") {
-  entry_path_fixture fixture(1);
-  entry_testbed& testbed = fixture.testbed();
-  testbed.PublishObjective(400);
-  fixture.Start(0);
-  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 1; }));
-  for (int i = 0; i < 100; ++i) {
-    testbed.OpenFlow();
-  }
-  REQUIRE(fixture.RunUntil([&] { return testbed.open_flows() == 0; }));
-  REQUIRE(fixture.RunUntil([&] {
-    return !fixture.FindLogLine(0, {{"event", "over_capacity"}}).is_null();
-  }));
-  CHECK(fixture.FindLogLine(0, {{"event", "over_capacity"}})["held"] > 0);
-  CHECK_FALSE(fixture.FindLogLine(0, {{"outcome", "held"}}).is_null());
-  CHECK(testbed.violations().empty());
-  CHECK(testbed.counts().reset_open == 0);
-  CHECK(testbed.counts().timeouts == 0);
-  CHECK(testbed.counts().answered > 50);
-}
-
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/flow_tracker_test.cc
+++ b/tests/flow_tracker_test.cc
@@ -15,7 +15,6 @@
   std::vector<duration> opened;
   std::vector<duration> answered;
   std::vector<flow_key> stalled;
-  int in_flight = 0;
   flow_tracker tracker{
       100,
       {[this](target_index target, const char* /*reason*/) {
@@ -25,8 +24,17 @@
        [this](const flow_key& key, target_index, duration) {
          stalled.push_back(key);
        },
-       [this](target_index, duration time) { answered.push_back(time); },
-       [this](target_index, int change) { in_flight += change; }}};
+       [this](target_index, duration time) { answered.push_back(time); }}};
+
+  // First packets and requests without an answer, at all targets.
+  std::uint32_t InFlight() const {
+    std::uint32_t sum = 0;
+    for (target_index target = 0; target < 4; ++target) {
+      sum +=
+          tracker.StatusOf(target).opening + tracker.StatusOf(target).running;
+    }
+    return sum;
+  }
 };
 
 TEST_CASE("A flow opens, sends a request and gets an answer") {
@@ -34,36 +42,36 @@
   flow_tracker& tracker = fixture.tracker;
   tracker.Open(Flow(1), kOne, At(0));
   CHECK(tracker.StatusOf(kOne).opening == 1);
-  CHECK(fixture.in_flight == 1);
+  CHECK(fixture.InFlight() == 1);
   tracker.OnPacket(LaterPacket(Flow(1), 9, 1'001, 5'001, 100), kOne, At(4));
-  CHECK(fixture.in_flight == 1);
+  CHECK(fixture.InFlight() == 1);
   CHECK(tracker.StatusOf(kOne).opening == 0);
   CHECK(tracker.StatusOf(kOne).open == 1);
   CHECK(tracker.StatusOf(kOne).running == 1);
   tracker.OnPacket(LaterPacket(Flow(1), 9, 1'101, 7'001, 0), kOne, At(34));
   CHECK(tracker.StatusOf(kOne).running == 0);
-  CHECK(fixture.in_flight == 0);
+  CHECK(fixture.InFlight() == 0);
   CHECK(fixture.opened == std::vector<duration>{std::chrono::milliseconds(4)});
   CHECK(fixture.answered ==
         std::vector<duration>{std::chrono::milliseconds(30)});
 }
 
-// A count that leaks would keep an instance from admitting flows for good.
+// A count that leaks would make a target look busy for good.
 TEST_CASE("Requests in flight are counted until their flow ends") {
   tracker_fixture fixture;
   flow_tracker& tracker = fixture.tracker;
   tracker.Open(Flow(1), kOne, At(0));
   tracker.Open(Flow(1), kTwo, At(200));
-  CHECK(fixture.in_flight == 1);
+  CHECK(fixture.InFlight() == 1);
   tracker.Open(Flow(2), kOne, At(200));
   tracker.Drop(Flow(2));
-  CHECK(fixture.in_flight == 1);
+  CHECK(fixture.InFlight() == 1);
   tracker.OnPacket(LaterPacket(Flow(3), 9, 1'001, 5'001, 100), kOne, At(300));
-  CHECK(fixture.in_flight == 2);
+  CHECK(fixture.InFlight() == 2);
   tracker.ResetTarget(kOne);
-  CHECK(fixture.in_flight == 1);
+  CHECK(fixture.InFlight() == 1);
   tracker.Sweep(At(60'000));
-  CHECK(fixture.in_flight == 0);
+  CHECK(fixture.InFlight() == 0);
 }
 
 TEST_CASE("A packet that finishes a flow removes it") {
--- a/tests/load_player.h
+++ b/tests/load_player.h
@@ -31,9 +31,6 @@
   std::size_t remote_instances = 0;
   std::uint32_t remote_targets = 0;
   double remote_share = 0;
-  // Instances share their load this often, with a latency objective declared;
-  // 0 if they don't.
-  duration share_period{};
 };
 
 class load_player {
@@ -45,8 +42,6 @@
       const bool remote = i >= load.instances;
       instances_.push_back(
           std::make_unique<entry_fixture>(remote ? "dc-b" : "dc-a", i));
-      // This player holds no packets: it plays placement alone.
-      instances_.back()->admission.SetEnabled(false);
       instances_.back()->local_instances = static_cast<std::uint32_t>(
           remote ? load.remote_instances : load.instances);
       instances_.back()->instances = all;
@@ -54,10 +49,6 @@
     for (std::uint32_t i = 1; i <= load.targets + load.remote_targets; ++i) {
       AddTarget(i);
     }
-    if (load.share_period > duration(0)) {
-      DeclareLatency();
-      ShareLoad();
-    }
     Schedule(std::chrono::milliseconds(1), [this] { Arrive(); });
   }
 
@@ -198,8 +189,6 @@
     std::size_t flows = 0;
     std::size_t running = 0;
     double slowness = 1;
-    duration answer_sum{};  // of the answers since the last reports
-    int answers = 0;
     std::vector<std::size_t> queue;
   };
 
@@ -312,8 +301,6 @@
         Exponential(static_cast<double>(load_.work.count()) * target.slowness),
         [this, id, cookie, index] {
           --served_[id].running;
-          served_[id].answer_sum += now_ - requests_[index].opened_at;
-          ++served_[id].answers;
           Finish(index, cookie);
           StartNext(id, cookie);
         });
@@ -339,69 +326,6 @@
     return first + index % (load_.instances - first);
   }
 
-  void DeclareLatency() {
-    entry_config config = Config(2);
-    for (entry_route& route : config.routes) {
-      route.latency_target = std::chrono::milliseconds(400);
-    }
-    ApplyToAll({config});
-    for (std::size_t i = 0; i < instances_.size(); ++i) {
-      instances_[i]->shared.service = [](const std::string&) {
-        return shared_service_load{};
-      };
-      instances_[i]->shared.target = [this, i](std::uint32_t cookie) {
-        return LoadOfOthers(i, cookie);
-      };
-    }
-  }
-
-  // Takes the figures of all instances at this time as the shared ones.
-  void ShareLoad() {
-    for (auto& [id, target] : served_) {
-      const std::uint32_t cookie = MakeCookie(id, 1);
-      reported_[cookie].clear();
-      for (const std::unique_ptr<entry_fixture>& instance : instances_) {
-        reported_[cookie].push_back(
-            instance->tracker.StatusOf(instance->directory.FindCookie(cookie)));
-      }
-      if (target.answers > 0) {
-        reported_times_[cookie] = target.answer_sum / target.answers;
-      }
-      target.answer_sum = duration(0);
-      target.answers = 0;
-    }
-    shared_at_ = now_;
-    for (const std::unique_ptr<entry_fixture>& instance : instances_) {
-      instance->waits.Observe(now_);
-      instance->outliers.Update(now_);
-    }
-    Schedule(load_.share_period, [this] { ShareLoad(); });
-  }
-
-  std::optional<shared_target_load> LoadOfOthers(std::size_t own,
-                                                 std::uint32_t cookie) {
-    const auto found = reported_.find(cookie);
-    if (found == reported_.end()) {
-      return std::nullopt;
-    }
-    shared_target_load load;
-    load.response_time = reported_times_[cookie];
-    load.age = now_ - shared_at_;
-    for (std::size_t i = 0; i < found->second.size(); ++i) {
-      const target_status& status = found->second[i];
-      if (i == own) {
-        continue;
-      }
-      load.running += status.running;
-      load.opening += status.opening;
-      load.open += status.open;
-      load.unanswered += status.unanswered ? 1 : 0;
-      load.since_answer =
-          std::min(load.since_answer, now_ - status.last_answer);
-    }
-    return load;
-  }
-
   flow_key NextFlow() {
     constexpr std::uint32_t kPorts = 60'000;
     flow_key flow = Flow(static_cast<std::uint16_t>(flows_ % kPorts));
@@ -416,10 +340,6 @@
   std::vector<std::unique_ptr<entry_fixture>> instances_;
   std::map<std::string, served_target> served_;
   std::vector<request> requests_;
-  // As of the last reports, by cookie: what each instance observed.
-  std::map<std::uint32_t, std::vector<target_status>> reported_;
-  std::map<std::uint32_t, duration> reported_times_;
-  time_point shared_at_{};
   std::uint32_t flows_ = 0;
   std::size_t cut_off_ = 0;  // the first instances reach no target
   bool moved_ = false;       // callers avoid them
--- a/tests/packet_director_test.cc
+++ b/tests/packet_director_test.cc
@@ -57,9 +57,9 @@
   bool dead = false;
   packet_director director(fixture.directory, fixture.tracker,
                            fixture.reachability, fixture.picker,
-                           {nullptr, [&dead](std::uint32_t cookie, time_point) {
-                              return dead && cookie == 12'345;
-                            }});
+                           {[&dead](std::uint32_t cookie, time_point) {
+                             return dead && cookie == 12'345;
+                           }});
   const auto rule = [&](const ipv4_endpoint& to, std::uint16_t bytes) {
     return std::string(
         director
@@ -279,24 +279,5 @@
   }
 }
 
-// Counting copies would make a service that drops packets look busier still.
-TEST_CASE("Each new flow with a route is counted as offered once") {
-  entry_fixture fixture;
-  std::vector<std::string> offered;
-  packet_director director(
-      fixture.directory, fixture.tracker, fixture.reachability, fixture.picker,
-      {[&offered](const std::string& service) { offered.push_back(service); },
-       nullptr});
-  director.Direct(FirstPacket(Flow(1)), fixture.freshness, At(0));
-  CHECK(offered.empty());  // without a view
-  fixture.Add(Target("l1", 1));
-  director.Direct(FirstPacket(Flow(1)), fixture.freshness, At(0));
-  director.Direct(FirstPacket(Flow(1), 1), fixture.freshness, At(200));
-  director.Direct(FirstPacket(Flow(2, kFilesAddress)), fixture.freshness,
-                  At(0));
-  director.Direct(FirstPacket(Flow(3, {1, 2})), fixture.freshness, At(0));
-  CHECK(offered == std::vector<std::string>{"ledger", "files"});
-}
-
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/platform_settings_file_test.cc
+++ b/tests/platform_settings_file_test.cc
@@ -72,49 +72,5 @@
   CHECK_FALSE(LoadEntrySettings("/nonexistent/settings.yaml"));
 }
 
-// Without room for a second port, load reports would go to a port of another
-// process.
-TEST_CASE("Load reports use the second port of the range") {
-  const auto port_for = [](const std::string& range) {
-    std::string text = kSettings;
-    const std::string old = "portRange:\n  - 7720\n  - 7735\n";
-    text.replace(text.find(old), old.size(), "portRange: " + range + "\n");
-    const result<entry_settings> parsed = ParseEntrySettings(text);
-    REQUIRE(parsed);
-    return parsed.value().load_port;
-  };
-  CHECK(port_for("[7720, 7735]") == 7'721);
-  CHECK(port_for("[7720, 7721]") == 7'721);
-  CHECK(port_for("[7720, 7720]") == 0);
-  CHECK(port_for("[7720]") == 0);
-  CHECK(port_for("[65535, 65535]") == 0);
-}
-
-// A mistake in the section must not leave a part off that is meant to be on.
-TEST_CASE("The load section takes three switches and nothing else") {
-  const auto parse = [](const std::string& section) {
-    return ParseEntrySettings(std::string(kSettings) + section);
-  };
-  CHECK(parse("").value().load == load_settings{});
-  CHECK(parse("load:\n").value().load == load_settings{});
-  CHECK(parse("").value().load == load_settings{false, false, false});
-  CHECK(parse("load: {sharing: true, admission: false}\n").value().load ==
-        load_settings{true, false, false});
-  CHECK(parse("load: {placement: true, admission: true}\n").value().load ==
-        load_settings{false, true, true});
-  const auto path_of = [&parse](const std::string& section) {
-    const result<entry_settings> parsed = parse(section);
-    return parsed ? std::string("no error") : parsed.error().path;
-  };
-  for (const char* value :
-       {"yes", "off", "1", "\"true\"", "[true]", "~", "on"}) {
-    CHECK(path_of(std::string("load: {sharing: ") + value + "}\n") ==
-          "sharing");
-  }
-  CHECK(path_of("load: {shareing: false}\n") == "load.shareing");
-  CHECK(path_of("load: true\n") == "load");
-  CHECK(path_of("load: [sharing]\n") == "load");
-}
-
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -241,8 +241,7 @@
          << kPacketPort << "\"\n  ready: \"" << ip << ":" << kReadyPort
          << "\"\n  control: \"" << ip << ":" << kControlPort
          << "\"\nportRange: [" << kPeerPort << ", " << kPeerPort + 15
-         << "]\nload: {sharing: true, placement: true, admission: true}\n"
-         << "seedAddrs:\n";
+         << "]\nseedAddrs:\n";
     for (std::size_t seed = 0; seed < 3 && seed < addresses_.size(); ++seed) {
       file << "  - \"" << FormatIp(addresses_[seed]) << ":" << kControlPort
            << "\"\n";
--- a/tests/suspect_prober_test.cc
+++ b/tests/suspect_prober_test.cc
@@ -59,14 +59,6 @@
       metrics};
 };
 
-// Probes a target once and runs until the probe has ended.
-void CheckTarget(suspect_prober_fixture& fixture, target_index target) {
-  fixture.prober.Check(target);
-  const time_point end = BootTimeNow() + std::chrono::milliseconds(200);
-  fixture.Until([&] { return BootTimeNow() >= end; });
-  CHECK(fixture.metrics.probes.value() > 0);
-}
-
 TEST_CASE("A target whose port answers is no longer suspected") {
   suspect_prober_fixture fixture;
   const http_server_fixture server(
@@ -116,21 +108,6 @@
   CHECK(fixture.unreachable_targets.empty());
 }
 
-// Reports of other instances may be wrong: only an own failed probe counts.
-TEST_CASE("A target that looks silent to others is probed first") {
-  suspect_prober_fixture fixture;
-  const http_server_fixture server(
-      fixture.loop, [](const std::string&) { return scripted_reply{}; });
-  const target_index answers = fixture.Add(server.address());
-  CheckTarget(fixture, answers);
-  CHECK_FALSE(fixture.status(answers).suspected);
-  fixture.record.id = "l2";
-  fixture.record.address = ToIpv4Endpoint({UniqueLoopbackAddress(), 9});
-  const target_index refuses = fixture.entry.Add(fixture.record, BootTimeNow());
-  CheckTarget(fixture, refuses);
-  CHECK(fixture.status(refuses).suspected);
-}
-
 TEST_CASE("The number of probes is limited") {
   suspect_prober_fixture fixture;
   const http_server_fixture server(
--- a/tests/suspicion_accuracy_test.cc
+++ b/tests/suspicion_accuracy_test.cc
@@ -96,21 +96,6 @@
   CHECK(service.Unreached(1) == 1);
 }
 
-TEST_CASE("Answers to other instances count against failed probes") {
-  full_service service;
-  service.entry.shared.target = [](std::uint32_t) {
-    shared_target_load load;
-    load.since_answer = std::chrono::milliseconds(200);
-    return load;
-  };
-  service.Suspect(service.targets[0], 0);
-  for (std::int64_t ms = 100; ms <= 5'000; ms += 100) {
-    service.Disprove(10, 10, ms);
-    service.Fail(1, ms);
-  }
-  CHECK(service.Unreached(1) == 0);
-}
-
 // Guards against slow detection of a mass failure.
 TEST_CASE("Targets that fall silent together are found by three probes") {
   for (const std::size_t disproved_before : {0U, 4U, 20U}) {
