Refuse less urgent flows while a service is over its capacity

Hypothesis: two signs that an instance sees, the queue that its flows suggest and the median of its answers, tell overload from outages and from uneven load; refusing the less urgent kind then leaves the targets to the urgent one.

Change: overload_guard, asked by packet_director for new flows, and shown by flows explain. It needs declared priorities and objectives, no setting.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -12,6 +12,7 @@
 #include "rosemaryreach/data_centre_reachability.h"
 #include "rosemaryreach/flow_packet.h"
 #include "rosemaryreach/flow_tracker.h"
+#include "rosemaryreach/overload_guard.h"
 #include "rosemaryreach/target_directory.h"
 #include "rosemaryreach/target_picker.h"
 
@@ -64,6 +65,7 @@
                   flow_tracker& tracker,
                   const data_centre_reachability& reachability,
                   target_picker& picker,
+                  overload_guard& guard,
                   director_hooks hooks = {});
 
   packet_decision Direct(const flow_packet& packet,
@@ -126,6 +128,7 @@
   flow_tracker& tracker_;
   const data_centre_reachability& reachability_;
   target_picker& picker_;
+  overload_guard& guard_;
   director_hooks hooks_;
 };
 
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -62,6 +62,10 @@
                    std::span<const target_index> tried,
                    time_point now);
 
+  // Returns the requests for each slot that callers of this data centre find at
+  // the targets of `service`, as far as the flows of this instance tell.
+  double ExpectedQueue(const std::string& service, time_point now);
+
   // Returns the rule that applies to this target for a new flow now:
   // "least_load" for a healthy one.
   const char* RuleFor(target_index index, time_point now) const;
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -11,6 +11,7 @@
 
 constexpr const char* kUnknownCookieRule = "unknown_cookie";
 constexpr const char* kDeadCookieRule = "cookie_of_no_target";
+constexpr const char* kOverloadRule = "over_capacity";
 
 // Returns the service of a new flow by the weights of the route. All
 // retransmissions of a first packet get the same one on every instance.
@@ -35,11 +36,13 @@
                                  flow_tracker& tracker,
                                  const data_centre_reachability& reachability,
                                  target_picker& picker,
+                                 overload_guard& guard,
                                  director_hooks hooks)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
       picker_(picker),
+      guard_(guard),
       hooks_(std::move(hooks)) {}
 
 packet_decision packet_director::Direct(const flow_packet& packet,
@@ -66,6 +69,15 @@
     }
     tracker_.Drop(packet.flow);
   }
+  const std::string& service = ServiceFor(*route, packet.flow);
+  if (packet.retransmit_count == 0) {
+    guard_.OnOffered(service, *route);
+  }
+  // A flow whose first packet was forwarded may have opened.
+  if (tracker_.Find(packet.flow) == nullptr &&
+      guard_.Refuses(service, *route, picker_.ExpectedQueue(service, now))) {
+    return {packet_verdict::kReset, kNoTarget, 0, kOverloadRule};
+  }
   return AssignTarget(packet, *route, now);
 }
 
@@ -193,6 +205,11 @@
     return {packet_verdict::kReset, kNoTarget, 0, "no_target"};
   }
   const rule_count& best = explanation.targets.front();
+  if (best.usable &&
+      guard_.Refuses(explanation.service, *explanation.route,
+                     picker_.ExpectedQueue(explanation.service, now))) {
+    return {packet_verdict::kReset, kNoTarget, 0, kOverloadRule};
+  }
   if (best.usable) {
     return {packet_verdict::kForward, kNoTarget, 0, best.rule};
   }
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -145,6 +145,20 @@
   return load;
 }
 
+double target_picker::ExpectedQueue(const std::string& service,
+                                    time_point now) {
+  // Where flows of this instance spill over to other data centres, as many of
+  // theirs are taken to come here.
+  const double instances = fleet_.local_instances();
+  double queue = 0;
+  for (const data_centre_load& one : UpdateLoad(service, now).data_centres) {
+    if (one.slots > 0) {
+      queue += one.flows * instances / one.slots;
+    }
+  }
+  return queue;
+}
+
 double target_picker::ExpectedLoad(const data_centre_load& load,
                                    double best_score) const {
   // Assumes that all instances of this data centre load the other one as this
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -87,6 +87,8 @@
            [this](target_index target, duration elapsed) {
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
+             guard_.OnAnswered(directory_.Find(target)->record.service,
+                               elapsed);
            },
            [this](target_index target, time_point now) {
              metrics_.disproved_suspicions.Add();
@@ -133,6 +135,7 @@
                 tracker_,
                 reachability_,
                 picker_,
+                guard_,
                 {[this](std::uint32_t cookie, time_point now) {
                   return IsDeadCookie(cookie, now);
                 }}),
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -18,6 +18,7 @@
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
 #include "rosemaryreach/entry_types.h"
+#include "rosemaryreach/overload_guard.h"
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/stop_schedule.h"
 #include "rosemaryreach/suspicion_accuracy.h"
@@ -102,6 +103,7 @@
   data_centre_reachability reachability_;
   suspect_prober suspect_prober_;
   target_picker picker_;
+  overload_guard guard_;
   unknown_cookies unknown_cookies_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
--- a/tests/load_player.h
+++ b/tests/load_player.h
@@ -31,6 +31,13 @@
   std::size_t remote_instances = 0;
   std::uint32_t remote_targets = 0;
   double remote_share = 0;
+  // Share of the requests that go to a route of higher priority. If it is set,
+  // both routes declare `in_time` as their latency objective.
+  double urgent_share = 0;
+  bool declares_kinds = true;
+  // Requests that a target queues; it rejects further ones after a while, and
+  // their callers try again. 0 for no limit.
+  std::size_t queue = 0;
 };
 
 class load_player {
@@ -49,6 +56,10 @@
     for (std::uint32_t i = 1; i <= load.targets + load.remote_targets; ++i) {
       AddTarget(i);
     }
+    if (load.urgent_share > 0 && load.declares_kinds) {
+      DeclareKinds();
+    }
+    Schedule(std::chrono::seconds(1), [this] { Sweep(); });
     Schedule(std::chrono::milliseconds(1), [this] { Arrive(); });
   }
 
@@ -128,6 +139,25 @@
     return static_cast<double>(answered) / static_cast<double>(last - first);
   }
 
+  // Plays until `end`; returns the requests that were answered in time of those
+  // of one kind that arrived meanwhile, and the number of these.
+  std::pair<std::size_t, std::size_t> CountInTime(time_point end, bool urgent) {
+    const std::size_t first = requests_.size();
+    RunUntil(end);
+    const std::size_t last = requests_.size();
+    RunUntil(end + load_.in_time);
+    std::pair<std::size_t, std::size_t> counts;
+    for (std::size_t i = first; i < last; ++i) {
+      const request& one = requests_[i];
+      if (one.urgent == urgent) {
+        ++counts.second;
+        counts.first +=
+            one.answered_after && *one.answered_after <= load_.in_time ? 1 : 0;
+      }
+    }
+    return counts;
+  }
+
   // Plays until `end`; returns the share of the requests that arrived meanwhile
   // and were refused in all attempts.
   double ShareRefused(time_point end) {
@@ -170,6 +200,8 @@
       std::chrono::milliseconds(200), std::chrono::milliseconds(400)};
   static constexpr duration kAttemptEnds = std::chrono::milliseconds(1'400);
   static constexpr int kMaxAttempts = 3;
+  static constexpr duration kRejectAfter = std::chrono::milliseconds(220);
+  static constexpr duration kRetryAfter = std::chrono::milliseconds(60);
 
   struct request {
     time_point arrived{};
@@ -179,6 +211,7 @@
     bool refused = false;      // at the first packet of the last attempt
     std::size_t instance = 0;  // that forwarded the first packet
     bool remote = false;       // the caller is in dc-b
+    bool urgent = false;
     time_point opened_at{};
     std::optional<duration> answered_after;
   };
@@ -224,6 +257,8 @@
     std::uniform_real_distribution<double> draw(0, 1);
     requests_.back().remote =
         load_.remote_share > 0 && draw(random_) < load_.remote_share;
+    requests_.back().urgent =
+        load_.urgent_share > 0 && draw(random_) < load_.urgent_share;
     StartAttempt(requests_.size() - 1);
   }
 
@@ -231,6 +266,9 @@
   void StartAttempt(std::size_t index) {
     request& one = requests_[index];
     one.flow = NextFlow();
+    if (one.urgent) {
+      one.flow.destination = kBookAddress;
+    }
     one.opened = false;
     ++one.attempts;
     SendFirstPacket(index, one.attempts, 0);
@@ -285,10 +323,23 @@
     one.instance = instance;
     one.opened_at = now_;
     by.Direct(LaterPacket(one.flow, decision.cookie, 1'001, 1, 1), now_);
+    if (load_.queue > 0 && target.queue.size() >= load_.queue) {
+      Schedule(kRejectAfter, [this, index, cookie = decision.cookie] {
+        Reject(index, cookie);
+      });
+      return;
+    }
     target.queue.push_back(index);
     StartNext(id, decision.cookie);
   }
 
+  void Reject(std::size_t index, std::uint32_t cookie) {
+    SendLast(index, cookie);
+    if (requests_[index].attempts < kMaxAttempts) {
+      Schedule(kRetryAfter, [this, index] { StartAttempt(index); });
+    }
+  }
+
   void StartNext(const std::string& id, std::uint32_t cookie) {
     served_target& target = served_[id];
     if (target.queue.empty() || target.running >= load_.slots) {
@@ -311,10 +362,16 @@
     if (answered.instance < cut_off_) {
       return;  // The answer is lost in the cut, too.
     }
+    SendLast(index, cookie);
+    answered.answered_after = now_ - answered.arrived;
+  }
+
+  // Sends the caller's last packet, which acknowledges the answer.
+  void SendLast(std::size_t index, std::uint32_t cookie) {
+    const request& answered = requests_[index];
     flow_packet last = LaterPacket(answered.flow, cookie, 1'002, 2, 0);
     last.finishes = true;
     instances_[answered.instance]->Direct(last, now_);
-    answered.answered_after = now_ - answered.arrived;
   }
 
   // Returns the instance that routers choose for a caller's packets.
@@ -326,6 +383,22 @@
     return first + index % (load_.instances - first);
   }
 
+  void Sweep() {
+    for (const std::unique_ptr<entry_fixture>& instance : instances_) {
+      instance->tracker.Sweep(now_);
+    }
+    Schedule(std::chrono::seconds(1), [this] { Sweep(); });
+  }
+
+  void DeclareKinds() {
+    entry_config config = Config(2);
+    for (entry_route& route : config.routes) {
+      route.latency_target = load_.in_time;
+      route.priority = route.name == "book" ? 1 : 2;
+    }
+    ApplyToAll({config});
+  }
+
   flow_key NextFlow() {
     constexpr std::uint32_t kPorts = 60'000;
     flow_key flow = Flow(static_cast<std::uint16_t>(flows_ % kPorts));
