--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -108,8 +108,7 @@
   bool MayResetOpenFlow(const flow_packet& packet) const;
   // Returns whether requests to `address` may be retried on another target.
   bool IsRetryable(const ipv4_endpoint& address) const;
-  packet_decision ExplainOpening(const flow_key& flow,
-                                 const flow_explanation& explanation,
+  packet_decision ExplainOpening(const flow_explanation& explanation,
                                  const view_freshness& freshness,
                                  time_point now) const;
   packet_decision ExplainData(const flow_key& flow, target_index target) const;
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -175,7 +175,7 @@
   const bool open = explanation.tracked != nullptr &&
                     explanation.tracked->phase != flow_phase::kOpening;
   explanation.next = open ? ExplainData(flow, explanation.tracked->target)
-                          : ExplainOpening(flow, explanation, freshness, now);
+                          : ExplainOpening(explanation, freshness, now);
   return explanation;
 }
 
@@ -192,7 +192,6 @@
 }
 
 packet_decision packet_director::ExplainOpening(
-    const flow_key& flow,
     const flow_explanation& explanation,
     const view_freshness& freshness,
     time_point now) const {
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -77,7 +77,7 @@
           {[this](target_index target, const char* reason) {
              suspect_prober_.OnSuspected(target, reason);
            },
-           [this](target_index target, duration elapsed) {
+           [this](target_index /*target*/, duration elapsed) {
              metrics_.open_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
            },
