Take in the first target of a data centre between two sums of a load

Cause: found on reading the diff. The loads of a service with more than 256 targets are summed up every 10 ms; a target of a data centre that was added in between indexed the candidates out of their range.

Change: the candidates grow with the data centres. The new test fails on the parent.

--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -79,7 +79,10 @@
       continue;
     }
     const double score = Score(index, now);
-    candidate& there = best[DataCentreOf(index, load)];
+    const std::size_t data_centre = DataCentreOf(index, load);
+    // The load may have been summed up before this data centre had targets.
+    best.resize(std::max(best.size(), data_centre + 1));
+    candidate& there = best[data_centre];
     if (there.target == kNoTarget || score < there.score) {
       there = {index, score};
     }
--- a/tests/target_picker_test.cc
+++ b/tests/target_picker_test.cc
@@ -47,6 +47,29 @@
   CHECK(fixture.picker.Pick("ledger", {}, At(1)).target == far);
 }
 
+// The sums of a large service are kept for a moment; a data centre that they
+// lacked was out of their range.
+TEST_CASE("The first target of a data centre is found in a large service") {
+  entry_fixture fixture;
+  constexpr std::uint32_t kTargets = 300;
+  for (std::uint32_t i = 1; i <= kTargets; ++i) {
+    fixture.Add(Target("l" + std::to_string(i), i));
+  }
+  CHECK(fixture.picker.Pick("ledger", {}, At(1'000)).target != kNoTarget);
+  for (std::uint32_t i = 1; i <= kTargets; ++i) {
+    target_record left = Target("l" + std::to_string(i), i);
+    fixture.Drain(left, At(1'000));
+    fixture.Remove(left.id, At(1'000));
+  }
+  for (std::uint32_t i = 1; i <= kTargets; ++i) {
+    fixture.Add(Target("f" + std::to_string(i), 1'000 + i, "dc-b"), At(1'000));
+  }
+  const target_index found =
+      fixture.picker.Pick("ledger", {}, At(1'005)).target;
+  REQUIRE(found != kNoTarget);
+  CHECK(fixture.directory.Find(found)->record.data_centre == "dc-b");
+}
+
 TEST_CASE("A draining target gets no new flow after the first second") {
   entry_fixture fixture;
   fixture.Add(Target("l1", 1));
