Refuse no flows for requests whose callers have left

The usual time of answers was 16 ms, since the estimate dips in the first answers, and the queue was 6 to 8 requests a slot: requests whose callers had left kept most targets stuck, so that their slots were left out, and refusals kept new answers from showing that they were not.

The new test of the guard fails on the parent.

--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -99,7 +99,8 @@
     std::string data_centre;
     double flows = 0;  // running and opening, and a share of the open ones
     double slots = 0;
-    double smoothed = 0;  // flows, averaged over kLoadAverageTime
+    double stuck_slots = 0;  // of targets left out, since they answer nothing
+    double smoothed = 0;     // flows, averaged over kLoadAverageTime
   };
 
   struct service_load {
--- a/src/entry/overload_guard.cc
+++ b/src/entry/overload_guard.cc
@@ -40,7 +40,10 @@
   }
   const double step = seconds > state.median_s ? kMedianStep : 1 / kMedianStep;
   state.median_s = std::max(state.median_s * step, kMinMedianS);
-  state.usual_s = std::min(state.usual_s * kUsualStep, state.median_s);
+  // The first answers lead the median far below its place.
+  state.usual_s = state.answers < kMinAnswers
+                      ? state.median_s
+                      : std::min(state.usual_s * kUsualStep, state.median_s);
 }
 
 bool overload_guard::Refuses(const std::string& service,
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -123,6 +123,7 @@
   for (data_centre_load& one : load.data_centres) {
     one.flows = 0;
     one.slots = 0;
+    one.stuck_slots = 0;
   }
   for (const target_index index : targets) {
     const known_target& target = *directory_.Find(index);
@@ -130,8 +131,11 @@
     data_centre_load& there = load.data_centres[DataCentreOf(index, load)];
     const bool stuck =
         status.running > 0 && now - status.waiting_since >= kStuckTime;
-    if (target.record.state != target_state::kActive || status.suspected ||
-        stuck) {
+    if (target.record.state != target_state::kActive || status.suspected) {
+      continue;
+    }
+    if (stuck) {
+      there.stuck_slots += target.record.slots;
       continue;
     }
     there.flows +=
@@ -155,8 +159,11 @@
   const double instances = fleet_.local_instances();
   double queue = 0;
   for (const data_centre_load& one : UpdateLoad(service, now).data_centres) {
-    if (one.slots > 0) {
-      queue += one.flows * instances / one.slots;
+    // Without the slots of stuck targets, a few flows that their callers have
+    // left would look like a queue, and refusals would keep it so.
+    const double slots = one.slots + one.stuck_slots;
+    if (slots > 0) {
+      queue += one.flows * instances / slots;
     }
   }
   return queue;
--- a/tests/overload_guard_test.cc
+++ b/tests/overload_guard_test.cc
@@ -82,6 +82,18 @@
   CHECK_FALSE(fixture.guard.Refuses("files", Kind(2), 100));
 }
 
+// A start at a usual time far too low had views refused for ten seconds at the
+// normal load.
+TEST_CASE("A few fast answers after a start do not make the rest slow") {
+  overload_guard guard;
+  for (int i = 0; i < 200; ++i) {
+    guard.OnOffered("ledger", Kind(1));
+    guard.OnOffered("ledger", Kind(2));
+    guard.OnAnswered("ledger", std::chrono::milliseconds(i < 20 ? 16 : 60));
+  }
+  CHECK_FALSE(guard.Refuses("ledger", Kind(2), 100));
+}
+
 TEST_CASE("Refusals end as soon as answers are in time again") {
   guard_fixture fixture(200);
   fixture.Answer(20, 55);
--- a/tests/target_picker_test.cc
+++ b/tests/target_picker_test.cc
@@ -70,6 +70,24 @@
   CHECK(fixture.directory.Find(found)->record.data_centre == "dc-b");
 }
 
+// Requests whose callers have left stay for seconds. With the slots of a few
+// targets alone they looked like a queue, and refusals kept the others stuck.
+TEST_CASE("Stuck targets count with their slots for the expected queue") {
+  entry_fixture fixture;
+  std::vector<target_index> targets;
+  for (std::uint32_t i = 1; i <= 5; ++i) {
+    targets.push_back(fixture.Add(Target("l" + std::to_string(i), i)));
+  }
+  for (std::uint16_t port = 0; port < 8; ++port) {
+    fixture.tracker.OnPacket(LaterPacket(Flow(port), 9, 1'001, 5'001, 10),
+                             targets[port % 4], At(0));
+  }
+  fixture.tracker.OnPacket(LaterPacket(Flow(9), 9, 1'001, 5'001, 10),
+                           targets[4], At(1'500));
+  // One request at five targets of two slots, and a share of its open flow.
+  CHECK(fixture.picker.ExpectedQueue("ledger", At(2'000)) < 0.2);
+}
+
 TEST_CASE("A draining target gets no new flow after the first second") {
   entry_fixture fixture;
   fixture.Add(Target("l1", 1));
