Count only own answers as a way out of an unreachable data centre

Change: while a data centre counts as unreachable, an answer ends the suspicion of a target only if it acknowledges a request less than 200 ms after a packet of the flow was seen here, so that no other instance can have sent it again.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -26,6 +26,10 @@
 inline constexpr std::uint32_t kLastCopy = 2;
 inline constexpr duration kAttemptTime = std::chrono::milliseconds(1'400);
 
+// Callers send any packet again this long after it stays unanswered; routers
+// may then have chosen another instance.
+inline constexpr duration kFirstRetransmission = std::chrono::milliseconds(200);
+
 // Load and health of one target as observed by this instance.
 struct target_status {
   std::uint32_t opening = 0;   // flows whose first packet is unanswered
@@ -77,6 +81,11 @@
   // Returns whether kUnreachableProbes or more failed probes in a row prove
   // that the target is unreachable. Optional; without it, they do.
   std::function<bool(target_index, time_point now)> proves_unreachable{};
+  // Returns whether only proof that this very instance reaches the target ends
+  // a suspicion. Callers that were moved and came back acknowledge answers to
+  // packets that other instances forwarded. Optional; without it, any answer
+  // counts.
+  std::function<bool(target_index)> requires_proof{};
 };
 
 class flow_tracker {
@@ -142,7 +151,9 @@
   void EnterPhase(flow_state& flow, flow_phase phase, time_point now);
   void MarkUnanswered(target_index target, const char* reason);
   void OnReached(target_index target, time_point now);
-  void OnAnswer(target_index target, time_point now);
+  // `proven` tells that the target answered a packet that this instance
+  // forwarded, not one that another instance may have forwarded since.
+  void OnAnswer(target_index target, bool proven, time_point now);
   void OnData(flow_state& flow, const flow_packet& packet, time_point now);
   void OnRetransmission(flow_state& flow, const flow_key& key, time_point now);
 
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -95,6 +95,8 @@
   }
   flow_state& flow = found->second;
   if (flow.phase == flow_phase::kOpening || flow.target != target) {
+    const bool proven =
+        flow.target == target && now - flow.last_packet < kFirstRetransmission;
     LeavePhase(flow);
     if (flow.phase == flow_phase::kOpening) {
       hooks_.opened(target, now - flow.phase_began);
@@ -102,7 +104,7 @@
     flow.target = target;
     flow.acknowledged = packet.acknowledged;
     flow.sequence = packet.sequence - 1;
-    OnAnswer(target, now);
+    OnAnswer(target, proven, now);
     EnterPhase(flow, flow_phase::kOpen, now);
   }
   OnData(flow, packet, now);
@@ -115,10 +117,14 @@
 void flow_tracker::OnData(flow_state& flow,
                           const flow_packet& packet,
                           time_point now) {
-  flow.last_packet = now;
+  // Later, the request may have been sent again through another instance, and
+  // the rest of an answer needs no packet that was forwarded here.
+  const duration since_last = now - std::exchange(flow.last_packet, now);
+  const bool proven =
+      flow.phase == flow_phase::kRunning && since_last < kFirstRetransmission;
   if (After(packet.acknowledged, flow.acknowledged)) {
     flow.acknowledged = packet.acknowledged;
-    OnAnswer(flow.target, now);
+    OnAnswer(flow.target, proven, now);
     if (flow.phase == flow_phase::kRunning) {
       hooks_.answered(flow.target, now - flow.phase_began);
       LeavePhase(flow);
@@ -209,11 +215,13 @@
   }
 }
 
-void flow_tracker::OnAnswer(target_index target, time_point now) {
+void flow_tracker::OnAnswer(target_index target, bool proven, time_point now) {
   target_status& status = MutableStatus(target);
   status.last_answer = now;
   status.waiting_since = now;
-  OnReached(target, now);
+  if (proven || !hooks_.requires_proof || !hooks_.requires_proof(target)) {
+    OnReached(target, now);
+  }
 }
 
 void flow_tracker::OnReached(target_index target, time_point now) {
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -96,6 +96,10 @@
            },
            [this](target_index target, time_point now) {
              return accuracy_.ProvesUnreachable(target, now);
+           },
+           [this](target_index target) {
+             return reachability_.DataCentreUnreachable(
+                 directory_.Find(target)->record.data_centre);
            }}),
       sync_(
           loop_,
--- a/tests/data_centre_reachability_test.cc
+++ b/tests/data_centre_reachability_test.cc
@@ -49,6 +49,36 @@
   CHECK_FALSE(fixture.IsIsolated());
 }
 
+// Routers had moved a caller, and brought it back: its acknowledgement was
+// taken for an answer of the target, and the instance, still cut off, was ready
+// again for 0.4 s.
+TEST_CASE("An answer to a packet of another instance does not end isolation") {
+  reachability_fixture fixture;
+  fixture.AddMany("dc-a", 1);
+  fixture.Evacuate("dc-a", true, At(0));
+  fixture.AddMany("dc-b", 1);
+  flow_key flow = Flow(1);
+  flow.destination = kBookAddress;  // its flows are not reset
+  const packet_decision opened = fixture.Direct(FirstPacket(flow), At(9'000));
+  const target_index remote = opened.target;
+  const auto send = [&](std::uint32_t acknowledged, std::uint16_t bytes,
+                        std::int64_t ms) {
+    fixture.Direct(
+        LaterPacket(flow, opened.cookie, 1'000 + bytes, acknowledged, bytes),
+        At(ms));
+  };
+  send(1, 1, 9'002);  // a request, which the cut-off target does not get
+  fixture.MakeUnreachable(remote, At(9'300));
+  CHECK(fixture.IsIsolated());
+  send(500, 0, 10'000);  // it was sent again elsewhere and answered
+  CHECK(fixture.IsIsolated());
+  send(900, 0, 10'010);  // the rest of the answer
+  CHECK(fixture.IsIsolated());
+  send(900, 2, 10'020);    // the next request
+  send(1'000, 0, 10'080);  // its answer proves that the target was reached
+  CHECK_FALSE(fixture.IsIsolated());
+}
+
 TEST_CASE("A service that failed everywhere does not isolate an instance") {
   reachability_fixture fixture;
   fixture.MakeUnreachable(fixture.AddMany("dc-a", 1)[0], At(0));
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -124,6 +124,10 @@
                         },
                         [this](target_index target, time_point now) {
                           return accuracy.ProvesUnreachable(target, now);
+                        },
+                        [this](target_index target) {
+                          return reachability.DataCentreUnreachable(
+                              directory.Find(target)->record.data_centre);
                         }}};
   suspicion_accuracy accuracy{directory, tracker};
   overload_guard guard;
