Find first packets without an answer by a timer

Cause: a target that left a first packet unanswered for 60 ms was suspected only when the next new flow looked at it, 0.1 to 0.3 s later on instances with five new flows a second.

Change: the timer of 100 ms checks all targets.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -120,6 +120,9 @@
   // kOpenAnswerTimeout.
   void CheckOpenTimeout(target_index target, time_point now);
 
+  // The same for all targets.
+  void CheckOpenTimeouts(time_point now);
+
   void OnProbeResult(target_index target, bool reached, time_point now);
 
   // A probe reached a target that stays suspected for other reasons.
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -252,6 +252,12 @@
   }
 }
 
+void flow_tracker::CheckOpenTimeouts(time_point now) {
+  for (target_index target = 0; target < statuses_.size(); ++target) {
+    CheckOpenTimeout(target, now);
+  }
+}
+
 void flow_tracker::MarkUnanswered(target_index target, const char* reason) {
   target_status& status = MutableStatus(target);
   status.unanswered = status.unanswered || !status.suspected;
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -439,6 +439,7 @@
     std::exchange(on_serving_, nullptr)();
   }
   directory_.Tick(sync_.store_unavailable(), now);
+  tracker_.CheckOpenTimeouts(now);
   suspect_prober_.Tick();
   sync_.Tick();
   UpdateUnknownCookies(now);
--- a/tests/flow_tracker_test.cc
+++ b/tests/flow_tracker_test.cc
@@ -127,6 +127,16 @@
   CHECK_FALSE(fixture.tracker.StatusOf(kOne).suspected);
 }
 
+// They were found only when the next new flow looked at the target.
+TEST_CASE("Targets that leave first packets unanswered are found by a timer") {
+  tracker_fixture fixture;
+  fixture.tracker.Open(Flow(1), kOne, At(0));
+  fixture.tracker.CheckOpenTimeouts(At(59));
+  CHECK(fixture.suspected.empty());
+  fixture.tracker.CheckOpenTimeouts(At(60));
+  CHECK(fixture.suspected.size() == 1);
+}
+
 TEST_CASE("Waiting time during a pause of the process does not count") {
   tracker_fixture fixture;
   fixture.tracker.Open(Flow(1), kOne, At(0));
