Judge other data centres together where the own one cannot serve

Change: where some service has usable targets in other data centres only, these are also judged as one: six failed probes of six targets in all, and no target reached for 0.4 s, make them all unreachable.

--- a/include/rosemaryreach/data_centre_reachability.h
+++ b/include/rosemaryreach/data_centre_reachability.h
@@ -4,6 +4,7 @@
 #define ROSEMARYREACH_DATA_CENTRE_REACHABILITY_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -85,6 +86,15 @@
   // Updates stranded_since_; adds targets of other data centres to probe.
   void UpdateStranded(time_point now, std::vector<target_index>& to_suspect);
 
+  // Returns whether a service has usable targets in other data centres only.
+  bool DependsOnOthers() const;
+  // Takes all other data centres for one: a cut around the own one separates
+  // them all, and evidence for each of them alone would take longer.
+  void EvaluateOthers(
+      const std::map<std::string, std::vector<target_index>>& centres,
+      time_point now,
+      std::vector<target_index>& to_suspect);
+
   // Returns whether the data centre of `targets` is unreachable; adds targets
   // to complete its sample to `to_suspect`.
   bool EvaluateSample(const std::vector<target_index>& targets,
--- a/src/entry/data_centre_reachability.cc
+++ b/src/entry/data_centre_reachability.cc
@@ -47,10 +47,59 @@
       unreachable_data_centres_.insert(data_centre);
     }
   }
+  if (DependsOnOthers()) {
+    EvaluateOthers(centres, now, to_suspect);
+  }
   UpdateStranded(now, to_suspect);
   return to_suspect;
 }
 
+bool data_centre_reachability::DependsOnOthers() const {
+  std::map<std::string, service_reachability> services;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    const known_target* target = directory_.Find(i);
+    if (target != nullptr && IsUsable(*target)) {
+      service_reachability& service = services[target->record.service];
+      const bool elsewhere = target->record.data_centre != data_centre_;
+      service.usable_elsewhere = service.usable_elsewhere || elsewhere;
+      service.usable = service.usable || !elsewhere;
+    }
+  }
+  return std::any_of(services.begin(), services.end(), [](const auto& one) {
+    return one.second.usable_elsewhere && !one.second.usable;
+  });
+}
+
+void data_centre_reachability::EvaluateOthers(
+    const std::map<std::string, std::vector<target_index>>& centres,
+    time_point now,
+    std::vector<target_index>& to_suspect) {
+  const std::size_t other_centres =
+      centres.size() - (centres.contains(data_centre_) ? 1 : 0);
+  if (other_centres < 2) {
+    return;
+  }
+  // In turns, so that a sample has targets of each data centre.
+  std::vector<target_index> others;
+  for (std::size_t turn = 0, added = 1; added > 0; ++turn) {
+    added = 0;
+    for (const auto& [data_centre, targets] : centres) {
+      if (data_centre != data_centre_ && turn < targets.size()) {
+        others.push_back(targets[turn]);
+        ++added;
+      }
+    }
+  }
+  if (!EvaluateSample(others, now, to_suspect)) {
+    return;
+  }
+  for (const auto& [data_centre, targets] : centres) {
+    if (data_centre != data_centre_) {
+      unreachable_data_centres_.insert(data_centre);
+    }
+  }
+}
+
 void data_centre_reachability::UpdateStranded(
     time_point now,
     std::vector<target_index>& to_suspect) {
--- a/tests/data_centre_reachability_test.cc
+++ b/tests/data_centre_reachability_test.cc
@@ -79,6 +79,26 @@
   CHECK_FALSE(fixture.IsIsolated());
 }
 
+// A data centre taken out was cut off; evidence for each of the others alone
+// took up to 1.8 s, in which first packets went to targets that it can't reach.
+TEST_CASE("Without usable targets of its own, all others are judged together") {
+  reachability_fixture fixture;
+  fixture.AddMany("dc-a", 4);
+  const std::vector<target_index> b = fixture.AddMany("dc-b", 20);
+  const std::vector<target_index> c = fixture.AddMany("dc-c", 20);
+  for (std::size_t i = 0; i < kReachabilitySample / 2; ++i) {
+    fixture.tracker.MarkSuspected(b[i], "test");
+    fixture.tracker.OnProbeResult(b[i], false, At(9'900));
+    fixture.tracker.MarkSuspected(c[i], "test");
+    fixture.tracker.OnProbeResult(c[i], false, At(9'900));
+  }
+  CHECK_FALSE(fixture.IsIsolated());
+  fixture.Evacuate("dc-a", true, At(9'950));
+  CHECK(fixture.IsIsolated());
+  fixture.tracker.OnProbeResult(c[0], true, At(9'990));
+  CHECK_FALSE(fixture.IsIsolated());
+}
+
 TEST_CASE("A service that failed everywhere does not isolate an instance") {
   reachability_fixture fixture;
   fixture.MakeUnreachable(fixture.AddMany("dc-a", 1)[0], At(0));
