Refuse by what each data centre answers, and by its own queue

Cause: less urgent flows were refused once half of all answers were late, or slow at a queue of six requests a slot.

Change: a service is over capacity if every data centre with usable targets is: half of its last answers take half of the flow's objective, or are rejections (faster than 0.75 of the usual time, beyond the usual share of such), or take twice the usual time while the queue is two even if no other data centre sends any; or if the queue that flows of its own callers make there forecasts late answers. The usual time is not learned while requests queue. Targets of data centres that are out or unreachable no longer count as room.

Tests that asked for no refusal at a queue of 100 with fast answers now ask for it below the queue that forecasts late answers, or beside a data centre with room: a queue of 100 is over capacity whatever the answers so far.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -74,7 +74,7 @@
   // answer; called once per request.
   std::function<void(const flow_key&, target_index, duration)> stalled;
   // A request got the first part of its answer after this time.
-  std::function<void(target_index, duration)> answered;
+  std::function<void(target_index, duration, time_point now)> answered;
   // A target that was suspected since it left packets unanswered has answered,
   // or a probe reached it. Optional.
   std::function<void(target_index, time_point now)> disproved{};
--- a/include/rosemaryreach/target_picker.h
+++ b/include/rosemaryreach/target_picker.h
@@ -13,6 +13,7 @@
 
 #include "rosemaryreach/data_centre_reachability.h"
 #include "rosemaryreach/flow_tracker.h"
+#include "rosemaryreach/overload_guard.h"
 #include "rosemaryreach/target_directory.h"
 
 namespace rosemaryreach {
@@ -62,9 +63,10 @@
                    std::span<const target_index> tried,
                    time_point now);
 
-  // Returns the requests for each slot that callers of this data centre find at
-  // the targets of `service`, as far as the flows of this instance tell.
-  double ExpectedQueue(const std::string& service, time_point now);
+  // Returns the load that callers of this data centre find at the targets of
+  // `service`, as far as the flows of this instance tell.
+  service_load_estimate EstimateLoad(const std::string& service,
+                                     time_point now);
 
   // Returns the rule that applies to this target for a new flow now:
   // "least_load" for a healthy one.
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -126,7 +126,7 @@
     flow.acknowledged = packet.acknowledged;
     OnAnswer(flow.target, proven, now);
     if (flow.phase == flow_phase::kRunning) {
-      hooks_.answered(flow.target, now - flow.phase_began);
+      hooks_.answered(flow.target, now - flow.phase_began, now);
       LeavePhase(flow);
       EnterPhase(flow, flow_phase::kOpen, now);
     }
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -75,7 +75,8 @@
   }
   // A flow whose first packet was forwarded may have opened.
   if (tracker_.Find(packet.flow) == nullptr &&
-      guard_.Refuses(service, *route, picker_.ExpectedQueue(service, now))) {
+      guard_.Refuses(service, *route, picker_.EstimateLoad(service, now),
+                     now)) {
     return {packet_verdict::kReset, kNoTarget, 0, kOverloadRule};
   }
   return AssignTarget(packet, *route, now);
@@ -206,7 +207,7 @@
   const rule_count& best = explanation.targets.front();
   if (best.usable &&
       guard_.Refuses(explanation.service, *explanation.route,
-                     picker_.ExpectedQueue(explanation.service, now))) {
+                     picker_.EstimateLoad(explanation.service, now), now)) {
     return {packet_verdict::kReset, kNoTarget, 0, kOverloadRule};
   }
   if (best.usable) {
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -131,7 +131,11 @@
     data_centre_load& there = load.data_centres[DataCentreOf(index, load)];
     const bool stuck =
         status.running > 0 && now - status.waiting_since >= kStuckTime;
-    if (target.record.state != target_state::kActive || status.suspected) {
+    const bool usable =
+        target.record.state == target_state::kActive && !status.suspected &&
+        !directory_.evacuated(target.record.data_centre) &&
+        !reachability_.DataCentreUnreachable(target.record.data_centre);
+    if (!usable) {
       continue;
     }
     if (stuck) {
@@ -152,21 +156,22 @@
   return load;
 }
 
-double target_picker::ExpectedQueue(const std::string& service,
-                                    time_point now) {
+service_load_estimate target_picker::EstimateLoad(const std::string& service,
+                                                  time_point now) {
   // Where flows of this instance spill over to other data centres, as many of
   // theirs are taken to come here.
   const double instances = fleet_.local_instances();
-  double queue = 0;
+  service_load_estimate estimate;
   for (const data_centre_load& one : UpdateLoad(service, now).data_centres) {
     // Without the slots of stuck targets, a few flows that their callers have
     // left would look like a queue, and refusals would keep it so.
     const double slots = one.slots + one.stuck_slots;
     if (slots > 0) {
-      queue += one.flows * instances / slots;
+      estimate.data_centres.push_back(
+          {one.data_centre, one.flows * instances / slots});
     }
   }
-  return queue;
+  return estimate;
 }
 
 double target_picker::ExpectedLoad(const data_centre_load& load,
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -84,11 +84,12 @@
            [this](const flow_key& key, target_index target, duration waited) {
              OnRequestStalled(key, target, waited);
            },
-           [this](target_index target, duration elapsed) {
+           [this](target_index target, duration elapsed, time_point now) {
              metrics_.request_seconds.Observe(
                  std::chrono::duration<double>(elapsed).count());
-             guard_.OnAnswered(directory_.Find(target)->record.service,
-                               elapsed);
+             const target_record& record = directory_.Find(target)->record;
+             guard_.OnAnswered(record.service, record.data_centre, elapsed,
+                               now);
            },
            [this](target_index target, time_point now) {
              metrics_.disproved_suspicions.Add();
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -109,26 +109,27 @@
       std::chrono::seconds(75),
       [this](const directory_change& change) { changes.push_back(change); },
       [this](target_index target) { tracker.ResetTarget(target); }};
-  flow_tracker tracker{1'000,
-                       {[this](target_index target, const char* /*reason*/) {
-                          suspected.push_back(target);
-                        },
-                        [](target_index, duration) {},
-                        [](const flow_key&, target_index, duration) {},
-                        [this](target_index target, duration elapsed) {
-                          guard.OnAnswered(
-                              directory.Find(target)->record.service, elapsed);
-                        },
-                        [this](target_index target, time_point now) {
-                          accuracy.OnDisproved(target, now);
-                        },
-                        [this](target_index target, time_point now) {
-                          return accuracy.ProvesUnreachable(target, now);
-                        },
-                        [this](target_index target) {
-                          return reachability.DataCentreUnreachable(
-                              directory.Find(target)->record.data_centre);
-                        }}};
+  flow_tracker tracker{
+      1'000,
+      {[this](target_index target, const char* /*reason*/) {
+         suspected.push_back(target);
+       },
+       [](target_index, duration) {},
+       [](const flow_key&, target_index, duration) {},
+       [this](target_index target, duration elapsed, time_point now) {
+         const target_record& record = directory.Find(target)->record;
+         guard.OnAnswered(record.service, record.data_centre, elapsed, now);
+       },
+       [this](target_index target, time_point now) {
+         accuracy.OnDisproved(target, now);
+       },
+       [this](target_index target, time_point now) {
+         return accuracy.ProvesUnreachable(target, now);
+       },
+       [this](target_index target) {
+         return reachability.DataCentreUnreachable(
+             directory.Find(target)->record.data_centre);
+       }}};
   suspicion_accuracy accuracy{directory, tracker};
   overload_guard guard;
   std::uint32_t local_instances = 1;
--- a/tests/flow_tracker_test.cc
+++ b/tests/flow_tracker_test.cc
@@ -24,7 +24,9 @@
        [this](const flow_key& key, target_index, duration) {
          stalled.push_back(key);
        },
-       [this](target_index, duration time) { answered.push_back(time); }}};
+       [this](target_index, duration time, time_point /*now*/) {
+         answered.push_back(time);
+       }}};
 
   // First packets and requests without an answer, at all targets.
   std::uint32_t InFlight() const {
--- a/tests/overload_guard_test.cc
+++ b/tests/overload_guard_test.cc
@@ -27,17 +27,29 @@
     Answer(100, median_ms);
   }
 
-  void Answer(int count, std::int64_t ms) {
+  // Plays answers of one data centre, 5 ms apart.
+  void Answer(int count, std::int64_t ms, const char* data_centre = "dc-a") {
     for (int i = 0; i < count; ++i) {
-      guard.OnAnswered("ledger", std::chrono::milliseconds(ms));
+      now += std::chrono::milliseconds(5);
+      guard.OnAnswered("ledger", data_centre, std::chrono::milliseconds(ms),
+                       now);
     }
   }
 
-  bool Refuses(std::uint32_t priority, double queue) const {
-    return guard.Refuses("ledger", Kind(priority), queue);
+  // `queue` is that of the own data centre; there are flows in no other one.
+  bool Refuses(std::uint32_t priority,
+               double queue,
+               const std::vector<std::string>& data_centres = {"dc-a"}) const {
+    service_load_estimate load;
+    for (const std::string& name : data_centres) {
+      load.data_centres.push_back(
+          {name, load.data_centres.empty() ? queue : 0});
+    }
+    return guard.Refuses("ledger", Kind(priority), load, now);
   }
 
   overload_guard guard;
+  time_point now = At(1'000);
 };
 
 TEST_CASE("Only the less urgent kind is refused, while answers are late") {
@@ -52,17 +64,65 @@
   CHECK_FALSE(fixture.Refuses(2, kLateQueue - 0.1));
 }
 
-// A data centre that spills over has a long queue by the estimate.
-TEST_CASE("A queue without slow answers refuses nothing") {
+// Answers are in time at 125 ms and usually take 55 ms, so that a new request
+// at a queue of 2.3 would be late.
+TEST_CASE("A queue without slow answers refuses nothing before they are late") {
+  guard_fixture fixture(60);
+  CHECK_FALSE(fixture.Refuses(2, 2.2));
+  CHECK(fixture.Refuses(2, 2.4));
+}
+
+// A data centre that spills over has a long queue itself.
+TEST_CASE("A long queue refuses nothing while another data centre has room") {
+  guard_fixture fixture(60);
+  fixture.Answer(10, 60, "dc-b");
+  CHECK_FALSE(fixture.Refuses(2, 100, {"dc-a", "dc-b"}));
+}
+
+// Full targets reject at once, so that half of the answers were early.
+TEST_CASE("Rejections count as a sign of full targets") {
   guard_fixture fixture(60);
-  CHECK_FALSE(fixture.Refuses(2, 100));
+  fixture.guard.OnLoad("ledger", {{{"dc-a", kLateQueue}}});
+  fixture.Answer(8, 20);
+  CHECK(fixture.Refuses(2, kLateQueue));
+  fixture.Answer(16, 60);
+  CHECK_FALSE(fixture.Refuses(2, kLateQueue));
 }
 
-// Full targets reject at once, so half of the answers may be early.
-TEST_CASE("A long queue needs answers that take twice as long as usual") {
+TEST_CASE("A kind of request that is always fast is not taken for rejections") {
+  guard_fixture fixture(60);
+  for (int i = 0; i < 500; ++i) {
+    fixture.Answer(1, i % 3 == 0 ? 20 : 60);
+  }
+  fixture.Answer(8, 20);
+  CHECK_FALSE(fixture.Refuses(2, kLateQueue));
+}
+
+// 311 of 32,836 views were refused while two of three data centres had room.
+TEST_CASE("Nothing is refused while another data centre answers as usual") {
+  guard_fixture fixture(200);
+  fixture.Answer(10, 60, "dc-b");
+  CHECK_FALSE(fixture.Refuses(2, 100, {"dc-a", "dc-b"}));
+  fixture.Answer(16, 200, "dc-b");
+  CHECK(fixture.Refuses(2, 100, {"dc-a", "dc-b"}));
+}
+
+// Flows spill over, and those of the other data centres may be fewer.
+TEST_CASE("Slow answers that are in time count if the queue is long for sure") {
   guard_fixture fixture(115);
-  CHECK(fixture.Refuses(2, kSlowQueue));
-  CHECK_FALSE(fixture.Refuses(2, kSlowQueue - 0.1));
+  fixture.Answer(16, 115, "dc-b");
+  CHECK_FALSE(fixture.Refuses(2, 2 * kLateQueue - 0.1, {"dc-a", "dc-b"}));
+  CHECK(fixture.Refuses(2, 2 * kLateQueue, {"dc-a", "dc-b"}));
+}
+
+TEST_CASE("A data centre that says nothing lately may have room") {
+  guard_fixture fixture(200);
+  fixture.Answer(10, 200, "dc-b");
+  CHECK(fixture.Refuses(2, 100, {"dc-a", "dc-b"}));
+  CHECK_FALSE(fixture.Refuses(2, 100, {"dc-a", "dc-b", "dc-c"}));
+  fixture.now += kRecentAnswerTime;
+  fixture.Answer(10, 200, "dc-a");
+  CHECK_FALSE(fixture.Refuses(2, 100, {"dc-a", "dc-b"}));
 }
 
 TEST_CASE("A kind of a few flows does not make the others less urgent") {
@@ -73,13 +133,14 @@
 
 TEST_CASE("Nothing is refused without a declared objective or priority") {
   guard_fixture fixture(200);
+  const service_load_estimate load{{{"dc-a", 100}}};
   entry_route route = Kind(2);
   route.latency_target = {};
-  CHECK_FALSE(fixture.guard.Refuses("ledger", route, 100));
+  CHECK_FALSE(fixture.guard.Refuses("ledger", route, load, fixture.now));
   route = Kind(2);
   route.priority.reset();
-  CHECK_FALSE(fixture.guard.Refuses("ledger", route, 100));
-  CHECK_FALSE(fixture.guard.Refuses("files", Kind(2), 100));
+  CHECK_FALSE(fixture.guard.Refuses("ledger", route, load, fixture.now));
+  CHECK_FALSE(fixture.guard.Refuses("files", Kind(2), load, fixture.now));
 }
 
 // A start at a usual time far too low had views refused for ten seconds at the
@@ -89,15 +150,19 @@
   for (int i = 0; i < 200; ++i) {
     guard.OnOffered("ledger", Kind(1));
     guard.OnOffered("ledger", Kind(2));
-    guard.OnAnswered("ledger", std::chrono::milliseconds(i < 20 ? 16 : 60));
+    guard.OnAnswered("ledger", "dc-a",
+                     std::chrono::milliseconds(i < 20 ? 16 : 60),
+                     At(1'000 + i));
   }
-  CHECK_FALSE(guard.Refuses("ledger", Kind(2), 100));
+  CHECK_FALSE(
+      guard.Refuses("ledger", Kind(2), {{{"dc-a", kLateQueue}}}, At(1'200)));
 }
 
 TEST_CASE("Refusals end as soon as answers are in time again") {
   guard_fixture fixture(200);
+  CHECK(fixture.Refuses(2, kLateQueue));
   fixture.Answer(20, 55);
-  CHECK_FALSE(fixture.Refuses(2, 100));
+  CHECK_FALSE(fixture.Refuses(2, kLateQueue));
 }
 
 // The first answers after a start are slow while targets have room.
@@ -106,9 +171,10 @@
   for (int i = 0; i < 50; ++i) {
     guard.OnOffered("ledger", Kind(1));
     guard.OnOffered("ledger", Kind(2));
-    guard.OnAnswered("ledger", std::chrono::milliseconds(500));
+    guard.OnAnswered("ledger", "dc-a", std::chrono::milliseconds(500),
+                     At(1'000 + i));
   }
-  CHECK_FALSE(guard.Refuses("ledger", Kind(2), 100));
+  CHECK_FALSE(guard.Refuses("ledger", Kind(2), {{{"dc-a", 100}}}, At(1'050)));
 }
 
 // Counts of urgent requests at eight times the usual load: 8 instances and 14
@@ -137,9 +203,8 @@
   }
 }
 
-// Red, see KNOWN-RED.txt: the others fill the queues before the first answers
-// are late.
-TEST_CASE("Urgent requests are in time in a surge", "[!mayfail]") {
+// The others filled the queues before the first answers were late.
+TEST_CASE("Urgent requests are in time in a surge") {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     const auto [in_time, asked] = PlaySurge(seed, true);
     INFO("seed " << seed << ": " << in_time << " of " << asked);
--- a/tests/target_picker_test.cc
+++ b/tests/target_picker_test.cc
@@ -85,7 +85,7 @@
   fixture.tracker.OnPacket(LaterPacket(Flow(9), 9, 1'001, 5'001, 10),
                            targets[4], At(1'500));
   // One request at five targets of two slots, and a share of its open flow.
-  CHECK(fixture.picker.ExpectedQueue("ledger", At(2'000)) < 0.2);
+  CHECK(fixture.picker.EstimateLoad("ledger", At(2'000)).Queue() < 0.2);
 }
 
 TEST_CASE("A draining target gets no new flow after the first second") {
