--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -41,7 +41,7 @@
 
 add_executable(rosemaryreach-entry src/entryd/main.cc)
 target_compile_definitions(rosemaryreach-entry
-                           PRIVATE ROSEMARYREACH_VERSION="${PROJECT_VERSION}")
+                           PRIVATE ROSEMARYREACH_BUILD="${ROSEMARYREACH_BUILD}")
 target_link_libraries(rosemaryreach-entry PRIVATE rr_entryd rr_lib_popt)
 if(ROSEMARYREACH_ENTRY_ONLY)
   target_link_options(rosemaryreach-entry PRIVATE -static-libstdc++
--- a/src/entry/beacon_codec.cc
+++ b/src/entry/beacon_codec.cc
@@ -1,4 +1,6 @@
-// Encodes beacons as CBOR arrays, in the order of the structs' members.
+// Encodes beacons as CBOR arrays, in the order of the structs' members. Later
+// builds may append members, which are ignored here; builds up to 631e016
+// reject them, so none is written until these are no longer in service.
 #include <nlohmann/json.hpp>
 
 #include "entry/cbor_limits.h"
@@ -24,8 +26,8 @@
 }
 
 peer_summary ToSummary(const json& array) {
-  if (array.size() != kSummaryMembers) {
-    throw std::invalid_argument("peer summary with a wrong number of members");
+  if (array.size() < kSummaryMembers) {
+    throw std::invalid_argument("peer summary with too few members");
   }
   return {UnsignedFromJson<std::uint32_t>(array.at(0)),
           UnsignedFromJson<std::uint64_t>(array.at(1)),
@@ -37,7 +39,7 @@
 }
 
 beacon ToBeacon(const json& array) {
-  if (array.size() != kBeaconMembers || array.at(0) != kFormat ||
+  if (array.size() < kBeaconMembers || array.at(0) != kFormat ||
       array.at(5).size() > kMaxBeaconPeers) {
     throw std::invalid_argument("not a beacon of the supported format");
   }
--- a/src/entry/view_codec.cc
+++ b/src/entry/view_codec.cc
@@ -1,5 +1,6 @@
 // Encodes views as CBOR arrays. Values are byte strings, since targets may
-// write any bytes; they deflate to a third of the size of base64 text.
+// write any bytes; they deflate to a third of the size of base64 text. Members
+// that later builds append are ignored, as in beacons.
 #include "rosemaryreach/view_codec.h"
 
 #include <algorithm>
@@ -26,8 +27,8 @@
 }
 
 store_item ToItem(const json& array) {
-  if (array.size() != kItemMembers) {
-    throw std::invalid_argument("store item with a wrong number of members");
+  if (!array.is_array() || array.size() < kItemMembers) {
+    throw std::invalid_argument("store item with too few members");
   }
   const json::binary_t& value = array.at(3).get_binary();
   return {
@@ -36,7 +37,7 @@
 }
 
 store_answer ToAnswer(const json& array) {
-  if (!array.is_array() || array.size() != kViewMembers ||
+  if (!array.is_array() || array.size() < kViewMembers ||
       array.at(0) != kFormat) {
     throw std::invalid_argument("not a view of the supported format");
   }
@@ -61,7 +62,7 @@
 }
 
 departed_item ToDepartedItem(const json& array) {
-  if (!array.is_array() || array.size() != kDepartedMembers) {
+  if (!array.is_array() || array.size() < kDepartedMembers) {
     throw std::invalid_argument("departed target with a wrong form");
   }
   const json::binary_t& value = array.at(1).get_binary();
@@ -70,7 +71,7 @@
 }
 
 departed_answer ToDepartedAnswer(const json& array) {
-  if (!array.is_array() || array.size() != kDepartedMembers ||
+  if (!array.is_array() || array.size() < kDepartedMembers ||
       array.at(0) != kDepartedFormat || !array.at(2).is_array()) {
     throw std::invalid_argument("not departed targets of the supported format");
   }
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -111,6 +111,7 @@
   }
   json answer = ViewDocument(components);
   answer["instance"] = components.settings.instance;
+  answer["build"] = components.build;
   answer["data_centre"] = components.settings.data_centre;
   answer["ready"] = state.ready;
   answer["waiting_for"] = state.waiting_for;
--- a/src/entryd/entry_documents.h
+++ b/src/entryd/entry_documents.h
@@ -15,6 +15,7 @@
 // The components of an instance that the documents describe.
 struct entry_components {
   const entry_settings& settings;
+  const std::string& build;
   const store_sync& sync;
   const target_directory& directory;
   const flow_tracker& tracker;
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -182,8 +182,10 @@
   }
   tick_timer_.StartEvery(kTickPeriod);
   second_timer_.StartEvery(std::chrono::seconds(1));
+  metrics_.Build(options_.build).Set(1);
   LogLifecycle("started", settings_.data_centre + ", packets at " +
-                              FormatEndpoint(settings_.packet_endpoint));
+                              FormatEndpoint(settings_.packet_endpoint) +
+                              ", build " + options_.build);
   return success();
 }
 
@@ -463,8 +465,8 @@
 }
 
 entry_components entry_instance::Components() const {
-  return {settings_, sync_,     directory_,      tracker_,
-          picker_,   director_, unknown_cookies_};
+  return {settings_, options_.build, sync_,     directory_,
+          tracker_,  picker_,        director_, unknown_cookies_};
 }
 
 }  // namespace rosemaryreach
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -30,6 +30,7 @@
   std::string settings_file;
   std::uint16_t metrics_port = 0;  // on the control address; 0 disables it
   duration clock_offset{};         // added to the time of day, for tests
+  std::string build;               // version and commit of this program
 };
 
 class entry_instance {
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -76,6 +76,13 @@
                    rule);
 }
 
+gauge& entry_metrics::Build(const std::string& build) {
+  const std::array<metric_label, 1> labels = {metric_label{"build", build}};
+  return registry_.Gauge({"rosemaryreach_entry_build_info",
+                          "1, with the version and commit of the program.",
+                          labels});
+}
+
 counter& entry_metrics::StoreCalls(const char* outcome) {
   return FindOrAdd(store_calls_, "rosemaryreach_entry_store_calls_total",
                    "Calls to the store by outcome.", "outcome", outcome);
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -17,6 +17,8 @@
 
   // Returns the counter of packets decided by `rule`.
   counter& Packets(const char* rule);
+  // Returns the gauge that names this build in its label.
+  gauge& Build(const std::string& build);
   // Returns the counter of store calls that ended with `outcome`.
   counter& StoreCalls(const char* outcome);
 
--- a/src/entryd/main.cc
+++ b/src/entryd/main.cc
@@ -102,6 +102,7 @@
     return Fail(errc::kUnsupported, std::string("--settings FILE or ") +
                                         kSettingsVariable + " is required");
   }
+  command.options.build = ROSEMARYREACH_BUILD;
   command.options.metrics_port = static_cast<std::uint16_t>(metrics_port);
   command.options.clock_offset = std::chrono::milliseconds(clock_offset_ms);
   command.check_only = check != 0;
@@ -155,7 +156,7 @@
     return kInvalidInput;
   }
   if (parsed.value().show_version) {
-    std::printf("rosemaryreach-entry %s\n", ROSEMARYREACH_VERSION);
+    std::printf("rosemaryreach-entry %s\n", ROSEMARYREACH_BUILD);
     return kOk;
   }
   const std::string& file = parsed.value().options.settings_file;
