--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -74,10 +74,12 @@
     guard_.OnOffered(service, *route);
   }
   // A flow whose first packet was forwarded may have opened.
-  if (tracker_.Find(packet.flow) == nullptr &&
-      guard_.Refuses(service, *route, picker_.EstimateLoad(service, now),
-                     now)) {
-    return {packet_verdict::kReset, kNoTarget, 0, kOverloadRule};
+  if (tracker_.Find(packet.flow) == nullptr) {
+    const service_load_estimate load = picker_.EstimateLoad(service, now);
+    guard_.OnLoad(service, load);
+    if (guard_.Refuses(service, *route, load, now)) {
+      return {packet_verdict::kReset, kNoTarget, 0, kOverloadRule};
+    }
   }
   return AssignTarget(packet, *route, now);
 }
--- a/tests/overload_guard_test.cc
+++ b/tests/overload_guard_test.cc
@@ -89,6 +89,40 @@
   CHECK_FALSE(fixture.Refuses(2, kLateQueue));
 }
 
+// The director did not tell the guard that requests queue: rejections became
+// the usual answers, and refusals ended while targets were full.
+TEST_CASE("A long series of rejections does not become the usual time") {
+  entry_fixture fixture;
+  entry_config config = Config(2);
+  for (entry_route& route : config.routes) {
+    route.latency_target = std::chrono::milliseconds(250);
+    route.priority = route.name == "book" ? 1 : 2;
+  }
+  fixture.directory.Apply({}, config, At(0));
+  const target_index target = fixture.Add(Target("l1", 1));
+  const auto open = [&](std::uint16_t port, const ipv4_endpoint& to) {
+    flow_key flow = Flow(port);
+    flow.destination = to;
+    return fixture.Direct(FirstPacket(flow), At(2'000));
+  };
+  const auto answer = [&](int count, std::int64_t ms) {
+    for (int i = 0; i < count; ++i) {
+      fixture.guard.OnAnswered("ledger", "dc-a", std::chrono::milliseconds(ms),
+                               At(2'000));
+    }
+  };
+  open(1, kBookAddress);
+  answer(200, 55);
+  for (std::uint16_t port = 2; port < 6; ++port) {
+    open(port, port % 2 == 0 ? kBookAddress : kWatchAddress);
+    fixture.tracker.OnPacket(LaterPacket(Flow(port), 9, 1'001, 5'001, 10),
+                             target, At(2'000));
+  }
+  CHECK(open(6, kBookAddress).verdict == packet_verdict::kForward);
+  answer(400, 20);
+  CHECK(open(7, kWatchAddress).verdict == packet_verdict::kReset);
+}
+
 TEST_CASE("A kind of request that is always fast is not taken for rejections") {
   guard_fixture fixture(60);
   for (int i = 0; i < 500; ++i) {
--- a/tests/recorded_messages_test.cc
+++ b/tests/recorded_messages_test.cc
@@ -6,7 +6,9 @@
 #include <string_view>
 
 #include "adapters/deflate.h"
+#include "rosemaryreach/flow_packet.h"
 #include "rosemaryreach/peer_group.h"
+#include "rosemaryreach/target_directory.h"
 #include "rosemaryreach/view_codec.h"
 
 namespace rosemaryreach {
@@ -149,5 +151,13 @@
   CHECK(DecodeDeparted(ToCbor(later)));
 }
 
+// Open flows carry cookies that instances of other builds made, and a first
+// packet's copies must map to the same service on each of them.
+TEST_CASE("Cookies and the hash of a flow are those of earlier builds") {
+  CHECK(MakeCookie("i-00c0ffee01", 1'796'000'000'000) == 0x6120CF92);
+  CHECK(HashFlow({{0x64400007, 40'001}, {0xC6120001, 443}}) ==
+        0x59CF1DF83785E662);
+}
+
 }  // namespace
 }  // namespace rosemaryreach
