--- a/tests/standins/rolling_upgrade.h
+++ b/tests/standins/rolling_upgrade.h
@@ -112,12 +112,13 @@
   // Calls `done` with the view, or with nothing if the instance has none.
   void Read(std::function<void(std::optional<instance_view>)> done) {
     done_ = std::move(done);
-    client_.Get("/v1/status", kDeadline, [this](result<http_reply> reply) {
-      const nlohmann::json status = Parse(reply);
-      view_ = {};
-      view_.configuration = status.value("configuration_version", 0U);
-      read_status_ = true;
-    });
+    client_.Get(
+        "/v1/status", kDeadline, [this](const result<http_reply>& reply) {
+          const nlohmann::json status = Parse(reply);
+          view_ = {};
+          view_.configuration = status.value("configuration_version", 0U);
+          read_status_ = true;
+        });
   }
 
   // Continues; to be called until Read()'s callback ran, since a client must
@@ -125,8 +126,9 @@
   void Continue() {
     if (read_status_ && !client_.busy()) {
       read_status_ = false;
-      client_.Get("/v1/targets", kDeadline,
-                  [this](result<http_reply> reply) { OnTargets(reply); });
+      client_.Get(
+          "/v1/targets", kDeadline,
+          [this](const result<http_reply>& reply) { OnTargets(reply); });
     }
   }
 
