--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -259,6 +259,28 @@
   return text;
 }
 
+uint16_t FreePortOffset(uint32_t address,
+                        std::initializer_list<uint16_t> tcp,
+                        std::initializer_list<uint16_t> udp) {
+  for (uint16_t offset = 0; offset < 2'000; offset += 40) {
+    bool free = true;
+    for (const uint16_t port : tcp) {
+      const int fd = ListenTcp(address, port + offset);
+      free = free && fd >= 0;
+      close(fd);
+    }
+    for (const uint16_t port : udp) {
+      const int fd = BindUdp(address, port + offset);
+      free = free && fd >= 0;
+      close(fd);
+    }
+    if (free) {
+      return offset;
+    }
+  }
+  CannotRun("no free ports");
+}
+
 uint32_t NextAddress() {
   // 127.x.y.1 to 127.x.y.254 and on, with x and y from the process id.
   static uint32_t next =
@@ -762,11 +784,14 @@
       "  rollbackSlackMs: 250\n  maxStretchMs: 12000\n  coldOver: 1.5\n"
       "  coldSlack: 5\n  evacuateMs: 5000\n  recoveryS: 12\n  flowMs: 2000\n"
       "  flowTtlS: 60\n";
-  packet_port = 8172;
-  ready_port = 8167;
-  control_port = 8166;
-  first_port = 7720;
-  store_port = 8169;
+  // The same on all machines.
+  const uint16_t offset =
+      FreePortOffset(NextAddress(), {8167, 8166, 8169}, {8172, 7720});
+  packet_port = 8172 + offset;
+  ready_port = 8167 + offset;
+  control_port = 8166 + offset;
+  first_port = 7720 + offset;
+  store_port = 8169 + offset;
 }
 
 entry_fleet::~entry_fleet() {
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <set>
@@ -57,6 +58,11 @@
 // other.
 uint32_t NextAddress();
 
+// Returns what is to be added to these ports so that all of them are free.
+uint16_t FreePortOffset(uint32_t address,
+                        std::initializer_list<uint16_t> tcp,
+                        std::initializer_list<uint16_t> udp);
+
 // The platform's store: ranges in pages, watches, revisions, history.
 class platform_store {
  public:
