--- a/review/standins/cold_owners.cc
+++ b/review/standins/cold_owners.cc
@@ -1,5 +1,5 @@
 // Case "cold owners": the machines that the seeds name are down, so instances
-// don't find each other; the hosts of a service come back cold.
+// don't find each other; the hosts of a zone come back cold.
 #include "cases.h"
 
 #include <deque>
@@ -9,14 +9,16 @@
 int ColdOwners(deployment& world, bool trouble) {
   constexpr double kColdPerS = 6;
   constexpr double kAllowed = kColdPerS * 1.5 + 5;  // coldOver, coldSlack
-  constexpr double kColdMs = 8'000;
+  constexpr double kColdMs = 2'000;                 // coldStartS
+  constexpr double kDownMs = 4'500;
+  constexpr double kHeartbeatMs = 770;
   const uint32_t route = NextAddress();
   host_pool hosts(world.loop, world.store, world.fleet.packet_port);
   hosts.Register(hosts.Add("pots", "zone-a"));
-  hosts.Register(hosts.Add("pots", "zone-b"));
+  hosts.Register(hosts.Add("pots", "zone-a"));
   world.store.Put("op/config",
                   ConfigJson(1, {{"book", route, 8080, "idempotent", "pots"}},
-                             {"pots"}, 8, kColdPerS));
+                             {"pots"}, kColdMs / 1'000, kColdPerS));
   std::vector<uint32_t> seeds;
   if (trouble) {
     for (int i = 0; i < 3; ++i) {
@@ -55,22 +57,9 @@
              std::to_string(static_cast<long>(kAllowed)) + " are allowed");
     }
   };
-  // The hosts went down and come back, cold, each with a new start.
-  for (const auto& host : hosts.all()) {
-    hosts.Remove(*host);
-    Record("host " + host->id + " is down");
-  }
-  world.loop.RunUntil(Now() + 4'500);
-  for (const char* zone : {"zone-a", "zone-b"}) {
-    target_host& host = hosts.Add("pots", zone);
-    host.cold_until = Now() + kColdMs;
-    hosts.Register(host);
-    Record("host " + host.id + " has come back, cold: " + hosts.Entry(host));
-  }
-
   std::size_t served = 0;
   uint64_t flows = 0;
-  const double until = Now() + kColdMs;
+  bool sending = true;
   std::function<void()> send = [&] {
     for (const char* zone : {"zone-a", "zone-b", "zone-c"}) {
       flow_plan plan;
@@ -83,13 +72,31 @@
       };
       requesters.Open(plan);
     }
-    if (Now() < until) {
+    if (sending) {
       world.loop.After(15, send);
     }
   };
   send();
-  world.loop.RunUntil(until + 3'000,
-                      [&] { return Now() >= until && requesters.open() == 0; });
+  world.loop.RunUntil(Now() + 1'000);
+  // The zone's hosts go down. Their entries expire after three heartbeats.
+  for (const auto& host : hosts.all()) {
+    host->up = false;
+    Record("host " + host->id + " is down");
+  }
+  world.loop.RunUntil(Now() + 3 * kHeartbeatMs);
+  for (const auto& host : hosts.all()) {
+    hosts.Remove(*host);
+  }
+  world.loop.RunUntil(Now() + kDownMs - 3 * kHeartbeatMs);
+  for (int i = 0; i < 2; ++i) {
+    target_host& host = hosts.Add("pots", "zone-a");
+    host.cold_until = Now() + kColdMs;
+    hosts.Register(host);
+    Record("host " + host.id + " has come back, cold: " + hosts.Entry(host));
+  }
+  world.loop.RunUntil(Now() + kColdMs + 1'000);
+  sending = false;
+  world.loop.RunUntil(Now() + 3'000, [&] { return requesters.open() == 0; });
   Record(std::to_string(served) + " requests served of " +
          std::to_string(flows) + "; at most " + std::to_string(most) +
          " opening packets in one second at a cold host, " +
