Announce listed changes only up to the cursor

The cache took the revision of the first page as its cursor, but announced the newest revision on any page as its last change. Peers that pulled counted everything up to it as seen. When the lister then read, by its watch, a change of an earlier page, that change was older than what it had announced, so nobody pulled it, and peers advanced their cursors beyond it. The same cause has two more forms: a deletion between pages, which a listing reports at the revision of its first page, and an item that changes and changes back.

Change: changed() never passes cursor(). Items beyond the cursor are used at once and announced when the cursor has passed them; first and full views include them, and the receiver treats them alike. A periodic listing no longer moves the cursor: the watch goes on from where it was, at once if something waits to be announced, so no change lacks a revision. A deletion is announced again at the revision that a watch states. A peer has news if its last change is beyond the own cursor, not beyond the own last change.

To tell this from other causes: changed_revision in status, and rosemaryreach_entry_missed_changes_total with a line changes_missed when a listing shows a change that watches have missed.

--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -166,8 +166,10 @@
 
 // Changes of the view that one answer brought.
 struct view_change {
-  std::vector<changed_item> items;
-  std::optional<era_change> era;  // set if the answer began a new era
+  std::vector<changed_item> items = {};
+  std::optional<era_change> era = {};  // set if the answer began a new era
+  // Of `items`, those that a listing found changed before the cursor.
+  std::size_t missed = 0;
 };
 
 // Limits that the deployment guarantees, from the settings file.
--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -1,11 +1,19 @@
 // A local copy of the store: the newest value of each item, merged by cursor
 // from replies of the store and of peers.
+//
+// A cache claims, by cursor(), to hold every content change up to a revision,
+// and announces, by changed(), the last of them. Peers compare the two with
+// their own cursors, so neither may ever be ahead of what is held. The pages of
+// a listing are no snapshot: items written between them are held before the
+// changes of earlier pages are, and stay unannounced until the cursor, which a
+// watch advances, has passed them.
 #ifndef ROSEMARYREACH_ITEM_CACHE_H_
 #define ROSEMARYREACH_ITEM_CACHE_H_
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -18,6 +26,13 @@
 // not the fingerprint of its decoded content.
 using item_decoder = std::function<decoded_item(const store_item&)>;
 
+// How the view that a peer announces relates to the own one.
+enum class peer_view_relation : std::uint8_t {
+  kNewer,     // it has changes to pull
+  kConfirms,  // it has no change that is missing here
+  kOther,     // it says nothing: of an older era, or no view yet
+};
+
 // All items of the cache are of one era of the store. A listing of a newer era
 // replaces them; answers of an older one change nothing. In any era, a
 // configuration is never replaced by one of a lower version.
@@ -25,19 +40,34 @@
  public:
   explicit item_cache(item_decoder decode) : decode_(std::move(decode)) {}
 
-  // Merges all changes up to `cursor`; returns the content changes. Changes of
-  // another era are ignored: a newer one must be listed first.
+  // Merges all changes from at most cursor() up to `cursor`; returns the
+  // content changes. Changes of another era are ignored: a newer one must be
+  // listed first.
   view_change MergeChanges(std::span<const store_item> items,
                            store_cursor cursor);
 
-  // Merges a listing of all items, begun at `cursor`. Items that are missing
-  // from it and not newer are deleted. Returns the content changes.
+  // Merges a listing of all items, whose first page was read at `cursor`, and
+  // continues from there. Items that are missing from it and not newer are
+  // deleted. Returns the content changes.
   view_change MergeListing(std::span<const store_item> items,
                            store_cursor cursor);
 
+  // Merges a listing like MergeListing(), but continues from the present
+  // cursor, so the changes after it must still be watched. Changes that earlier
+  // watches missed are announced as new ones. Without a view of this era, the
+  // same as MergeListing().
+  view_change RepairFromListing(std::span<const store_item> items,
+                                store_cursor cursor);
+
   // Merges a ChangedAfter() reply of a peer; returns the content changes.
   view_change MergePeerAnswer(const store_answer& answer);
 
+  // Compares the changed() and cursor() of a peer with this cache.
+  peer_view_relation Compare(store_cursor changed, store_cursor cursor) const;
+
+  // Takes over the changed() and cursor() of a peer that kConfirms this view.
+  void ConfirmView(store_cursor changed, store_cursor cursor);
+
   // Records that no content changed up to `cursor`, if it is of this era.
   void AdvanceCursor(store_cursor cursor);
 
@@ -47,7 +77,9 @@
 
   // Returns the items whose content changed after `cursor`, with the revision
   // of that change; a full snapshot if tombstones after `cursor` were purged or
-  // `cursor` is of an older era.
+  // `cursor` is of an older era. Items newer than
+  // cursor() are included only in full and first views, where they would be
+  // missing, and if an announced change would be missing without them.
   store_answer ChangedAfter(store_cursor cursor) const;
 
   // Whether there was a listing, by this instance or by a peer.
@@ -56,6 +88,8 @@
   store_cursor changed() const { return changed_; }
   // The cursor of the store up to which the cache is complete.
   store_cursor cursor() const { return cursor_; }
+  // Whether items changed after the cursor, and so are not announced yet.
+  bool has_unannounced() const { return !unannounced_.empty(); }
 
  private:
   struct cached_item {
@@ -63,11 +97,34 @@
     std::uint64_t fingerprint = 0;
     std::uint64_t config_version = 0;  // 0 if it is no configuration
     std::uint64_t changed_revision = 0;
+    // The last one up to the cursor while `changed_revision` is beyond it.
+    std::uint64_t announced_revision = 0;
+  };
+
+  // How one answer is merged, and what it changed.
+  struct merge {
+    std::uint64_t cursor = 0;       // of this cache after the answer
+    std::uint64_t changed = 0;      // newest content change up to `cursor`
+    std::uint64_t announce_at = 0;  // least revision of a change; see Merge()
+    std::vector<changed_item> items;
+    std::size_t missed = 0;  // see view_change
   };
 
-  // Merges `item`; adds it to `changed` if its content changed.
-  void Merge(const store_item& item, std::vector<changed_item>& changed);
-  // Replaces all items by a listing of a newer era.
+  // Merges `item` and records its content change, if any, at its revision or at
+  // `announce_at` if that is higher and the change was missed before.
+  void Merge(const store_item& item, merge& merging);
+  // Merges all items of a view, in which missing ones are deleted.
+  void MergeAll(std::span<const store_item> items,
+                store_cursor cursor,
+                merge& merging);
+  // Merges a complete view.
+  view_change MergeSnapshot(std::span<const store_item> items,
+                            store_cursor cursor);
+  // Records the change of an item at `revision`.
+  void NoteChange(cached_item& cached, std::uint64_t revision, merge& merging);
+  // Advances the cursor and announces the changes up to it.
+  void Finish(const merge& merging);
+  // Replaces all items by a complete view of a newer era.
   view_change BeginEra(std::span<const store_item> items, store_cursor cursor);
   // Takes one item of a new era; `known` is the item before it, if any.
   void TakeRestored(const store_item& item,
@@ -88,6 +145,7 @@
   std::map<std::string, cached_item> items_;
   store_cursor changed_;
   store_cursor cursor_;
+  std::set<std::uint64_t> unannounced_;  // revisions of changes after cursor_
   std::uint64_t purged_ = 0;  // revision of the newest purged tombstone
 };
 
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -19,38 +19,72 @@
 
 view_change item_cache::MergeChanges(std::span<const store_item> items,
                                      store_cursor cursor) {
-  view_change change;
   if (cursor.era != cursor_.era) {
-    return change;
+    return {};
   }
+  merge merging;
+  merging.cursor = std::max(cursor_, cursor).revision;
   for (const store_item& item : items) {
-    Merge(item, change.items);
+    Merge(item, merging);
   }
-  AdvanceCursor(cursor);
-  return change;
+  Finish(merging);
+  return {std::move(merging.items)};
 }
 
 view_change item_cache::MergeListing(std::span<const store_item> items,
                                      store_cursor cursor) {
+  return MergeSnapshot(items, cursor);
+}
+
+view_change item_cache::RepairFromListing(std::span<const store_item> items,
+                                          store_cursor cursor) {
+  if (!has_view() || cursor.era != cursor_.era) {
+    return MergeListing(items, cursor);
+  }
+  merge merging;
+  merging.cursor = cursor_.revision;
+  merging.announce_at = std::max(cursor_, cursor).revision;
+  MergeAll(items, cursor, merging);
+  Finish(merging);
+  return {std::move(merging.items), std::nullopt, merging.missed};
+}
+
+view_change item_cache::MergeSnapshot(std::span<const store_item> items,
+                                      store_cursor cursor) {
   if (cursor.era < cursor_.era) {
     return {};
   }
   if (cursor.era > cursor_.era) {
     return BeginEra(items, cursor);
   }
-  std::set<std::string> listed;
+  merge merging;
+  merging.cursor = std::max(cursor_, cursor).revision;
+  MergeAll(items, cursor, merging);
+  changed_ = std::max(changed_, store_cursor{cursor.era, 1});
+  Finish(merging);
+  return {std::move(merging.items)};
+}
+
+void item_cache::MergeAll(std::span<const store_item> items,
+                          store_cursor cursor,
+                          merge& merging) {
+  std::set<std::string_view> listed;
   for (const store_item& item : items) {
     listed.insert(item.key);
   }
-  std::vector<store_item> all(items.begin(), items.end());
+  std::vector<store_item> missing;
   for (const auto& [key, cached] : items_) {
     if (!cached.item.deleted && !listed.contains(key) &&
         cached.item.revision <= cursor.revision) {
-      all.push_back({key, "", cursor.revision, true});
+      missing.push_back({key, "", cursor.revision, true});
     }
   }
-  changed_ = std::max(changed_, store_cursor{cursor.era, 1});
-  return MergeChanges(all, cursor);
+  for (const store_item& item : items) {
+    Merge(item, merging);
+  }
+  for (const store_item& item : missing) {
+    Merge(item, merging);
+  }
 }
 
 view_change item_cache::BeginEra(std::span<const store_item> items,
@@ -63,6 +97,7 @@
   change.era = era;
   std::map<std::string, cached_item> before = std::exchange(items_, {});
   cursor_ = cursor;
+  unannounced_.clear();
   changed_ = {cursor.era, 1};
   // A peer that began this era with an earlier listing may hold items that were
   // deleted before this one, of which there is no tombstone here.
@@ -142,26 +177,49 @@
 }
 
 void item_cache::Insert(cached_item inserted) {
-  changed_.revision = std::max(changed_.revision, inserted.changed_revision);
+  merge merging;
+  merging.cursor = cursor_.revision;
+  NoteChange(inserted, inserted.changed_revision, merging);
   items_[inserted.item.key] = std::move(inserted);
+  Finish(merging);
 }
 
 view_change item_cache::MergePeerAnswer(const store_answer& answer) {
-  if (answer.cursor.era > cursor_.era && !answer.full_snapshot) {
+  // Builds that don't keep these apart state a change beyond their cursor.
+  const store_cursor changed = std::min(answer.changed, answer.cursor);
+  if (!answer.full_snapshot && answer.cursor.era != cursor_.era) {
     return {};
   }
   view_change change = answer.full_snapshot
-                           ? MergeListing(answer.items, answer.cursor)
+                           ? MergeSnapshot(answer.items, answer.cursor)
                            : MergeChanges(answer.items, answer.cursor);
-  if (answer.changed.era == cursor_.era) {
-    changed_ = std::max(changed_, answer.changed);
+  if (changed.era == cursor_.era) {
+    changed_ = std::max(changed_, changed);
   }
   return change;
 }
 
+peer_view_relation item_cache::Compare(store_cursor changed,
+                                       store_cursor cursor) const {
+  if (std::min(changed, cursor) > cursor_) {
+    return peer_view_relation::kNewer;
+  }
+  return has_view() && changed != store_cursor{} && cursor.era == cursor_.era &&
+                 cursor >= changed_
+             ? peer_view_relation::kConfirms
+             : peer_view_relation::kOther;
+}
+
+void item_cache::ConfirmView(store_cursor changed, store_cursor cursor) {
+  AdvanceCursor(cursor);
+  changed_ = std::max(changed_, std::min(changed, cursor_));
+}
+
 void item_cache::AdvanceCursor(store_cursor cursor) {
   if (cursor.era == cursor_.era) {
-    cursor_ = std::max(cursor_, cursor);
+    merge merging;
+    merging.cursor = std::max(cursor_, cursor).revision;
+    Finish(merging);
   }
 }
 
@@ -184,9 +242,14 @@
   answer.cursor = cursor_;
   answer.changed = changed_;
   answer.full_snapshot = cursor.era < cursor_.era || cursor.revision < purged_;
+  const bool first_view = cursor.revision == 0;
   for (const auto& [key, cached] : items_) {
+    const std::uint64_t announced =
+        cached.changed_revision <= cursor_.revision || first_view
+            ? cached.changed_revision
+            : cached.announced_revision;
     if (answer.full_snapshot ? !cached.item.deleted
-                             : cached.changed_revision > cursor.revision) {
+                             : announced > cursor.revision) {
       answer.items.push_back(cached.item);
       answer.items.back().revision = cached.changed_revision;
     }
@@ -194,29 +257,85 @@
   return answer;
 }
 
-void item_cache::Merge(const store_item& item,
-                       std::vector<changed_item>& changed) {
-  cached_item& cached = items_[item.key];
-  if (item.revision <= cached.item.revision) {
+void item_cache::Merge(const store_item& item, merge& merging) {
+  const auto found = items_.find(item.key);
+  const bool known = found != items_.end();
+  const bool newer = !known || item.revision > found->second.item.revision;
+  // A restored store may give out the revision of a kept configuration again,
+  // so versions decide between configurations.
+  const bool compares_versions =
+      known && found->second.config_version > 0 && cursor_.era > 0;
+  if (!newer && item.revision > cursor_.revision &&
+      item.revision <= merging.cursor) {
+    // A later state was listed before; peers must learn that there is one.
+    found->second.announced_revision =
+        std::max(found->second.announced_revision, item.revision);
+    merging.changed = std::max(merging.changed, item.revision);
+  }
+  if (!newer && !compares_versions) {
     return;
   }
   decoded_item decoded = decode_(item);
   const std::uint64_t version = VersionOf(decoded);
-  if (version > 0 && version < cached.config_version) {
+  const std::uint64_t known_version = known ? found->second.config_version : 0;
+  if (version > 0 && version < known_version) {
+    return;
+  }
+  if (!newer && version <= known_version) {
     return;
   }
   const std::uint64_t fingerprint = FingerprintOf(decoded);
-  const bool changes =
-      cached.changed_revision == 0 || fingerprint != cached.fingerprint;
+  cached_item& cached = items_[item.key];
+  const bool changes = !known || fingerprint != cached.fingerprint;
+  if (!changes && !item.deleted && item.revision > merging.cursor) {
+    // It may have changed and changed back, as the watch will tell.
+    return;
+  }
   std::string departed = changes ? DepartedValue(cached.item, decoded) : "";
+  if (changes || item.deleted) {
+    // A listing that lacks an item does not say when it was deleted; its
+    // deletion is announced again at the revision that a watch states.
+    NoteChange(cached,
+               item.revision > cursor_.revision
+                   ? item.revision
+                   : std::max(item.revision, merging.announce_at),
+               merging);
+  }
+  const std::uint64_t revision = std::max(item.revision, cached.item.revision);
   cached.item = item;
+  cached.item.revision = revision;
   cached.fingerprint = fingerprint;
   cached.config_version = version;
   if (changes) {
-    cached.changed_revision = item.revision;
-    changed_ = std::max(changed_, store_cursor{cursor_.era, item.revision});
-    changed.push_back({item, std::move(decoded), std::move(departed)});
+    const bool missed = merging.announce_at > 0 && !item.deleted &&
+                        item.revision <= cursor_.revision;
+    merging.missed += missed ? 1 : 0;
+    merging.items.push_back({item, std::move(decoded), std::move(departed)});
+  }
+}
+
+void item_cache::NoteChange(cached_item& cached,
+                            std::uint64_t revision,
+                            merge& merging) {
+  if (cached.changed_revision <= cursor_.revision) {
+    cached.announced_revision = cached.changed_revision;
+  }
+  cached.changed_revision = revision;
+  if (revision <= merging.cursor) {
+    merging.changed = std::max(merging.changed, revision);
+  } else {
+    unannounced_.insert(revision);
+  }
+}
+
+void item_cache::Finish(const merge& merging) {
+  std::uint64_t changed = merging.changed;
+  cursor_.revision = merging.cursor;
+  while (!unannounced_.empty() && *unannounced_.begin() <= cursor_.revision) {
+    changed = std::max(changed, *unannounced_.begin());
+    unannounced_.erase(unannounced_.begin());
   }
+  changed_ = std::max(changed_, store_cursor{cursor_.era, changed});
 }
 
 }  // namespace rosemaryreach
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -33,6 +33,7 @@
   return {{"configuration_version", components.directory.config().version},
           {"store_era", components.sync.cursor().era},
           {"store_revision", components.sync.cursor().revision},
+          {"changed_revision", components.sync.changed().revision},
           {"view_age_ms", ToMillis(components.sync.age())},
           {"store_away", components.sync.store_unavailable()},
           {"departed_targets", components.directory.departed()},
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -38,6 +38,9 @@
       peer_datagrams_malformed(
           registry.Counter({"rosemaryreach_entry_peer_bad_total",
                             "Datagrams that are no beacons."})),
+      missed_changes(registry.Counter(
+          {"rosemaryreach_entry_missed_changes_total",
+           "Changes of the store that only a listing showed."})),
       configuration_version(
           registry.Gauge({"rosemaryreach_entry_configuration_version",
                           "Version of the configuration in force."})),
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -30,6 +30,7 @@
   counter& peer_datagrams_sent;
   counter& peer_datagrams_received;
   counter& peer_datagrams_malformed;
+  counter& missed_changes;
   gauge& configuration_version;
   gauge& view_age_ms;
   gauge& store_era;
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -267,13 +267,24 @@
   }
   const bool first = !cache_.has_view();
   const view_change change =
-      cache_.MergeListing(listed_items_, *listing_cursor_);
+      history_lost_ ? cache_.MergeListing(listed_items_, *listing_cursor_)
+                    : cache_.RepairFromListing(listed_items_, *listing_cursor_);
+  history_lost_ = false;
   needs_peer_view_ = needs_peer_view_ || (first && listing_cursor_->era > 0);
   listed_items_.clear();
+  if (change.missed > 0) {
+    metrics_.missed_changes.Add(change.missed);
+    LogStore("changes_missed", std::to_string(change.missed) +
+                                   " items had changed without notice");
+  }
   OnReadSucceeded(read_kind::kList);
   NotifyChanged(change);
   SendUpdateBeacon();
   AnnounceView();
+  if (cache_.has_unannounced()) {
+    // Peers learn of these changes only after the ones before them were read.
+    Refresh();
+  }
 }
 
 void store_sync::OnWatchAnswer(const result<store_answer>& answer) {
@@ -313,6 +324,7 @@
   if (store_client_->newest_era() > cache_.cursor().era) {
     read_scheduler_.RequireListing(BootTimeNow());
   }
+  history_lost_ = history_lost_ || error.code == errc::kStale;
   read_scheduler_.OnReadFailure(error.code == errc::kStale, BootTimeNow());
   ScheduleRead();
 }
@@ -373,18 +385,18 @@
     const std::array<std::uint32_t, 1> to = {received.from.address};
     SendBeacon(to, false);
   }
-  const peer_view view{received.from.changed, now - received.age};
+  const store_cursor changed = received.from.changed;
+  const time_point synced_at = now - received.age;
+  const peer_view_relation relation = cache_.Compare(changed, received.cursor);
   const bool complements =
-      needs_peer_view_ && view.changed.era == cache_.cursor().era;
-  if (view.changed > cache_.changed() || complements) {
-    pull_goal_ = view;
+      needs_peer_view_ && changed.era == cache_.cursor().era;
+  if (relation == peer_view_relation::kNewer || complements) {
+    pull_goal_ = {std::min(changed, received.cursor), synced_at};
     pull_failures_ = 0;
     PullAfterBeacon(received.from.address);
-  } else if (view.changed != store_cursor{} &&
-             received.cursor.era == cache_.cursor().era &&
-             received.cursor >= cache_.changed()) {
-    cache_.AdvanceCursor(received.cursor);
-    read_scheduler_.OnPeerSync(view.synced_at);
+  } else if (relation == peer_view_relation::kConfirms) {
+    cache_.ConfirmView(changed, received.cursor);
+    read_scheduler_.OnPeerSync(synced_at);
     ScheduleRead();
   }
 }
@@ -418,7 +430,7 @@
 
 void store_sync::RetryPull() {
   const std::uint32_t source =
-      peers_.ViewSource(cache_.changed(), failed_pull_source_);
+      peers_.ViewSource(cache_.cursor(), failed_pull_source_);
   if (!PullInProgress() && source != 0) {
     Pull(source);
   }
@@ -441,7 +453,7 @@
   needs_peer_view_ =
       needs_peer_view_ && answer.value().cursor.era != cache_.cursor().era;
   // A retry may reach a peer with an older view than that of the announcement.
-  const bool reaches_goal = cache_.changed() >= pull_goal_.changed;
+  const bool reaches_goal = cache_.cursor() >= pull_goal_.changed;
   if (first && !reaches_goal) {
     read_scheduler_.ExpediteNextRead();
   }
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -77,6 +77,7 @@
     return read_scheduler_.store_unavailable(BootTimeNow());
   }
   store_cursor cursor() const { return cache_.cursor(); }
+  store_cursor changed() const { return cache_.changed(); }
 
  private:
   // The view that a beacon announced, kept while the pull it triggered runs.
@@ -131,6 +132,8 @@
   std::size_t page_count_ = 0;
   bool first_listing_ = false;
   std::optional<store_cursor> listing_cursor_;  // of its first page
+  // The store no longer has the changes after the cursor.
+  bool history_lost_ = false;
   time_point read_started_{};
   bool reading_ = false;
   bool store_was_unavailable_ = false;
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -216,6 +216,160 @@
   CHECK(cache.ChangedAfter({}).items.at(0).value == "7");
 }
 
+using items = std::vector<store_item>;
+
+// Has `listener` receive a beacon of `announcer`, and pull if it is behind.
+void Hear(item_cache& listener, const item_cache& announcer) {
+  switch (listener.Compare(announcer.changed(), announcer.cursor())) {
+    case peer_view_relation::kNewer:
+      listener.MergePeerAnswer(announcer.ChangedAfter(listener.changed()));
+      break;
+    case peer_view_relation::kConfirms:
+      listener.ConfirmView(announcer.changed(), announcer.cursor());
+      break;
+    case peer_view_relation::kOther:
+      break;
+  }
+}
+
+// Returns "KEY=VALUE" of all items that are not deleted.
+std::vector<std::string> Live(const item_cache& cache) {
+  std::vector<std::string> live;
+  for (const store_item& item : cache.ChangedAfter({}).items) {
+    if (!item.deleted) {
+      live.push_back(item.key + "=" + item.value);
+    }
+  }
+  return live;
+}
+
+// Two caches with the same view of items "a" and "z" at revision 10.
+struct two_caches {
+  two_caches() {
+    one.MergeListing(items{Item("a", "1", 3), Item("z", "1", 4)}, Cursor(10));
+    Hear(two, one);
+  }
+
+  item_cache one{Decode};
+  item_cache two{Decode};
+};
+
+TEST_CASE("Changes between the pages of a listing are announced in order") {
+  two_caches caches;
+  const store_cursor before = caches.one.changed();
+  // "a" was written after the first page was read, "z" before the last one.
+  caches.one.RepairFromListing(items{Item("a", "1", 3), Item("z", "2", 22)},
+                               Cursor(20));
+  CHECK(caches.one.has_unannounced());
+  CHECK(caches.one.changed() == before);
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"a=1", "z=1"});
+  caches.one.MergeChanges(items{Item("a", "2", 21), Item("z", "2", 22)},
+                          Cursor(22));
+  CHECK_FALSE(caches.one.has_unannounced());
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"a=2", "z=2"});
+}
+
+TEST_CASE("A heartbeat on a later page hides no change of an earlier one") {
+  two_caches caches;
+  caches.one.RepairFromListing(items{Item("a", "1", 3), Item("z", "1#7", 22)},
+                               Cursor(20));
+  CHECK_FALSE(caches.one.has_unannounced());
+  caches.one.MergeChanges(items{{"a", "", 21, true}, Item("z", "1#7", 22)},
+                          Cursor(22));
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"z=1"});
+}
+
+TEST_CASE("A deletion between the pages of a listing reaches the peers") {
+  two_caches caches;
+  caches.one.RepairFromListing(items{Item("a", "1", 3)}, Cursor(20));
+  CHECK(Live(caches.one) == std::vector<std::string>{"a=1"});
+  // The peer has read further than the listing's first page by itself.
+  caches.two.MergeChanges(items{Item("a", "2", 21)}, Cursor(21));
+  caches.one.MergeChanges(items{Item("a", "2", 21), {"z", "", 22, true}},
+                          Cursor(22));
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"a=2"});
+}
+
+TEST_CASE("An item that changes and changes back between pages is announced") {
+  two_caches caches;
+  caches.two.MergeChanges(items{{"z", "", 11, true}}, Cursor(11));
+  caches.one.RepairFromListing(items{Item("a", "1", 3), Item("z", "1", 12)},
+                               Cursor(11));
+  caches.one.MergeChanges(items{{"z", "", 11, true}, Item("z", "1", 12)},
+                          Cursor(12));
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"a=1", "z=1"});
+}
+
+TEST_CASE("A newcomer holds, but does not announce, items beyond the cursor") {
+  item_cache lister(Decode);
+  lister.MergeListing(items{Item("a", "1", 3), Item("z", "1", 22)}, Cursor(20));
+  item_cache newcomer(Decode);
+  Hear(newcomer, lister);
+  CHECK(Live(newcomer) == std::vector<std::string>{"a=1", "z=1"});
+  CHECK(newcomer.changed() <= Cursor(20));
+  CHECK(newcomer.cursor() == Cursor(20));
+  lister.MergeChanges(items{{"a", "", 21, true}, Item("z", "1", 22)},
+                      Cursor(22));
+  Hear(newcomer, lister);
+  CHECK(Live(newcomer) == std::vector<std::string>{"z=1"});
+}
+
+TEST_CASE("A change that a watch missed is repaired and announced") {
+  two_caches caches;
+  caches.one.AdvanceCursor(Cursor(15));
+  Hear(caches.two, caches.one);
+  const view_change repaired =
+      caches.one.RepairFromListing(items{Item("a", "2", 12)}, Cursor(20));
+  CHECK(repaired.missed == 1);
+  CHECK(Live(caches.one) == std::vector<std::string>{"a=2"});
+  caches.one.MergeChanges({}, Cursor(23));
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"a=2"});
+}
+
+// Builds up to 4defb73 announce items of later pages at once.
+TEST_CASE("A change announced beyond the cursor is not counted as seen") {
+  two_caches caches;
+  store_answer old_build;
+  old_build.items = items{Item("z", "2", 22)};
+  old_build.cursor = Cursor(20);
+  old_build.changed = Cursor(22);
+  caches.two.MergePeerAnswer(old_build);
+  CHECK(caches.two.changed() <= Cursor(20));
+  CHECK(caches.two.cursor() == Cursor(20));
+  CHECK(caches.two.Compare(Cursor(22), Cursor(20)) !=
+        peer_view_relation::kNewer);
+  CHECK(caches.two.Compare(Cursor(22), Cursor(22)) ==
+        peer_view_relation::kNewer);
+}
+
+TEST_CASE("Peers that hold a view get no items beyond the cursor") {
+  two_caches caches;
+  caches.one.RepairFromListing(
+      items{Item("a", "1", 3), Item("y", "1", 22), Item("z", "1", 4)},
+      Cursor(20));
+  CHECK(caches.one.ChangedAfter(caches.two.changed()).items.empty());
+  CHECK(caches.one.ChangedAfter({}).items.size() == 3);
+}
+
+TEST_CASE("A new era is announced as far as its first page") {
+  two_caches caches;
+  caches.one.MergeListing(items{Item("a", "1", 3), Item("z", "2", 9)},
+                          Cursor(8, 1));
+  CHECK(caches.one.changed() <= Cursor(8, 1));
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"a=1", "z=2"});
+  CHECK(caches.two.changed() <= Cursor(8, 1));
+  caches.one.MergeChanges(items{{"a", "", 10, true}}, Cursor(10, 1));
+  Hear(caches.two, caches.one);
+  CHECK(Live(caches.two) == std::vector<std::string>{"z=2"});
+}
+
 TEST_CASE("Caches converge in any order of changes") {
   CHECK(rc::check([](const std::vector<std::uint8_t>& writes) {
     std::vector<store_item> items;
--- a/tests/store_sync_test.cc
+++ b/tests/store_sync_test.cc
@@ -5,6 +5,7 @@
 
 #include "adapters/deflate.h"
 #include "http_server_fixture.h"
+#include "rosemaryreach/item_cache.h"
 #include "rosemaryreach/metrics.h"
 #include "rosemaryreach/view_codec.h"
 #include "standins/flow_wire.h"
@@ -74,6 +75,14 @@
 
   const store_sync& sync() const { return sync_; }
 
+  // Has `peer` pull, as after a beacon.
+  void Pull(item_cache& peer) {
+    const std::optional<std::string> answer = sync_.ItemsAfter(peer.changed());
+    REQUIRE(answer);
+    peer.MergePeerAnswer(
+        DecodeView(Inflate(*answer, 1'000'000).value()).value());
+  }
+
   void RunUntil(const std::function<bool()>& done) {
     const time_point end = loop_.now() + std::chrono::seconds(20);
     while (!done() && loop_.now() < end) {
@@ -164,5 +173,39 @@
   CHECK(fixture.sync().store_unavailable());
 }
 
+// Guards against review case 3: an item that was written between two pages made
+// peers skip the changes of earlier pages, and use a dropped route for ever.
+TEST_CASE("A change between the pages of a listing reaches the peers") {
+  const std::string last_page =
+      R"({"items":[{"key":"op/evacuate/b","value":"eA==","revision":12}],)"
+      R"("storeRevision":12,"hasMore":false})";
+  const std::string changes =
+      R"({"events":[{"key":"op/evacuate/a","revision":10,"deleted":true},)"
+      R"({"key":"op/evacuate/b","value":"eA==","revision":12}],)"
+      R"("storeRevision":12})";
+  item_cache peer(DecodeItem);
+  sync_fixture fixture(
+      [&](const std::string& uri) {
+        if (uri.find("kv-watch") != std::string::npos) {
+          return scripted_reply{200, changes};
+        }
+        const bool first = uri.find("after=") == std::string::npos;
+        return scripted_reply{200, first ? kFirstPage : last_page};
+      },
+      DecodeItem);
+  fixture.RunUntil([&] { return fixture.keys.size() == 2; });
+  fixture.Pull(peer);
+  CHECK(peer.ChangedAfter({}).items.size() == 2);
+  fixture.RunUntil([&] { return fixture.keys.size() == 3; });
+  fixture.Pull(peer);
+  std::vector<std::string> live;
+  for (const store_item& item : peer.ChangedAfter({}).items) {
+    if (!item.deleted) {
+      live.push_back(item.key);
+    }
+  }
+  CHECK(live == std::vector<std::string>{"op/evacuate/b"});
+}
+
 }  // namespace
 }  // namespace rosemaryreach
