Announce what a listing can't tell to peers that are behind

Cause: a fresh instance's first listing has no tombstones for what vanished before it, and a listing after lost history has none for what came and went meanwhile. It announced the newest listed item, and peers that pulled the changes after theirs counted the deletions as seen.

Peers that have read as far pull nothing.

Measured: item_cache_test, "A first listing tells peers what vanished before it", fails without the change and passes with it.

--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -48,7 +48,8 @@
 
   // Merges a listing of all items, whose first page was read at `cursor`, and
   // continues from there. Items that are missing from it and not newer are
-  // deleted. Returns the content changes.
+  // deleted; peers that are behind get full snapshots, since deletions before
+  // the listing may have left no trace here. Returns the content changes.
   view_change MergeListing(std::span<const store_item> items,
                            store_cursor cursor);
 
@@ -76,8 +77,8 @@
   void PurgeTombstones(store_cursor cursor);
 
   // Returns the items whose content changed after `cursor`, with the revision
-  // of that change; a full snapshot if tombstones after `cursor` were purged or
-  // `cursor` is of an older era. Items newer than
+  // of that change; a full snapshot if deletions after `cursor` may have left
+  // no tombstone here or `cursor` is of an older era. Items newer than
   // cursor() are included only in full and first views, where they would be
   // missing, and if an announced change would be missing without them.
   store_answer ChangedAfter(store_cursor cursor) const;
@@ -117,15 +118,18 @@
   void MergeAll(std::span<const store_item> items,
                 store_cursor cursor,
                 merge& merging);
-  // Merges a complete view.
+  // Merges a complete view. Deletions up to `base` may be missing from it.
   view_change MergeSnapshot(std::span<const store_item> items,
-                            store_cursor cursor);
+                            store_cursor cursor,
+                            std::uint64_t base);
   // Records the change of an item at `revision`.
   void NoteChange(cached_item& cached, std::uint64_t revision, merge& merging);
   // Advances the cursor and announces the changes up to it.
   void Finish(const merge& merging);
   // Replaces all items by a complete view of a newer era.
-  view_change BeginEra(std::span<const store_item> items, store_cursor cursor);
+  view_change BeginEra(std::span<const store_item> items,
+                       store_cursor cursor,
+                       std::uint64_t base);
   // Takes one item of a new era; `known` is the item before it, if any.
   void TakeRestored(const store_item& item,
                     const cached_item* known,
@@ -146,7 +150,8 @@
   store_cursor changed_;
   store_cursor cursor_;
   std::set<std::uint64_t> unannounced_;  // revisions of changes after cursor_
-  std::uint64_t purged_ = 0;  // revision of the newest purged tombstone
+  // Deletions up to this revision have no tombstones, or may have none.
+  std::uint64_t purged_ = 0;
 };
 
 }  // namespace rosemaryreach
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -33,7 +33,7 @@
 
 view_change item_cache::MergeListing(std::span<const store_item> items,
                                      store_cursor cursor) {
-  return MergeSnapshot(items, cursor);
+  return MergeSnapshot(items, cursor, cursor.revision);
 }
 
 view_change item_cache::RepairFromListing(std::span<const store_item> items,
@@ -50,16 +50,24 @@
 }
 
 view_change item_cache::MergeSnapshot(std::span<const store_item> items,
-                                      store_cursor cursor) {
+                                      store_cursor cursor,
+                                      std::uint64_t base) {
   if (cursor.era < cursor_.era) {
     return {};
   }
   if (cursor.era > cursor_.era) {
-    return BeginEra(items, cursor);
+    return BeginEra(items, cursor, base);
   }
   merge merging;
   merging.cursor = std::max(cursor_, cursor).revision;
+  const bool skips_changes = base > cursor_.revision;
+  if (skips_changes) {
+    merging.changed = base;
+  }
   MergeAll(items, cursor, merging);
+  if (skips_changes) {
+    purged_ = std::max(purged_, base);
+  }
   changed_ = std::max(changed_, store_cursor{cursor.era, 1});
   Finish(merging);
   return {std::move(merging.items)};
@@ -88,7 +96,8 @@
 }
 
 view_change item_cache::BeginEra(std::span<const store_item> items,
-                                 store_cursor cursor) {
+                                 store_cursor cursor,
+                                 std::uint64_t base) {
   view_change change;
   const bool first_view = !has_view();
   era_change era;
@@ -98,10 +107,8 @@
   std::map<std::string, cached_item> before = std::exchange(items_, {});
   cursor_ = cursor;
   unannounced_.clear();
-  changed_ = {cursor.era, 1};
-  // A peer that began this era with an earlier listing may hold items that were
-  // deleted before this one, of which there is no tombstone here.
-  purged_ = first_view ? 0 : cursor.revision;
+  changed_ = {cursor.era, std::max<std::uint64_t>(base, 1)};
+  purged_ = base;
   for (const store_item& item : items) {
     const auto known = before.find(item.key);
     TakeRestored(item, known == before.end() ? nullptr : &known->second,
@@ -190,9 +197,10 @@
   if (!answer.full_snapshot && answer.cursor.era != cursor_.era) {
     return {};
   }
-  view_change change = answer.full_snapshot
-                           ? MergeSnapshot(answer.items, answer.cursor)
-                           : MergeChanges(answer.items, answer.cursor);
+  view_change change =
+      answer.full_snapshot
+          ? MergeSnapshot(answer.items, answer.cursor, changed.revision)
+          : MergeChanges(answer.items, answer.cursor);
   if (changed.era == cursor_.era) {
     changed_ = std::max(changed_, changed);
   }
@@ -251,7 +259,12 @@
     if (answer.full_snapshot ? !cached.item.deleted
                              : announced > cursor.revision) {
       answer.items.push_back(cached.item);
-      answer.items.back().revision = cached.changed_revision;
+      // In a gap between listings, an item may have changed and changed back;
+      // in a full snapshot it must count as newer than what peers saw there.
+      answer.items.back().revision =
+          answer.full_snapshot
+              ? std::max(cached.changed_revision, cached.item.revision)
+              : cached.changed_revision;
     }
   }
   return answer;
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -305,6 +305,31 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"a=1", "z=1"});
 }
 
+TEST_CASE("A first listing tells peers what vanished before it") {
+  two_caches caches;
+  item_cache fresh(Decode);
+  fresh.MergeListing(items{Item("a", "1", 3)}, Cursor(20));
+  Hear(caches.two, fresh);
+  CHECK(Live(caches.two) == std::vector<std::string>{"a=1"});
+  // A newcomer that pulls from it knows no more of the deletion.
+  item_cache newcomer(Decode);
+  Hear(newcomer, fresh);
+  Hear(caches.one, newcomer);
+  CHECK(Live(caches.one) == std::vector<std::string>{"a=1"});
+}
+
+TEST_CASE("Peers that have read as far pull nothing from a first listing") {
+  two_caches caches;
+  caches.one.AdvanceCursor(Cursor(25));
+  item_cache fresh(Decode);
+  fresh.MergeListing(items{Item("a", "1", 3), Item("z", "1#9", 19)},
+                     Cursor(20));
+  CHECK(caches.one.Compare(fresh.changed(), fresh.cursor()) ==
+        peer_view_relation::kConfirms);
+  Hear(caches.one, fresh);
+  CHECK_FALSE(fresh.ChangedAfter(caches.one.changed()).full_snapshot);
+}
+
 TEST_CASE("A newcomer holds, but does not announce, items beyond the cursor") {
   item_cache lister(Decode);
   lister.MergeListing(items{Item("a", "1", 3), Item("z", "1", 22)}, Cursor(20));
