Don't take back items whose tombstones are gone

Cause: a cache without a tombstone took a deleted item for a new one, from a peer that had not read the deletion, or from an answer that was under way while a newer view arrived.

Change: up to the newest purged tombstone, or the listing that a view began with, what is absent is known to be absent. Only a complete view as of a later revision adds it. Configurations are exempt, since they are never deleted and one that was kept over a restore has no revision of its own; in a restored store, versions decide between two of them.

Measured: item_cache_test, "What was deleted before a purge is not taken back from a peer", fails without the change and passes with it.

--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -104,8 +104,11 @@
 
   // How one answer is merged, and what it changed.
   struct merge {
-    std::uint64_t cursor = 0;       // of this cache after the answer
-    std::uint64_t changed = 0;      // newest content change up to `cursor`
+    std::uint64_t cursor = 0;   // of this cache after the answer
+    std::uint64_t changed = 0;  // newest content change up to `cursor`
+    // The view that is merged holds all items as of this revision or later; 0
+    // if it holds changes alone.
+    std::uint64_t complete_at = 0;
     std::uint64_t announce_at = 0;  // least revision of a change; see Merge()
     std::vector<changed_item> items;
     std::size_t missed = 0;  // see view_change
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -43,6 +43,7 @@
   }
   merge merging;
   merging.cursor = cursor_.revision;
+  merging.complete_at = cursor.revision;
   merging.announce_at = std::max(cursor_, cursor).revision;
   MergeAll(items, cursor, merging);
   Finish(merging);
@@ -60,6 +61,7 @@
   }
   merge merging;
   merging.cursor = std::max(cursor_, cursor).revision;
+  merging.complete_at = cursor.revision;
   const bool skips_changes = base > cursor_.revision;
   if (skips_changes) {
     merging.changed = base;
@@ -297,6 +299,12 @@
   if (!newer && version <= known_version) {
     return;
   }
+  // Its deletion may have left no tombstone. Configurations are never deleted.
+  const bool absent = !known || found->second.item.deleted;
+  if (absent && version == 0 && item.revision <= purged_ &&
+      merging.complete_at < purged_) {
+    return;
+  }
   const std::uint64_t fingerprint = FingerprintOf(decoded);
   cached_item& cached = items_[item.key];
   const bool changes = !known || fingerprint != cached.fingerprint;
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -357,6 +357,15 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"a=2"});
 }
 
+TEST_CASE("What was deleted before a purge is not taken back from a peer") {
+  two_caches caches;
+  caches.one.MergeChanges(items{{"z", "", 12, true}}, Cursor(12));
+  caches.one.PurgeTombstones(Cursor(12));
+  const store_answer late = caches.two.ChangedAfter({});
+  CHECK(caches.one.MergePeerAnswer(late).items.empty());
+  CHECK(Live(caches.one) == std::vector<std::string>{"a=1"});
+}
+
 // Builds up to 4defb73 announce items of later pages at once.
 TEST_CASE("A change announced beyond the cursor is not counted as seen") {
   two_caches caches;
