List the store if its era began while a watch ran

Cause: a watch that began in one era and was answered in the next was checked against the era of the view, which a pull may have moved on meanwhile. Its changes after a revision of the former era were merged as all changes of the new one, so those before that revision were never read, until the next listing.

Change: the answer must be of the era that the watch began in.

Measured: store_sync_test, "A watch that began in another era is followed by a listing", fails without the change (the second read is another watch) and passes with it.

--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -216,8 +216,9 @@
     ReadPage();
     return;
   }
+  watched_from_ = cache_.cursor();
   store_client_->Watch(
-      cache_.cursor().revision, kWatchWait, kReadDeadline,
+      watched_from_.revision, kWatchWait, kReadDeadline,
       [this](const result<store_answer>& answer) { OnWatchAnswer(answer); });
 }
 
@@ -298,7 +299,8 @@
     OnReadFailed(usable.error());
     return;
   }
-  if (cursor.era > cache_.cursor().era) {
+  if (cursor.era != watched_from_.era) {
+    // Of this era, the changes up to watched_from_.revision are not included.
     OnReadFailed({errc::kStale, "", "the store was restored from a copy"});
     return;
   }
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -132,6 +132,7 @@
   std::size_t page_count_ = 0;
   bool first_listing_ = false;
   std::optional<store_cursor> listing_cursor_;  // of its first page
+  store_cursor watched_from_;                   // by the last watch
   // The store no longer has the changes after the cursor.
   bool history_lost_ = false;
   time_point read_started_{};
--- a/tests/http_server_fixture.h
+++ b/tests/http_server_fixture.h
@@ -7,7 +7,9 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "adapters/event_loop.h"
 #include "adapters/socket_address.h"
@@ -18,6 +20,7 @@
   int status = 200;  // 0 sends no reply
   std::string body;
   std::map<std::string, std::string> headers = {};
+  duration delay{};
 };
 
 class http_server_fixture {
@@ -25,7 +28,9 @@
   using script = std::function<scripted_reply(const std::string& uri)>;
 
   http_server_fixture(event_loop& loop, script reply)
-      : script_(std::move(reply)), server_(evhttp_new(loop.base())) {
+      : loop_(loop),
+        script_(std::move(reply)),
+        server_(evhttp_new(loop.base())) {
     evhttp_set_gencb(
         server_,
         [](evhttp_request* request, void* self) {
@@ -55,14 +60,26 @@
       evhttp_add_header(evhttp_request_get_output_headers(request),
                         name.c_str(), value.c_str());
     }
+    if (reply.delay > duration::zero()) {
+      delayed_.push_back(std::make_unique<loop_timer>(
+          loop_, [request, reply] { Send(request, reply); }));
+      delayed_.back()->Start(reply.delay);
+    } else {
+      Send(request, reply);
+    }
+  }
+
+  static void Send(evhttp_request* request, const scripted_reply& reply) {
     evbuffer* body = evbuffer_new();
     evbuffer_add(body, reply.body.data(), reply.body.size());
     evhttp_send_reply(request, reply.status, nullptr, body);
     evbuffer_free(body);
   }
 
+  event_loop& loop_;
   script script_;
   evhttp* server_;
+  std::vector<std::unique_ptr<loop_timer>> delayed_;
   endpoint address_;
 };
 
--- a/tests/store_sync_test.cc
+++ b/tests/store_sync_test.cc
@@ -173,6 +173,30 @@
   CHECK(fixture.sync().store_unavailable());
 }
 
+// A watch that the store answered after its restore counted as complete, though
+// it began in the former era. The changes before it were never read.
+TEST_CASE("A watch that began in another era is followed by a listing") {
+  const std::map<std::string, std::string> restored = {{"Store-Era", "1"}};
+  std::vector<std::string> calls;
+  sync_fixture fixture(
+      [&](const std::string& uri) {
+        calls.push_back(uri.find("kv-watch") == std::string::npos ? "list"
+                                                                  : "watch");
+        if (calls.size() == 1) {
+          return scripted_reply{200, kLastPage};
+        }
+        return calls.back() == "list"
+                   ? scripted_reply{200, kLastPage, restored}
+                   : scripted_reply{200, R"({"events":[],"storeRevision":20})",
+                                    restored, std::chrono::milliseconds(300)};
+      },
+      DecodeItem);
+  fixture.RunUntil([&] { return calls.size() == 2; });
+  fixture.Announce({{}, {1, 5}, {1, 5}, false, true}, {});
+  fixture.RunUntil([&] { return calls.size() == 3; });
+  CHECK(calls == std::vector<std::string>{"list", "watch", "list"});
+}
+
 // Guards against review case 3: an item that was written between two pages made
 // peers skip the changes of earlier pages, and use a dropped route for ever.
 TEST_CASE("A change between the pages of a listing reaches the peers") {
