Pass on changes that were undone or overtaken before a pull

Cause: a cache labels an item with the revision at which its content changed, and took what a peer sent with unchanged content for no change. If the item had changed and changed back since, as when an evacuation ends and begins again, or if a page of a listing had overtaken the change, the cache claimed the sender's cursor with the older label. Peers that had read in between asked for later changes than that and kept the old state.

Change: items that a peer sends as changed keep its label; so do items beyond the cursor of a view from which a cache continues. A change of an item whose later state is held is announced with that state, also when it comes by a pull.

--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -102,8 +102,16 @@
     std::uint64_t announced_revision = 0;
   };
 
+  enum class answer_kind : std::uint8_t {
+    kChanges,      // all changes from the cursor on, by the store
+    kPeerChanges,  // the same by a peer, each at the revision of its change
+    kView,         // all items, from which the cache continues
+    kRepair        // all items; the cache continues from its cursor
+  };
+
   // How one answer is merged, and what it changed.
   struct merge {
+    answer_kind kind = answer_kind::kChanges;
     std::uint64_t cursor = 0;   // of this cache after the answer
     std::uint64_t changed = 0;  // newest content change up to `cursor`
     // The view that is merged holds all items as of this revision or later; 0
@@ -121,6 +129,9 @@
   void MergeAll(std::span<const store_item> items,
                 store_cursor cursor,
                 merge& merging);
+  view_change MergeChangesOf(answer_kind kind,
+                             std::span<const store_item> items,
+                             store_cursor cursor);
   // Merges a complete view. Deletions up to `base` may be missing from it.
   view_change MergeSnapshot(std::span<const store_item> items,
                             store_cursor cursor,
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -19,10 +19,17 @@
 
 view_change item_cache::MergeChanges(std::span<const store_item> items,
                                      store_cursor cursor) {
+  return MergeChangesOf(answer_kind::kChanges, items, cursor);
+}
+
+view_change item_cache::MergeChangesOf(answer_kind kind,
+                                       std::span<const store_item> items,
+                                       store_cursor cursor) {
   if (cursor.era != cursor_.era) {
     return {};
   }
   merge merging;
+  merging.kind = kind;
   merging.cursor = std::max(cursor_, cursor).revision;
   for (const store_item& item : items) {
     Merge(item, merging);
@@ -42,6 +49,7 @@
     return MergeListing(items, cursor);
   }
   merge merging;
+  merging.kind = answer_kind::kRepair;
   merging.cursor = cursor_.revision;
   merging.complete_at = cursor.revision;
   merging.announce_at = std::max(cursor_, cursor).revision;
@@ -60,6 +68,7 @@
     return BeginEra(items, cursor, base);
   }
   merge merging;
+  merging.kind = answer_kind::kView;
   merging.cursor = std::max(cursor_, cursor).revision;
   merging.complete_at = cursor.revision;
   const bool skips_changes = base > cursor_.revision;
@@ -202,9 +211,19 @@
   view_change change =
       answer.full_snapshot
           ? MergeSnapshot(answer.items, answer.cursor, changed.revision)
-          : MergeChanges(answer.items, answer.cursor);
-  if (changed.era == cursor_.era) {
-    changed_ = std::max(changed_, changed);
+          : MergeChangesOf(answer_kind::kPeerChanges, answer.items,
+                           answer.cursor);
+  if (changed.era != cursor_.era) {
+    return change;
+  }
+  changed_ = std::max(changed_, changed);
+  for (const store_item& item : answer.items) {
+    const auto held = items_.find(item.key);
+    if (held != items_.end() && item.revision > cursor_.revision) {
+      // The sender announced an earlier change of it, at most at `changed`.
+      held->second.announced_revision =
+          std::max(held->second.announced_revision, changed.revision);
+    }
   }
   return change;
 }
@@ -308,14 +327,20 @@
   const std::uint64_t fingerprint = FingerprintOf(decoded);
   cached_item& cached = items_[item.key];
   const bool changes = !known || fingerprint != cached.fingerprint;
-  if (!changes && !item.deleted && item.revision > merging.cursor) {
+  const bool beyond_cursor = item.revision > merging.cursor;
+  if (!changes && beyond_cursor && merging.kind == answer_kind::kRepair) {
     // It may have changed and changed back, as the watch will tell.
     return;
   }
   std::string departed = changes ? DepartedValue(cached.item, decoded) : "";
-  if (changes || item.deleted) {
-    // A listing that lacks an item does not say when it was deleted; its
-    // deletion is announced again at the revision that a watch states.
+  // What is the same as before may have changed and changed back since then, if
+  // the changes between are not included. A listing that lacks an item does not
+  // say when it was deleted, so the deletion is announced again at the revision
+  // that a watch states.
+  const bool announces = changes || item.deleted ||
+                         merging.kind == answer_kind::kPeerChanges ||
+                         (beyond_cursor && merging.kind == answer_kind::kView);
+  if (announces) {
     NoteChange(cached,
                item.revision > cursor_.revision
                    ? item.revision
@@ -328,7 +353,7 @@
   cached.fingerprint = fingerprint;
   cached.config_version = version;
   if (changes) {
-    const bool missed = merging.announce_at > 0 && !item.deleted &&
+    const bool missed = merging.kind == answer_kind::kRepair && !item.deleted &&
                         item.revision <= cursor_.revision;
     merging.missed += missed ? 1 : 0;
     merging.items.push_back({item, std::move(decoded), std::move(departed)});
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -305,6 +305,44 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"a=1", "z=1"});
 }
 
+TEST_CASE("A change that is undone before a peer pulls is passed on") {
+  two_caches caches;
+  item_cache deleted(Decode);
+  Hear(deleted, caches.one);
+  deleted.MergeChanges(items{{"z", "", 11, true}}, Cursor(11));
+  caches.one.MergeChanges(items{{"z", "", 11, true}, Item("z", "1", 12)},
+                          Cursor(12));
+  Hear(caches.two, caches.one);
+  Hear(deleted, caches.two);
+  CHECK(Live(deleted) == std::vector<std::string>{"a=1", "z=1"});
+}
+
+TEST_CASE("A change that a later page overtook is passed on") {
+  two_caches caches;
+  item_cache third(Decode);
+  Hear(third, caches.one);
+  caches.one.RepairFromListing(items{Item("a", "1", 3), Item("z", "3", 13)},
+                               Cursor(11));
+  caches.one.MergeChanges(items{Item("z", "2", 12)}, Cursor(12));
+  Hear(caches.two, caches.one);
+  Hear(third, caches.two);
+  CHECK(Live(third) == std::vector<std::string>{"a=1", "z=3"});
+}
+
+TEST_CASE("A change that is undone after a full snapshot is passed on") {
+  two_caches caches;
+  item_cache fresh(Decode);
+  fresh.MergeListing(items{Item("a", "1", 3), Item("z", "2", 11)}, Cursor(11));
+  item_cache third(Decode);
+  Hear(third, fresh);
+  fresh.RepairFromListing(items{Item("a", "1", 3), Item("z", "1", 12)},
+                          Cursor(12));
+  Hear(caches.two, fresh);
+  caches.two.MergeChanges(items{Item("z", "1", 12)}, Cursor(12));
+  Hear(third, caches.two);
+  CHECK(Live(third) == std::vector<std::string>{"a=1", "z=1"});
+}
+
 TEST_CASE("A first listing tells peers what vanished before it") {
   two_caches caches;
   item_cache fresh(Decode);
