Read no target from entries that can't name one

Of the addresses, ids and numbers that were tried, these passed for a target:

- port 0, 0.0.0.0, multicast and broadcast: new flows were sent there, or their packets refused by the kernel, until the target was suspected;
- a start time or a number of slots with a fraction, which was cut off, and a start time of 2^64, which was taken as 2^64 - 1.

--- a/tests/store_documents_test.cc
+++ b/tests/store_documents_test.cc
@@ -62,6 +62,58 @@
   CHECK(std::holds_alternative<unreadable_item>(DecodeItem(raw)));
 }
 
+// Returns whether an entry of this id and text names no target.
+bool Unreadable(const std::string& id, const std::string& entry) {
+  return std::holds_alternative<unreadable_item>(
+      DecodeItem(Item("servers/" + id, entry)));
+}
+
+// Returns the valid entry with a member of another value.
+std::string TargetWith(const std::string& name, const std::string& value) {
+  std::string entry = kTarget;
+  const std::size_t begin = entry.find('"' + name + "\":") + name.size() + 3;
+  return entry.replace(begin, entry.find_first_of(",}", begin) - begin, value);
+}
+
+// A packet to port 0 is never sent; the flows that it began were lost.
+TEST_CASE("Addresses that no host has are unreadable") {
+  REQUIRE_FALSE(Unreadable("i-1", TargetWith("address", R"("10.0.0.1:1")")));
+  for (const std::string address :
+       {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:1.5",
+        "10.0.0.1", "10.0.0.1:", ":80", "0.0.0.0:80", "224.0.0.1:80",
+        "255.255.255.255:80", "10.0.0.256:80", "[::1]:80", "10.0.0.1:80 ",
+        ""}) {
+    CAPTURE(address);
+    CHECK(Unreadable("i-1", TargetWith("address", '"' + address + '"')));
+  }
+}
+
+// Packets for the number 0 are taken by any host, also one of another service
+// (review case 1).
+TEST_CASE("An entry whose id has no number is unreadable") {
+  REQUIRE_FALSE(Unreadable("i-1", kTarget));
+  for (const std::string& id :
+       {std::string(), std::string("i-"), std::string("xyz"),
+        std::string("i-0000"), std::string("nil/how"), std::string("\xff\xfe"),
+        std::string("i-\0", 3)}) {
+    CAPTURE(id);
+    CHECK(Unreadable(id, kTarget));
+  }
+  CHECK_FALSE(Unreadable(std::string(190, 'f'), kTarget));
+}
+
+TEST_CASE("Numbers that are negative, too large or not whole are unreadable") {
+  for (const char* name : {"maxConcurrency", "born"}) {
+    for (const std::string number :
+         {"-1", "1.5", "1e300", "1e999", "18446744073709551616", "\"1\"", "[]",
+          "{}", "true", "null", "NaN"}) {
+      CAPTURE(name, number);
+      CHECK(Unreadable("i-1", TargetWith(name, number)));
+    }
+  }
+  CHECK_FALSE(Unreadable("i-1", TargetWith("born", "1773400000123.0")));
+}
+
 TEST_CASE("A configuration is decoded") {
   const decoded_item meaning = DecodeItem(Item("op/config", kConfig));
   const entry_config* config = std::get_if<entry_config>(&meaning);
