--- a/tests/store_documents_test.cc
+++ b/tests/store_documents_test.cc
@@ -1,5 +1,6 @@
 #include "store_documents.h"
 
+#include <absl/strings/escaping.h>
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
@@ -213,6 +214,30 @@
   CHECK(listing.value().items.at(1).value == "x");
 }
 
+// Values of a megabyte, as many as another writer cares to put there, were kept
+// and sent to peers, whose pulls then failed.
+TEST_CASE("A value longer than an entry makes only its own item unreadable") {
+  const auto listed = [](const std::string& key, std::size_t bytes) {
+    return R"({"key":")" + key + R"(","value":")" +
+           absl::Base64Escape(std::string(bytes, 'x')) + R"(","revision":4},)";
+  };
+  const result<store_answer> listing = DecodeAnswer(
+      R"({"items":[)" + listed("op/config", 1'000'000) +
+      listed("op/evacuate/a", 1'000'000) + listed("servers/i-1", 1'000'000) +
+      listed("servers/i-2", 4'096) + listed("spare", 1'000'000) +
+      R"({"key":"b","value":"eA==","revision":5}],"storeRevision":5})");
+  REQUIRE(listing);
+  const std::vector<store_item>& items = listing.value().items;
+  CHECK(items.at(0).value.size() == 1'000'000);
+  CHECK(std::get<evacuation_item>(DecodeItem(items.at(1))).evacuated);
+  CHECK(items.at(2).value.empty());
+  CHECK(std::get<unreadable_item>(DecodeItem(items.at(2))).reason ==
+        "value is empty, not base64 or longer than 4096 bytes");
+  CHECK(items.at(3).value.size() == 4'096);
+  CHECK(items.at(4).value.empty());
+  CHECK(items.at(5).value == "x");
+}
+
 TEST_CASE("Malformed answers are errors") {
   CHECK_FALSE(DecodeAnswer(""));
   CHECK_FALSE(DecodeAnswer("[]"));
