List the store if the answer to a watch is too large

Cause: a watch answers all changes since the cursor at once. If these take more than 4 MB, as some values of a megabyte by another writer, the client refused the answer as a failed connection, and the same watch was sent again after a pause, with more changes in it.

A watch that is answered so is followed by a listing at once, whose pages are limited, and the cursor moves on.

Measured: store_sync_test, "An answer to a watch that is too large is followed by a listing", and http_get_test, "The error of a long body names the limit", fail without the change and pass with it.

--- a/src/adapters/http_get.cc
+++ b/src/adapters/http_get.cc
@@ -72,8 +72,14 @@
   evhttp_connection_set_max_body_size(connection_.get(),
                                       static_cast<ev_ssize_t>(max_body_));
   done_ = std::move(done);
+  too_large_ = false;
   deadline_.Start(deadline);
   evhttp_request* request = evhttp_request_new(&http_get_client::OnDone, this);
+  evhttp_request_set_error_cb(
+      request, [](evhttp_request_error error, void* self) {
+        static_cast<http_get_client*>(self)->too_large_ =
+            error == EVREQ_HTTP_DATA_TOO_LONG;
+      });
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", FormatEndpoint(server_).c_str());
   evhttp_add_header(headers, "Connection", "close");
@@ -88,6 +94,13 @@
   client->closed_ = std::move(client->connection_);
   const int status =
       request == nullptr ? 0 : evhttp_request_get_response_code(request);
+  if (status == 0 && client->too_large_) {
+    client->Finish(Fail(
+        errc::kTooLarge,
+        "answer of more than " + std::to_string(client->max_body_) + " bytes",
+        FormatEndpoint(client->server_)));
+    return;
+  }
   if (status == 0) {
     client->Finish(Fail(errc::kUnavailable, "connection failed or closed",
                         FormatEndpoint(client->server_)));
--- a/src/adapters/http_get.h
+++ b/src/adapters/http_get.h
@@ -44,7 +44,8 @@
   http_get_client& operator=(const http_get_client&) = delete;
 
   // Requests `path` and calls `done` once unless destroyed first; any HTTP
-  // status counts as a reply. Errors: kTimeout at the deadline, kUnavailable.
+  // status counts as a reply. Errors: kTimeout at the deadline, kTooLarge for a
+  // body above the limit, kUnavailable.
   // Must not be called while busy(); `done` must not destroy the client.
   void Get(const std::string& path,
            duration deadline,
@@ -73,6 +74,7 @@
   // to be freed in its own callback.
   connection_pointer closed_;
   http_reply_callback done_;
+  bool too_large_ = false;  // the reply
 };
 
 // Returns `value` with reserved characters percent-encoded for a query.
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -289,6 +289,11 @@
 }
 
 void store_sync::OnWatchAnswer(const result<store_answer>& answer) {
+  if (!answer && answer.error().code == errc::kTooLarge) {
+    // Watching again would fail again; pages of a listing are limited.
+    OnReadFailed({errc::kStale, answer.error().path, answer.error().detail});
+    return;
+  }
   if (!answer) {
     OnReadFailed(answer.error());
     return;
--- a/tests/http_get_test.cc
+++ b/tests/http_get_test.cc
@@ -65,6 +65,20 @@
   CHECK(reply.value().body == "bo");
 }
 
+TEST_CASE("The error of a long body names the limit") {
+  const std::string body(2'000, 'x');
+  for (const std::string& text :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + body,
+        "HTTP/1.1 200 OK\r\n\r\n" + body,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + body +
+            "\r\n0\r\n\r\n"}) {
+    const result<http_reply> reply = GetOnce(text);
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().code == errc::kTooLarge);
+    CHECK(reply.error().detail == "answer of more than 1000 bytes");
+  }
+}
+
 TEST_CASE("Malformed answers and long bodies are errors") {
   for (const std::string& text :
        {std::string("\0\xff", 2), std::string("HTTP/1.1 \r\n\r\n"),
--- a/tests/store_sync_test.cc
+++ b/tests/store_sync_test.cc
@@ -1,6 +1,7 @@
 #include "entryd/store_sync.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <stdexcept>
 
 #include "adapters/deflate.h"
@@ -173,6 +174,26 @@
   CHECK(fixture.sync().store_unavailable());
 }
 
+// The watch was repeated for ever, and all changes after it were missed.
+TEST_CASE("An answer to a watch that is too large is followed by a listing") {
+  std::signal(SIGPIPE, SIG_IGN);  // the rest of the answer is not read
+  std::vector<std::string> calls;
+  sync_fixture fixture(
+      [&](const std::string& uri) {
+        calls.push_back(uri.find("kv-watch") == std::string::npos ? "list"
+                                                                  : "watch");
+        if (calls.size() == 1) {
+          return scripted_reply{200, kFirstPage};
+        }
+        return calls.back() == "list"
+                   ? scripted_reply{200, kLastPage}
+                   : scripted_reply{200, std::string(5'000'000, ' ')};
+      },
+      DecodeItem);
+  fixture.RunUntil([&] { return calls.size() == 4; });
+  CHECK(calls == std::vector<std::string>{"list", "list", "watch", "list"});
+}
+
 // A watch that the store answered after its restore counted as complete, though
 // it began in the former era. The changes before it were never read.
 TEST_CASE("A watch that began in another era is followed by a listing") {
