Check answers on departed targets like views

Cause: the nesting of a view is checked before the JSON library decodes it by recursion; the answer on departed targets, a later message, was decoded without that check, so one of a megabyte of nested arrays exhausted the stack and ended the process. Its ages were converted from any number, which is undefined for 1e300.

Change: the same checks as for views and beacons. Only peers send this message.

Measured: decoder_fuzz_test, "Malformed answers on departed targets are refused", ends with a segmentation violation without the change and passes with it.

--- a/src/entry/view_codec.cc
+++ b/src/entry/view_codec.cc
@@ -58,7 +58,7 @@
   // Bounds the number, so that times computed from it cannot overflow.
   constexpr std::uint64_t kMaxAgeMs = 86'400'000;
   return std::chrono::milliseconds(
-      std::min(value.get<std::uint64_t>(), kMaxAgeMs));
+      std::min(UnsignedFromJson<std::uint64_t>(value), kMaxAgeMs));
 }
 
 departed_item ToDepartedItem(const json& array) {
@@ -103,6 +103,9 @@
 }
 
 result<departed_answer> DecodeDeparted(std::string_view bytes) {
+  if (!HasBoundedNesting(bytes)) {
+    return Fail(errc::kUnsupported, "CBOR cut short or nested too deeply");
+  }
   try {
     return ToDepartedAnswer(json::from_cbor(bytes));
   } catch (const std::exception& wrong) {
--- a/tests/decoder_fuzz_test.cc
+++ b/tests/decoder_fuzz_test.cc
@@ -87,6 +87,26 @@
   }
 }
 
+// They are decoded like views, but were not checked before.
+TEST_CASE("Malformed answers on departed targets are refused") {
+  const departed_answer sample{
+      {{"servers/i-1", kTarget, std::chrono::seconds(4)}},
+      std::chrono::seconds(9)};
+  FuzzDecoder(EncodeDeparted(sample), [](const std::string& bytes) {
+    const result<departed_answer> read = DecodeDeparted(bytes);
+    CHECK((!read || read.value().known_for >= duration(0)));
+  });
+  for (const char* part : {"\x81", "\x9f", "\x7f", "\x5f", "\xbf\x60"}) {
+    CHECK_FALSE(DecodeDeparted(Repeat(part, kDeepNesting)));
+  }
+  // Ages of -1, 1.5 and 1e300; no items.
+  for (const std::string& age :
+       {std::string("\x20"), std::string("\xf9\x3e\x00", 3),
+        std::string("\xfb\x7e\x37\xe4\x3c\x88\x00\x75\x9c", 9)}) {
+    CHECK_FALSE(DecodeDeparted("\x83\x01" + age + "\x80"));
+  }
+}
+
 TEST_CASE("A negative or unbounded age in a beacon is refused") {
   beacon sample = SampleBeacon();
   sample.age = duration(-1);
