Cut long text in log fields

Cause: the lines on an unreadable entry or an added target quote what its writer chose, whose length had no bound: a state of a megabyte became a line of a megabyte with each change.

Change: a field of an event holds 4,096 bytes; of longer text, the begin and the length.

Measured: json_log_test, "Long text in a field is cut", fails without the change and passes with it.

--- a/include/rosemaryreach/log.h
+++ b/include/rosemaryreach/log.h
@@ -2,6 +2,7 @@
 #ifndef ROSEMARYREACH_LOG_H_
 #define ROSEMARYREACH_LOG_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -22,6 +23,10 @@
   std::uint64_t number = 0;  // configuration number in force
 };
 
+// Longer text in a field of an event is cut, since other writers of the store
+// may have chosen it.
+inline constexpr std::size_t kMaxFieldBytes = 4'096;
+
 // One named value of an event.
 struct log_field {
   std::string_view name;
--- a/src/adapters/json_log.cc
+++ b/src/adapters/json_log.cc
@@ -33,6 +33,14 @@
   return text.data();
 }
 
+// Returns `text`, or its begin and its length if it is longer than a field.
+std::string Clip(std::string_view text) {
+  return text.size() <= kMaxFieldBytes
+             ? std::string(text)
+             : std::string(text.substr(0, kMaxFieldBytes)) + "... (" +
+                   std::to_string(text.size()) + " bytes)";
+}
+
 json StartLine(log_level level, const std::string& instance) {
   return {{"time", FormatNow()},
           {"level", kLevelNames.at(static_cast<std::size_t>(level))},
@@ -81,7 +89,7 @@
   }
   json line = StartLine(level, instance_);
   line["event"] = event;
-  line["detail"] = detail;
+  line["detail"] = Clip(detail);
   write_(Dump(line));
 }
 
@@ -95,7 +103,12 @@
   line["event"] = event;
   for (const log_field& field : fields) {
     json& member = line[std::string(field.name)];
-    std::visit([&member](const auto& value) { member = value; }, field.value);
+    if (const std::string_view* text =
+            std::get_if<std::string_view>(&field.value)) {
+      member = Clip(*text);
+    } else {
+      member = std::get<std::int64_t>(field.value);
+    }
   }
   write_(Dump(line));
 }
--- a/tests/json_log_test.cc
+++ b/tests/json_log_test.cc
@@ -28,6 +28,25 @@
   CHECK(line.at("number") == 7);
 }
 
+// An entry of another writer had a state of a megabyte, which was logged with
+// each change.
+TEST_CASE("Long text in a field is cut") {
+  std::vector<std::string> lines;
+  json_log log({log_level::kInfo, 1}, "a1",
+               [&lines](const std::string& line) { lines.push_back(line); });
+  const std::string text(1'000'000, 'x');
+  const std::vector<log_field> fields = {{"detail", text}, {"count", 3}};
+  log.WriteEvent(log_level::kInfo, "directory", fields);
+  log.Write(log_level::kInfo, "directory", text);
+  REQUIRE(lines.size() == 2);
+  for (const std::string& line : lines) {
+    CHECK(line.size() < kMaxFieldBytes + 200);
+    CHECK(json::parse(line).at("detail") ==
+          std::string(kMaxFieldBytes, 'x') + "... (1000000 bytes)");
+  }
+  CHECK(json::parse(lines[0]).at("count") == 3);
+}
+
 TEST_CASE("Decisions are sampled, and off above level info") {
   const auto count_logged = [](log_settings settings) {
     json_log log(settings, "a1", nullptr);
