Test odd entries by listing, watch and peer's view

34 kinds of entries of another writer, between two that name targets: empty, not JSON, cut off by a null character, nested 500,000 deep, of a megabyte, with members of other types, numbers that are negative, too large or not whole, ports out of range, ids without a number, unknown keys. Each alone, and 3,200 at once, by each way an instance learns of them. The two targets are used and passed on, nothing else is, and the store is read on.

--- a/tests/store_sync_test.cc
+++ b/tests/store_sync_test.cc
@@ -1,11 +1,15 @@
 #include "entryd/store_sync.h"
 
+#include <absl/strings/escaping.h>
+
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "adapters/deflate.h"
 #include "http_server_fixture.h"
+#include "odd_entries.h"
 #include "rosemaryreach/item_cache.h"
 #include "rosemaryreach/metrics.h"
 #include "rosemaryreach/view_codec.h"
@@ -34,6 +38,10 @@
             [this](const view_change& change) {
               for (const changed_item& changed : change.items) {
                 keys.push_back(changed.item.key);
+                if (const target_item* target =
+                        std::get_if<target_item>(&changed.decoded)) {
+                  targets.push_back(target->record.id);
+                }
               }
             },
             std::chrono::seconds(75),
@@ -76,12 +84,14 @@
 
   const store_sync& sync() const { return sync_; }
 
+  void Refresh() { sync_.Refresh(); }
+
   // Has `peer` pull, as after a beacon.
   void Pull(item_cache& peer) {
     const std::optional<std::string> answer = sync_.ItemsAfter(peer.changed());
     REQUIRE(answer);
     peer.MergePeerAnswer(
-        DecodeView(Inflate(*answer, 1'000'000).value()).value());
+        DecodeView(Inflate(*answer, 16'000'000).value()).value());
   }
 
   void RunUntil(const std::function<bool()>& done) {
@@ -92,6 +102,7 @@
   }
 
   std::vector<std::string> keys;
+  std::vector<std::string> targets;  // ids
   int errors = 0;
 
  private:
@@ -218,6 +229,131 @@
   CHECK(calls == std::vector<std::string>{"list", "watch", "list"});
 }
 
+nlohmann::json StoreItem(const std::string& key,
+                         const std::string& value,
+                         std::uint64_t revision) {
+  return {{"key", key},
+          {"value", absl::Base64Escape(value)},
+          {"revision", revision}};
+}
+
+// Returns an answer of the store with these entries between two targets.
+std::string AnswerWith(const char* list,
+                       std::span<const odd_entry> entries,
+                       std::uint64_t revision) {
+  nlohmann::json items = {StoreItem("servers/a1", TargetEntry(), revision)};
+  for (const odd_entry& entry : entries) {
+    items.push_back(StoreItem(entry.key, entry.value, ++revision));
+  }
+  items.push_back(StoreItem("servers/z2", TargetEntry(), ++revision));
+  const nlohmann::json answer = {{list, std::move(items)},
+                                 {"storeRevision", revision}};
+  return answer.dump();
+}
+
+// Checks that the targets are used and passed on, and the entries are not.
+void CheckTargets(sync_fixture& fixture) {
+  const std::vector<std::string> good = {"a1", "z2"};
+  fixture.RunUntil([&] { return fixture.targets.size() >= 2; });
+  CHECK(fixture.targets == good);
+  CHECK(fixture.errors == 0);
+  item_cache peer(DecodeItem);
+  fixture.Pull(peer);
+  std::vector<std::string> passed_on;
+  for (const store_item& item : peer.ChangedAfter({}).items) {
+    if (std::holds_alternative<target_item>(DecodeItem(item))) {
+      passed_on.push_back(item.key);
+    }
+  }
+  CHECK(passed_on == std::vector<std::string>{"servers/a1", "servers/z2"});
+}
+
+// Checks that the store is read on.
+void CheckReads(sync_fixture& fixture, const int& calls) {
+  const int before = calls;
+  fixture.Refresh();
+  fixture.RunUntil([&] { return calls > before; });
+  CHECK(calls > before);
+}
+
+void CheckByListing(std::span<const odd_entry> entries) {
+  int calls = 0;
+  const std::string listing = AnswerWith("items", entries, 10);
+  sync_fixture fixture(
+      [&](const std::string& uri) {
+        ++calls;
+        const bool lists = uri.find("kv-range") != std::string::npos;
+        return scripted_reply{
+            200, lists ? listing : R"({"events":[],"storeRevision":9000})"};
+      },
+      DecodeItem);
+  CheckTargets(fixture);
+  CheckReads(fixture, calls);
+}
+
+void CheckByWatch(std::span<const odd_entry> entries) {
+  int calls = 0;
+  const std::string changes = AnswerWith("events", entries, 10);
+  sync_fixture fixture(
+      [&](const std::string& uri) {
+        ++calls;
+        const bool lists = uri.find("kv-range") != std::string::npos;
+        const bool first = uri.find("after=9&") != std::string::npos;
+        return scripted_reply{
+            200, lists ? R"({"items":[],"storeRevision":9})"
+                       : (first ? changes
+                                : R"({"events":[],"storeRevision":9000})")};
+      },
+      DecodeItem);
+  fixture.RunUntil([&] { return fixture.sync().cursor() != store_cursor{}; });
+  fixture.Refresh();
+  CheckTargets(fixture);
+  CheckReads(fixture, calls);
+}
+
+void CheckByPeer(std::span<const odd_entry> entries) {
+  store_answer view;
+  view.items.push_back({"servers/a1", TargetEntry(), 4, false});
+  for (const odd_entry& entry : entries) {
+    view.items.push_back({entry.key, entry.value, 5, false});
+  }
+  view.items.push_back({"servers/z2", TargetEntry(), 9, false});
+  view.cursor = {0, 9};
+  view.changed = {0, 9};
+  sync_fixture fixture(
+      [](const std::string&) {
+        return scripted_reply{503, ""};
+      },
+      DecodeItem);
+  fixture.Announce(view, {});
+  CheckTargets(fixture);
+}
+
+// Other operators saw an odd entry of another writer end the machines that read
+// it, or stop them from following the list.
+TEST_CASE("Each odd entry alone costs the others nothing") {
+  for (const odd_entry& entry : OddEntries()) {
+    CAPTURE(entry.key, entry.value.substr(0, 200));
+    CheckByListing({&entry, 1});
+    CheckByWatch({&entry, 1});
+    CheckByPeer({&entry, 1});
+  }
+}
+
+TEST_CASE("Many odd entries cost the others nothing") {
+  std::vector<odd_entry> entries;
+  for (std::size_t number = 0; number < 100; ++number) {
+    for (odd_entry& entry : OddEntries(number)) {
+      if (entry.value.size() < 100'000) {
+        entries.push_back(std::move(entry));
+      }
+    }
+  }
+  CheckByListing(entries);
+  CheckByWatch(entries);
+  CheckByPeer(entries);
+}
+
 // Guards against review case 3: an item that was written between two pages made
 // peers skip the changes of earlier pages, and use a dropped route for ever.
 TEST_CASE("A change between the pages of a listing reaches the peers") {
