Play odd entries at a fleet of three

One instance watches the odd entries, one lists them, one gets them from these; some have a megabyte, so that the answers to watches are too large. The stand-in limits pages to 1 MB of values, as the platform's store does.

--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -1,6 +1,10 @@
 // End-to-end tests over real sockets: store, instances, targets and callers.
+#include <algorithm>
+#include <csignal>
+
 #include "adapters/http_get.h"
 #include "entry_path_fixture.h"
+#include "odd_entries.h"
 
 namespace rosemaryreach {
 namespace {
@@ -196,5 +200,55 @@
   }
 }
 
+// Returns whether all log lines of instance `i` are bounded.
+bool LinesAreBounded(entry_path_fixture& fixture, std::size_t i) {
+  const std::vector<nlohmann::json> lines = fixture.LogLines(i);
+  return std::all_of(lines.begin(), lines.end(),
+                     [](const nlohmann::json& line) {
+                       return line.dump().size() < 2 * kMaxFieldBytes &&
+                              (line.at("event") != "callback_failed");
+                     });
+}
+
+// One instance lists odd entries of another writer, one has watched them, and
+// one gets them from these.
+TEST_CASE("Odd entries end no instance and stop none from following") {
+  std::signal(SIGPIPE, SIG_IGN);  // as in the program
+  constexpr std::size_t kOfEachKind = 3;
+  entry_path_fixture fixture(3);
+  entry_testbed& testbed = fixture.testbed();
+  testbed.store().SetPageItems(100);
+  fixture.Start(0);
+  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 1; }));
+  for (std::size_t number = 0; number < kOfEachKind; ++number) {
+    for (const odd_entry& entry : OddEntries(number)) {
+      testbed.store().Put(entry.key, entry.value);
+    }
+  }
+  fixture.Start(1);
+  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 2; }));
+  fixture.Start(2);
+  REQUIRE(fixture.RunUntil([&] { return testbed.fabric().ready() == 3; }));
+  testbed.PublishConfiguration();
+  const std::string added = testbed.AddTarget("ledger", "dc-a");
+  REQUIRE(fixture.RunUntil([&] {
+    if (testbed.open_flows() < 8) {
+      testbed.OpenFlow();
+    }
+    return testbed.targets().at(added)->flows() > 0;
+  }));
+  REQUIRE(fixture.RunFlows(100));
+  CHECK(testbed.violations().empty());
+  CHECK(testbed.counts().reset_open == 0);
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK(LinesAreBounded(fixture, i));
+    for (const nlohmann::json& line : fixture.LogLines(i)) {
+      const bool used = line.value("outcome", "") == "target_added" &&
+                        line.value("subject", "").starts_with("i-f");
+      CHECK_FALSE(used);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/standins/entry_store.h
+++ b/tests/standins/entry_store.h
@@ -153,8 +153,12 @@
   void List(evhttp_request* request, const std::string& after) {
     nlohmann::json items = nlohmann::json::array();
     auto next = items_.upper_bound(after);
-    for (; next != items_.end() && items.size() < page_items_; ++next) {
+    std::size_t bytes = 0;
+    for (; next != items_.end() && items.size() < page_items_ &&
+           bytes < kPageBytes;
+         ++next) {
       items.push_back(next->second);
+      bytes += next->second.at("value").get_ref<const std::string&>().size();
     }
     Reply(request, {{"items", std::move(items)},
                     {"hasMore", next != items_.end()},
@@ -195,6 +199,7 @@
     evbuffer_free(buffer);
   }
 
+  static constexpr std::size_t kPageBytes = 1'000'000;  // of values
   static constexpr duration kCopyPeriod = std::chrono::milliseconds(250);
   static constexpr std::size_t kCopies = 44;  // the last 11 s
 
