Split item_cache::Merge()

Which answers overtake, which items were deleted and which unchanged ones are announced have names of their own.

--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -98,7 +98,7 @@
     std::uint64_t fingerprint = 0;
     std::uint64_t config_version = 0;  // 0 if it is no configuration
     std::uint64_t changed_revision = 0;
-    // The last one up to the cursor while `changed_revision` is beyond it.
+    // While `changed_revision` is beyond the cursor: the last change up to it.
     std::uint64_t announced_revision = 0;
   };
 
@@ -117,14 +117,26 @@
     // The view that is merged holds all items as of this revision or later; 0
     // if it holds changes alone.
     std::uint64_t complete_at = 0;
-    std::uint64_t announce_at = 0;  // least revision of a change; see Merge()
+    // Changes up to the present cursor are announced at this revision at least.
+    std::uint64_t announce_missed_at = 0;
     std::vector<changed_item> items;
     std::size_t missed = 0;  // see view_change
   };
 
-  // Merges `item` and records its content change, if any, at its revision or at
-  // `announce_at` if that is higher and the change was missed before.
+  // Merges `item` if it is newer than what is known.
   void Merge(const store_item& item, merge& merging);
+  // Announces, with the later state that a listing has shown already, a change
+  // that an answer brings now.
+  void NoteOvertaken(const store_item& item,
+                     cached_item& known,
+                     merge& merging);
+  // Whether `item` was deleted without a tombstone that is still there.
+  // Configurations are never deleted.
+  bool WasDeleted(const store_item& item,
+                  const cached_item* known,
+                  const merge& merging) const;
+  // Whether an item with known content may have changed and changed back.
+  static bool AnnouncesUnchanged(const store_item& item, const merge& merging);
   // Merges all items of a view, in which missing ones are deleted.
   void MergeAll(std::span<const store_item> items,
                 store_cursor cursor,
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -52,7 +52,7 @@
   merging.kind = answer_kind::kRepair;
   merging.cursor = cursor_.revision;
   merging.complete_at = cursor.revision;
-  merging.announce_at = std::max(cursor_, cursor).revision;
+  merging.announce_missed_at = std::max(cursor_, cursor).revision;
   MergeAll(items, cursor, merging);
   Finish(merging);
   return {std::move(merging.items), std::nullopt, merging.missed};
@@ -293,58 +293,42 @@
 
 void item_cache::Merge(const store_item& item, merge& merging) {
   const auto found = items_.find(item.key);
-  const bool known = found != items_.end();
-  const bool newer = !known || item.revision > found->second.item.revision;
+  cached_item* known = found == items_.end() ? nullptr : &found->second;
+  const bool newer = known == nullptr || item.revision > known->item.revision;
+  if (!newer) {
+    NoteOvertaken(item, *known, merging);
+  }
   // A restored store may give out the revision of a kept configuration again,
   // so versions decide between configurations.
   const bool compares_versions =
-      known && found->second.config_version > 0 && cursor_.era > 0;
-  if (!newer && item.revision > cursor_.revision &&
-      item.revision <= merging.cursor) {
-    // A later state was listed before; peers must learn that there is one.
-    found->second.announced_revision =
-        std::max(found->second.announced_revision, item.revision);
-    merging.changed = std::max(merging.changed, item.revision);
-  }
+      known != nullptr && known->config_version > 0 && cursor_.era > 0;
   if (!newer && !compares_versions) {
     return;
   }
   decoded_item decoded = decode_(item);
   const std::uint64_t version = VersionOf(decoded);
-  const std::uint64_t known_version = known ? found->second.config_version : 0;
-  if (version > 0 && version < known_version) {
-    return;
-  }
-  if (!newer && version <= known_version) {
-    return;
-  }
-  // Its deletion may have left no tombstone. Configurations are never deleted.
-  const bool absent = !known || found->second.item.deleted;
-  if (absent && version == 0 && item.revision <= purged_ &&
-      merging.complete_at < purged_) {
+  const bool older_config =
+      version > 0 && known != nullptr && version < known->config_version;
+  const bool newer_config = known != nullptr && version > known->config_version;
+  if (older_config || (!newer && !newer_config) ||
+      (version == 0 && WasDeleted(item, known, merging))) {
     return;
   }
   const std::uint64_t fingerprint = FingerprintOf(decoded);
-  cached_item& cached = items_[item.key];
-  const bool changes = !known || fingerprint != cached.fingerprint;
-  const bool beyond_cursor = item.revision > merging.cursor;
-  if (!changes && beyond_cursor && merging.kind == answer_kind::kRepair) {
+  const bool changes = known == nullptr || fingerprint != known->fingerprint;
+  if (!changes && item.revision > merging.cursor &&
+      merging.kind == answer_kind::kRepair) {
     // It may have changed and changed back, as the watch will tell.
     return;
   }
+  cached_item& cached = known == nullptr ? items_[item.key] : *known;
   std::string departed = changes ? DepartedValue(cached.item, decoded) : "";
-  // What is the same as before may have changed and changed back since then, if
-  // the changes between are not included. A listing that lacks an item does not
-  // say when it was deleted, so the deletion is announced again at the revision
-  // that a watch states.
-  const bool announces = changes || item.deleted ||
-                         merging.kind == answer_kind::kPeerChanges ||
-                         (beyond_cursor && merging.kind == answer_kind::kView);
-  if (announces) {
+  const bool before_cursor = item.revision <= cursor_.revision;
+  if (changes || AnnouncesUnchanged(item, merging)) {
     NoteChange(cached,
-               item.revision > cursor_.revision
-                   ? item.revision
-                   : std::max(item.revision, merging.announce_at),
+               before_cursor
+                   ? std::max(item.revision, merging.announce_missed_at)
+                   : item.revision,
                merging);
   }
   const std::uint64_t revision = std::max(item.revision, cached.item.revision);
@@ -353,13 +337,38 @@
   cached.fingerprint = fingerprint;
   cached.config_version = version;
   if (changes) {
-    const bool missed = merging.kind == answer_kind::kRepair && !item.deleted &&
-                        item.revision <= cursor_.revision;
+    const bool missed =
+        merging.kind == answer_kind::kRepair && !item.deleted && before_cursor;
     merging.missed += missed ? 1 : 0;
     merging.items.push_back({item, std::move(decoded), std::move(departed)});
   }
 }
 
+void item_cache::NoteOvertaken(const store_item& item,
+                               cached_item& known,
+                               merge& merging) {
+  if (item.revision > cursor_.revision && item.revision <= merging.cursor) {
+    known.announced_revision =
+        std::max(known.announced_revision, item.revision);
+    merging.changed = std::max(merging.changed, item.revision);
+  }
+}
+
+bool item_cache::WasDeleted(const store_item& item,
+                            const cached_item* known,
+                            const merge& merging) const {
+  const bool absent = known == nullptr || known->item.deleted;
+  return absent && item.revision <= purged_ && merging.complete_at < purged_;
+}
+
+bool item_cache::AnnouncesUnchanged(const store_item& item,
+                                    const merge& merging) {
+  // A listing that lacks an item does not say when it was deleted; a watch
+  // states the revision.
+  return item.deleted || merging.kind == answer_kind::kPeerChanges ||
+         (merging.kind == answer_kind::kView && item.revision > merging.cursor);
+}
+
 void item_cache::NoteChange(cached_item& cached,
                             std::uint64_t revision,
                             merge& merging) {
--- a/tests/odd_entries.h
+++ b/tests/odd_entries.h
@@ -3,7 +3,9 @@
 #ifndef ROSEMARYREACH_TESTS_ODD_ENTRIES_H_
 #define ROSEMARYREACH_TESTS_ODD_ENTRIES_H_
 
+#include <cstddef>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rosemaryreach {
@@ -66,6 +68,7 @@
       TargetEntry("born", "1.5"),
       TargetEntry("born", "18446744073709551616")};
   std::vector<odd_entry> entries;
+  entries.reserve(values.size());
   for (const std::string& value : values) {
     entries.push_back({"servers/i-f" + std::to_string(number) + "-" +
                            std::to_string(entries.size()),
