--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -208,7 +208,8 @@
   }
   reading_ = true;
   read_started_ = now;
-  if (read_scheduler_.NextReadKind(now) == read_kind::kList) {
+  read_kind_ = read_scheduler_.NextReadKind(now);
+  if (read_kind_ == read_kind::kList) {
     listed_items_.clear();
     page_count_ = 0;
     first_listing_ = !read_scheduler_.listed();
@@ -289,11 +290,6 @@
 }
 
 void store_sync::OnWatchAnswer(const result<store_answer>& answer) {
-  if (!answer && answer.error().code == errc::kTooLarge) {
-    // Watching again would fail again; pages of a listing are limited.
-    OnReadFailed({errc::kStale, answer.error().path, answer.error().detail});
-    return;
-  }
   if (!answer) {
     OnReadFailed(answer.error());
     return;
@@ -331,8 +327,12 @@
   if (store_client_->newest_era() > cache_.cursor().era) {
     read_scheduler_.RequireListing(BootTimeNow());
   }
-  history_lost_ = history_lost_ || error.code == errc::kStale;
-  read_scheduler_.OnReadFailure(error.code == errc::kStale, BootTimeNow());
+  // A watch whose answer is too large would fail again; pages are limited.
+  const bool needs_listing =
+      error.code == errc::kStale ||
+      (error.code == errc::kTooLarge && read_kind_ == read_kind::kWatch);
+  history_lost_ = history_lost_ || needs_listing;
+  read_scheduler_.OnReadFailure(needs_listing, BootTimeNow());
   ScheduleRead();
 }
 
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -133,10 +133,11 @@
   bool first_listing_ = false;
   std::optional<store_cursor> listing_cursor_;  // of its first page
   store_cursor watched_from_;                   // by the last watch
-  // The store no longer has the changes after the cursor.
+  // The changes after the cursor can't be watched any more.
   bool history_lost_ = false;
   time_point read_started_{};
   bool reading_ = false;
+  read_kind read_kind_ = read_kind::kList;  // of the present or last read
   bool store_was_unavailable_ = false;
   time_point started_;
   serving_budget budget_;
