--- a/include/rosemaryreach/item_cache.h
+++ b/include/rosemaryreach/item_cache.h
@@ -110,7 +110,7 @@
   };
 
   // How one answer is merged, and what it changed.
-  struct merge {
+  struct merge_state {
     answer_kind kind = answer_kind::kChanges;
     std::uint64_t cursor = 0;   // of this cache after the answer
     std::uint64_t changed = 0;  // newest content change up to `cursor`
@@ -124,23 +124,25 @@
   };
 
   // Merges `item` if it is newer than what is known.
-  void Merge(const store_item& item, merge& merging);
+  void Merge(const store_item& item, merge_state& merging);
   // Announces, with the later state that a listing has shown already, a change
   // that an answer brings now.
   void NoteOvertaken(const store_item& item,
                      cached_item& known,
-                     merge& merging);
+                     merge_state& merging);
   // Whether `item` was deleted without a tombstone that is still there.
   // Configurations are never deleted.
   bool WasDeleted(const store_item& item,
                   const cached_item* known,
-                  const merge& merging) const;
-  // Whether an item with known content may have changed and changed back.
-  static bool AnnouncesUnchanged(const store_item& item, const merge& merging);
+                  const merge_state& merging) const;
+  // Whether an item is announced although its content is known: it may have
+  // changed and changed back, or a listing reported its deletion too early.
+  static bool AnnouncesUnchanged(const store_item& item,
+                                 const merge_state& merging);
   // Merges all items of a view, in which missing ones are deleted.
   void MergeAll(std::span<const store_item> items,
                 store_cursor cursor,
-                merge& merging);
+                merge_state& merging);
   view_change MergeChangesOf(answer_kind kind,
                              std::span<const store_item> items,
                              store_cursor cursor);
@@ -149,9 +151,11 @@
                             store_cursor cursor,
                             std::uint64_t base);
   // Records the change of an item at `revision`.
-  void NoteChange(cached_item& cached, std::uint64_t revision, merge& merging);
+  void NoteChange(cached_item& cached,
+                  std::uint64_t revision,
+                  merge_state& merging);
   // Advances the cursor and announces the changes up to it.
-  void Finish(const merge& merging);
+  void Finish(const merge_state& merging);
   // Replaces all items by a complete view of a newer era.
   view_change BeginEra(std::span<const store_item> items,
                        store_cursor cursor,
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -28,7 +28,7 @@
   if (cursor.era != cursor_.era) {
     return {};
   }
-  merge merging;
+  merge_state merging;
   merging.kind = kind;
   merging.cursor = std::max(cursor_, cursor).revision;
   for (const store_item& item : items) {
@@ -48,7 +48,7 @@
   if (!has_view() || cursor.era != cursor_.era) {
     return MergeListing(items, cursor);
   }
-  merge merging;
+  merge_state merging;
   merging.kind = answer_kind::kRepair;
   merging.cursor = cursor_.revision;
   merging.complete_at = cursor.revision;
@@ -67,7 +67,7 @@
   if (cursor.era > cursor_.era) {
     return BeginEra(items, cursor, base);
   }
-  merge merging;
+  merge_state merging;
   merging.kind = answer_kind::kView;
   merging.cursor = std::max(cursor_, cursor).revision;
   merging.complete_at = cursor.revision;
@@ -86,7 +86,7 @@
 
 void item_cache::MergeAll(std::span<const store_item> items,
                           store_cursor cursor,
-                          merge& merging) {
+                          merge_state& merging) {
   std::set<std::string_view> listed;
   for (const store_item& item : items) {
     listed.insert(item.key);
@@ -195,7 +195,7 @@
 }
 
 void item_cache::Insert(cached_item inserted) {
-  merge merging;
+  merge_state merging;
   merging.cursor = cursor_.revision;
   NoteChange(inserted, inserted.changed_revision, merging);
   items_[inserted.item.key] = std::move(inserted);
@@ -246,7 +246,7 @@
 
 void item_cache::AdvanceCursor(store_cursor cursor) {
   if (cursor.era == cursor_.era) {
-    merge merging;
+    merge_state merging;
     merging.cursor = std::max(cursor_, cursor).revision;
     Finish(merging);
   }
@@ -291,7 +291,7 @@
   return answer;
 }
 
-void item_cache::Merge(const store_item& item, merge& merging) {
+void item_cache::Merge(const store_item& item, merge_state& merging) {
   const auto found = items_.find(item.key);
   cached_item* known = found == items_.end() ? nullptr : &found->second;
   const bool newer = known == nullptr || item.revision > known->item.revision;
@@ -346,7 +346,7 @@
 
 void item_cache::NoteOvertaken(const store_item& item,
                                cached_item& known,
-                               merge& merging) {
+                               merge_state& merging) {
   if (item.revision > cursor_.revision && item.revision <= merging.cursor) {
     known.announced_revision =
         std::max(known.announced_revision, item.revision);
@@ -356,22 +356,21 @@
 
 bool item_cache::WasDeleted(const store_item& item,
                             const cached_item* known,
-                            const merge& merging) const {
+                            const merge_state& merging) const {
   const bool absent = known == nullptr || known->item.deleted;
   return absent && item.revision <= purged_ && merging.complete_at < purged_;
 }
 
 bool item_cache::AnnouncesUnchanged(const store_item& item,
-                                    const merge& merging) {
-  // A listing that lacks an item does not say when it was deleted; a watch
-  // states the revision.
+                                    const merge_state& merging) {
+  // A listing that lacks an item does not say when it was deleted.
   return item.deleted || merging.kind == answer_kind::kPeerChanges ||
          (merging.kind == answer_kind::kView && item.revision > merging.cursor);
 }
 
 void item_cache::NoteChange(cached_item& cached,
                             std::uint64_t revision,
-                            merge& merging) {
+                            merge_state& merging) {
   if (cached.changed_revision <= cursor_.revision) {
     cached.announced_revision = cached.changed_revision;
   }
@@ -383,7 +382,7 @@
   }
 }
 
-void item_cache::Finish(const merge& merging) {
+void item_cache::Finish(const merge_state& merging) {
   std::uint64_t changed = merging.changed;
   cursor_.revision = merging.cursor;
   while (!unannounced_.empty() && *unannounced_.begin() <= cursor_.revision) {
--- a/tests/view_convergence_test.cc
+++ b/tests/view_convergence_test.cc
@@ -193,6 +193,8 @@
     }
   }
 
+  // Takes the action that the low bits of `draw` choose; the others choose the
+  // instances, the key and the content.
   void Act(std::uint16_t draw) {
     const std::size_t which = draw / 32;
     const std::string target = "targets/" + std::to_string(which % 5);
@@ -448,7 +450,9 @@
     return contents;
   }
 
-  // Checks that each cache holds what it claims to have seen.
+  // Checks that each cache holds what it claims to have seen: each item as it
+  // was at the cursor or later. Configurations of a restored store are exempt,
+  // since versions decide between them.
   void Check() const {
     for (const std::unique_ptr<model_instance>& instance : instances_) {
       const item_cache& cache = instance->cache;
