--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -210,8 +210,9 @@
                      });
 }
 
-// One instance lists odd entries of another writer, one has watched them, and
-// one gets them from these.
+// Guards against machines that end, or stop following the store, by an odd
+// entry of another writer. One instance lists such entries, one has watched
+// them, and one gets them from these.
 TEST_CASE("Odd entries end no instance and stop none from following") {
   std::signal(SIGPIPE, SIG_IGN);  // as in the program
   constexpr std::size_t kOfEachKind = 3;
--- a/tests/item_cache_test.cc
+++ b/tests/item_cache_test.cc
@@ -254,6 +254,7 @@
   item_cache two{Decode};
 };
 
+// Peers skipped changes of earlier pages, and used a dropped route for ever.
 TEST_CASE("Changes between the pages of a listing are announced in order") {
   two_caches caches;
   const store_cursor before = caches.one.changed();
@@ -271,6 +272,7 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"a=2", "z=2"});
 }
 
+// A target that had left stayed in use at peers.
 TEST_CASE("A heartbeat on a later page hides no change of an earlier one") {
   two_caches caches;
   caches.one.RepairFromListing(items{Item("a", "1", 3), Item("z", "1#7", 22)},
@@ -282,6 +284,7 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"z=1"});
 }
 
+// A listing told of it too early for peers that had read further.
 TEST_CASE("A deletion between the pages of a listing reaches the peers") {
   two_caches caches;
   caches.one.RepairFromListing(items{Item("a", "1", 3)}, Cursor(20));
@@ -294,6 +297,7 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"a=2"});
 }
 
+// An evacuation that ended and began again was lost at peers.
 TEST_CASE("An item that changes and changes back between pages is announced") {
   two_caches caches;
   caches.two.MergeChanges(items{{"z", "", 11, true}}, Cursor(11));
@@ -305,6 +309,7 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"a=1", "z=1"});
 }
 
+// It was taken for no change, so a third instance kept the state between.
 TEST_CASE("A change that is undone before a peer pulls is passed on") {
   two_caches caches;
   item_cache deleted(Decode);
@@ -317,6 +322,7 @@
   CHECK(Live(deleted) == std::vector<std::string>{"a=1", "z=1"});
 }
 
+// A third instance was told of the later state only, and missed both.
 TEST_CASE("A change that a later page overtook is passed on") {
   two_caches caches;
   item_cache third(Decode);
@@ -329,6 +335,7 @@
   CHECK(Live(third) == std::vector<std::string>{"a=1", "z=3"});
 }
 
+// The same, with the change in the gap that the snapshot covers.
 TEST_CASE("A change that is undone after a full snapshot is passed on") {
   two_caches caches;
   item_cache fresh(Decode);
@@ -343,6 +350,7 @@
   CHECK(Live(third) == std::vector<std::string>{"a=1", "z=1"});
 }
 
+// Peers kept targets and evacuations that had ended before it.
 TEST_CASE("A first listing tells peers what vanished before it") {
   two_caches caches;
   item_cache fresh(Decode);
@@ -356,6 +364,7 @@
   CHECK(Live(caches.one) == std::vector<std::string>{"a=1"});
 }
 
+// Each start of an instance must not cost its peers a full view.
 TEST_CASE("Peers that have read as far pull nothing from a first listing") {
   two_caches caches;
   caches.one.AdvanceCursor(Cursor(25));
@@ -368,6 +377,7 @@
   CHECK_FALSE(fresh.ChangedAfter(caches.one.changed()).full_snapshot);
 }
 
+// It passed the fault of the lister on to its own peers.
 TEST_CASE("A newcomer holds, but does not announce, items beyond the cursor") {
   item_cache lister(Decode);
   lister.MergeListing(items{Item("a", "1", 3), Item("z", "1", 22)}, Cursor(20));
@@ -382,6 +392,7 @@
   CHECK(Live(newcomer) == std::vector<std::string>{"z=1"});
 }
 
+// Only the instance that listed the store was repaired.
 TEST_CASE("A change that a watch missed is repaired and announced") {
   two_caches caches;
   caches.one.AdvanceCursor(Cursor(15));
@@ -395,6 +406,7 @@
   CHECK(Live(caches.two) == std::vector<std::string>{"a=2"});
 }
 
+// Targets that had left were listed again by a peer behind a partition.
 TEST_CASE("What was deleted before a purge is not taken back from a peer") {
   two_caches caches;
   caches.one.MergeChanges(items{{"z", "", 12, true}}, Cursor(12));
@@ -420,6 +432,7 @@
         peer_view_relation::kNewer);
 }
 
+// Builds up to 4defb73 would count all changes before these as seen.
 TEST_CASE("Peers that hold a view get no items beyond the cursor") {
   two_caches caches;
   caches.one.RepairFromListing(
@@ -429,6 +442,7 @@
   CHECK(caches.one.ChangedAfter({}).items.size() == 3);
 }
 
+// The pages of the first listing of an era are no snapshot either.
 TEST_CASE("A new era is announced as far as its first page") {
   two_caches caches;
   caches.one.MergeListing(items{Item("a", "1", 3), Item("z", "2", 9)},
--- a/tests/view_convergence_test.cc
+++ b/tests/view_convergence_test.cc
@@ -1,5 +1,6 @@
-// Seeded properties of caches that follow one store: by listings whose pages
-// are read while writes go on, by watches, and by pulls after beacons.
+// A seeded property of caches that follow one store: by listings whose pages
+// are read while writes go on, by watches, and by pulls after beacons. Guards
+// against changes that a cache counts as seen but has not, as in review case 3.
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
