State the evidence when an open flow is reset

The line now states what is known of the target: what the store says and for how long, why it was suspected, the outcome and age of the last probe, when it was last reached, how long the flow was idle at this instance, and which target took over the address. Resets by rule and state of the target are counted, and so are unreachable targets and those that are not probed any more. The lines have a limit of their own, 20 a second after a burst of 60, since refusals of first packets used up the common one. Probes tell refused connections from those without an answer. No decision changes.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -30,6 +30,14 @@
 // may then have chosen another instance.
 inline constexpr duration kFirstRetransmission = std::chrono::milliseconds(200);
 
+// Result of a probe, a TCP connection to a target.
+enum class probe_outcome : std::uint8_t {
+  kNone,      // not probed yet
+  kNoAnswer,  // before the deadline of the probe
+  kRefused,   // the machine answers; nobody accepts connections there
+  kReached,
+};
+
 // Load and health of one target as observed by this instance.
 struct target_status {
   std::uint32_t opening = 0;   // flows whose first packet is unanswered
@@ -41,6 +49,8 @@
   time_point last_reached{};   // last answer or successful probe
   bool suspected = false;      // gets no new flows until a probe reaches it
   std::uint32_t failed_probes = 0;  // in a row, since it is suspected
+  probe_outcome last_probe = probe_outcome::kNone;
+  time_point last_probed{};         // when the last counted probe ended
   const char* suspect_reason = "";  // of the last suspicion, kept when it ends
   bool unanswered = false;   // suspected since it left packets unanswered
   bool unreachable = false;  // suspected, and failed probes prove it
@@ -123,7 +133,9 @@
   // The same for all targets.
   void CheckOpenTimeouts(time_point now);
 
-  void OnProbeResult(target_index target, bool reached, time_point now);
+  void OnProbeResult(target_index target,
+                     probe_outcome outcome,
+                     time_point now);
 
   // A probe reached a target that stays suspected for other reasons.
   void OnReachedWhileSuspected(target_index target, time_point now);
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -24,11 +24,28 @@
   kDrop,   // silently; the caller retransmits
 };
 
+// What an instance knows of the target of an open flow when it resets the
+// flow.
+struct reset_evidence {
+  target_listing listing = target_listing::kListed;
+  bool draining = false;
+  duration listing_age{};           // since the listing changed
+  const char* suspect_reason = "";  // of the last suspicion
+  std::uint32_t failed_probes = 0;  // in a row
+  probe_outcome last_probe = probe_outcome::kNone;
+  std::optional<duration> probe_age;    // since the last probe, if any
+  std::optional<duration> reached_age;  // since it was last reached, if ever
+  // Since the last packet of the flow at this instance; empty if the instance
+  // does not track it.
+  std::optional<duration> idle;
+};
+
 struct packet_decision {
   packet_verdict verdict = packet_verdict::kDrop;
   target_index target = kNoTarget;
   std::uint32_t cookie = 0;  // to write into the packet; 0 keeps its cookie
   const char* rule = "";
+  std::optional<reset_evidence> evidence{};  // on the reset of an open flow
 };
 
 // Which decisions the age of the view of the store permits.
@@ -83,6 +100,11 @@
   const char* UnknownCookieRule(const entry_route* route,
                                 bool view_trusted) const;
 
+  // Returns what is known of `target`, to which `flow` belongs.
+  reset_evidence EvidenceOn(const flow_key& flow,
+                            target_index target,
+                            time_point now) const;
+
   // Drops the flows that wait for an answer of an unreachable target and whose
   // requests may be retried. Returns a packet of each for its reset, since the
   // next retransmission of the caller may be up to 1.6 s away.
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -52,6 +52,7 @@
   time_point added{};  // the same for all targets of one batch of changes
   // Another target has taken over the address, so flows to this one are dead.
   bool address_reused = false;
+  std::string replaced_by;  // id of that target
   // It left before this instance knew it.
   bool departed = false;
 };
--- a/src/adapters/connect_prober.cc
+++ b/src/adapters/connect_prober.cc
@@ -12,6 +12,16 @@
 
 namespace rosemaryreach {
 
+namespace {
+
+connect_outcome OutcomeOfError(int socket_error) {
+  return socket_error == ECONNREFUSED || socket_error == ECONNRESET
+             ? connect_outcome::kRefused
+             : connect_outcome::kNoAnswer;
+}
+
+}  // namespace
+
 struct connect_prober::probe {
   probe(connect_prober& owner, int descriptor, probe_callback callback)
       : fd(descriptor),
@@ -19,21 +29,24 @@
         // A delayed loop may run the timer before the write event of a
         // connection that completed in time, so the timer checks as well.
         deadline(owner.loop_,
-                 [this, &owner] { owner.Finish(*this, Connected()); }),
+                 [this, &owner] { owner.Finish(*this, Outcome()); }),
         writable(owner.loop_, descriptor, io_event::kWrite, [this, &owner] {
-          owner.Finish(*this, Connected());
+          owner.Finish(*this, Outcome());
         }) {}
   ~probe() { close(fd); }
   probe(const probe&) = delete;
   probe& operator=(const probe&) = delete;
 
-  bool Connected() const {
+  connect_outcome Outcome() const {
     pollfd poller{fd, POLLOUT, 0};
     int socket_error = 0;
     socklen_t size = sizeof(socket_error);
-    return poll(&poller, 1, 0) == 1 &&
-           getsockopt(fd, SOL_SOCKET, SO_ERROR, &socket_error, &size) == 0 &&
-           socket_error == 0;
+    if (poll(&poller, 1, 0) != 1 ||
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &socket_error, &size) != 0) {
+      return connect_outcome::kNoAnswer;
+    }
+    return socket_error == 0 ? connect_outcome::kConnected
+                             : OutcomeOfError(socket_error);
   }
 
   int fd;
@@ -61,8 +74,9 @@
     return false;
   }
   if (connect(fd, to.get(), to.size) != 0 && errno != EINPROGRESS) {
+    const connect_outcome outcome = OutcomeOfError(errno);
     close(fd);
-    loop_.Post([done = std::move(done)] { done(false); });
+    loop_.Post([done = std::move(done), outcome] { done(outcome); });
     return true;
   }
   running_.push_back(std::make_unique<probe>(*this, fd, std::move(done)));
@@ -70,7 +84,7 @@
   return true;
 }
 
-void connect_prober::Finish(probe& finished, bool reached) {
+void connect_prober::Finish(probe& finished, connect_outcome outcome) {
   const auto found = std::find_if(
       running_.begin(), running_.end(),
       [&finished](const auto& one) { return one.get() == &finished; });
@@ -78,7 +92,7 @@
   finished.writable.Pause();
   const probe_callback done = std::move(finished.done);
   finished_.splice(finished_.end(), running_, found);
-  done(reached);
+  done(outcome);
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -276,13 +276,15 @@
 }
 
 void flow_tracker::OnProbeResult(target_index target,
-                                 bool reached,
+                                 probe_outcome outcome,
                                  time_point now) {
-  if (reached) {
+  target_status& status = MutableStatus(target);
+  status.last_probe = outcome;
+  status.last_probed = now;
+  if (outcome == probe_outcome::kReached) {
     OnReached(target, now);
     return;
   }
-  target_status& status = MutableStatus(target);
   ++status.failed_probes;
   if (status.suspected && !status.unreachable &&
       status.failed_probes >= kUnreachableProbes) {
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -139,8 +139,9 @@
   const known_target& known = *directory_.Find(target);
   const char* why = ResetReason(packet, known, tracker_.StatusOf(target));
   if (why != nullptr) {
+    const reset_evidence evidence = EvidenceOn(packet.flow, target, now);
     tracker_.Drop(packet.flow);
-    return {packet_verdict::kReset, target, 0, why};
+    return {packet_verdict::kReset, target, 0, why, evidence};
   }
   tracker_.OnPacket(packet, target, now);
   return {packet_verdict::kForward, target, 0, "cookie"};
@@ -158,6 +159,31 @@
                                kUnknownCookieRule};
 }
 
+reset_evidence packet_director::EvidenceOn(const flow_key& flow,
+                                           target_index target,
+                                           time_point now) const {
+  const known_target& known = *directory_.Find(target);
+  const target_status& status = tracker_.StatusOf(target);
+  const auto age = [now](time_point when) {
+    return when == time_point{} ? std::nullopt
+                                : std::optional<duration>(now - when);
+  };
+  reset_evidence evidence;
+  evidence.listing = known.listing;
+  evidence.draining = known.record.state == target_state::kDraining;
+  evidence.listing_age = now - known.listing_changed;
+  evidence.suspect_reason = status.suspect_reason;
+  evidence.failed_probes = status.failed_probes;
+  evidence.last_probe = status.last_probe;
+  evidence.probe_age = age(status.last_probed);
+  evidence.reached_age = age(status.last_reached);
+  const flow_state* tracked = tracker_.Find(flow);
+  if (tracked != nullptr) {
+    evidence.idle = now - tracked->last_packet;
+  }
+  return evidence;
+}
+
 const char* packet_director::UnknownCookieRule(const entry_route* route,
                                                bool view_trusted) const {
   return view_trusted && route != nullptr && IsRetryable(route->address)
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -422,6 +422,7 @@
     known_target& target = *targets_[index];
     const known_target* replacement = FindReplacement(target);
     const bool reused = replacement != nullptr;
+    target.replaced_by = reused ? replacement->record.id : "";
     if (reused != std::exchange(target.address_reused, reused)) {
       report_(
           {target.record.id, reused ? "address_reused" : "address_kept",
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -58,6 +58,9 @@
           {"doubted", status.suspected},
           {"last_doubt", status.suspect_reason},
           {"failed_probes", status.failed_probes},
+          {"last_probe_ms", status.last_probed == time_point{}
+                                ? json(nullptr)
+                                : json(ToMillis(now - status.last_probed))},
           {"open", status.open},
           {"running", status.running}};
 }
--- a/src/entryd/entry_instance_log.cc
+++ b/src/entryd/entry_instance_log.cc
@@ -69,6 +69,16 @@
   metrics_.store_era.Set(static_cast<std::int64_t>(sync_.cursor().era));
   metrics_.held_items.Set(static_cast<std::int64_t>(directory_.held_items()));
   metrics_.held_ms.Set(ToMillis(directory_.HeldFor(BootTimeNow())));
+  std::int64_t unreachable = 0;
+  std::int64_t unprobed = 0;
+  for (target_index i = 0; i < directory_.targets().size(); ++i) {
+    if (directory_.Find(i) != nullptr && Unreachable(tracker_.StatusOf(i))) {
+      ++unreachable;
+      unprobed += suspect_prober_.IsProbingSuspended(i) ? 1 : 0;
+    }
+  }
+  metrics_.unreachable_targets.Set(unreachable);
+  metrics_.unprobed_targets.Set(unprobed);
   metrics_.departed_targets.Set(
       static_cast<std::int64_t>(directory_.departed()));
   metrics_.unknown_cookies.Set(
--- a/src/entryd/entry_log.cc
+++ b/src/entryd/entry_log.cc
@@ -6,19 +6,34 @@
 
 namespace rosemaryreach {
 
+void entry_log::allowance::Refill(double per_second,
+                                  double burst,
+                                  time_point now) {
+  const std::chrono::duration<double> elapsed =
+      now - std::exchange(refilled_at, now);
+  lines = std::min(burst, lines + elapsed.count() * per_second);
+}
+
+bool entry_log::ShouldLogReset(time_point now) {
+  reset_lines_.Refill(kResetLinesPerSecond, kResetLineBurst, now);
+  if (reset_lines_.lines < 1) {
+    ++skipped_;
+    return false;
+  }
+  reset_lines_.lines -= 1;
+  return true;
+}
+
 bool entry_log::ShouldLogFlow(bool unusual, time_point now) {
   if (!unusual && placements_++ % kPlacementSampleInterval != 0) {
     return false;
   }
-  const std::chrono::duration<double> elapsed = now - refilled_at_;
-  refilled_at_ = now;
-  tokens_ =
-      std::min(kFlowLineBurst, tokens_ + elapsed.count() * kFlowLinesPerSecond);
-  if (tokens_ < (unusual ? 1 : kFlowLineBurst / 2)) {
+  flow_lines_.Refill(kFlowLinesPerSecond, kFlowLineBurst, now);
+  if (flow_lines_.lines < (unusual ? 1 : kFlowLineBurst / 2)) {
     ++skipped_;
     return false;
   }
-  tokens_ -= 1;
+  flow_lines_.lines -= 1;
   return true;
 }
 
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -53,6 +53,13 @@
            "Items of a restored store that contradict what was known."})),
       held_ms(registry.Gauge({"rosemaryreach_entry_held_ms",
                               "How long items of a restored store are held."})),
+      unreachable_targets(
+          registry.Gauge({"rosemaryreach_entry_unreachable_targets",
+                          "Targets that probes don't reach."})),
+      unprobed_targets(
+          registry.Gauge({"rosemaryreach_entry_unprobed_targets",
+                          "Unreachable targets that are not probed any more, "
+                          "since they are gone."})),
       departed_targets(
           registry.Gauge({"rosemaryreach_entry_departed_targets",
                           "Targets that left before this instance started."})),
@@ -79,6 +86,19 @@
                    rule);
 }
 
+counter& entry_metrics::OpenFlowResets(const char* rule, const char* state) {
+  counter*& found = open_flow_resets_[{rule, state}];
+  if (found == nullptr) {
+    const std::array<metric_label, 2> labels = {metric_label{"rule", rule},
+                                                metric_label{"state", state}};
+    found = &registry_.Counter({"rosemaryreach_entry_open_flow_resets_total",
+                                "Open flows reset, by rule and by what the "
+                                "store says of their target.",
+                                labels});
+  }
+  return *found;
+}
+
 gauge& entry_metrics::Build(const std::string& build) {
   const std::array<metric_label, 1> labels = {metric_label{"build", build}};
   return registry_.Gauge({"rosemaryreach_entry_build_info",
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -17,6 +17,9 @@
 
   // Returns the counter of packets decided by `rule`.
   counter& Packets(const char* rule);
+  // Returns the counter of open flows reset by `rule`, whose target is `state`:
+  // "listed", "draining", "missing" or "gone".
+  counter& OpenFlowResets(const char* rule, const char* state);
   // Returns the gauge that names this build in its label.
   gauge& Build(const std::string& build);
   // Returns the counter of store calls that ended with `outcome`.
@@ -34,8 +37,10 @@
   gauge& configuration_version;
   gauge& view_age_ms;
   gauge& store_era;
-  gauge& held_items;        // of a restored store, not trusted yet
-  gauge& held_ms;           // how long they are held
+  gauge& held_items;  // of a restored store, not trusted yet
+  gauge& held_ms;     // how long they are held
+  gauge& unreachable_targets;
+  gauge& unprobed_targets;  // unreachable, and not probed any more
   gauge& departed_targets;  // that left before this instance knew them
   gauge& unknown_cookies;   // seen in packets lately
   gauge& peers;
@@ -53,6 +58,7 @@
                      const char* value);
 
   metrics_registry& registry_;
+  std::map<std::pair<const char*, const char*>, counter*> open_flow_resets_;
   std::map<const char*, counter*> packets_;
   std::map<const char*, counter*> store_calls_;
 };
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -41,6 +41,11 @@
   // Time of the last packet of a caller, or of construction before the first.
   time_point last_packet() const { return last_packet_; }
 
+  // Counts a decision and logs it if it is unusual, within the limit of lines.
+  void Report(const flow_packet& packet,
+              const packet_decision& decision,
+              time_point now);
+
  private:
   void OnPackets();
   // Reads and handles one batch; returns whether there may be more.
@@ -55,6 +60,9 @@
              time_point now);
   void Forward(std::span<std::uint8_t> bytes, const packet_decision& decision);
   void Reset(const flow_packet& packet);
+  void LogOpenFlowReset(const flow_packet& packet,
+                        const packet_decision& decision,
+                        time_point now);
   void Log(const flow_packet& packet,
            const packet_decision& decision,
            time_point now);
--- a/src/entryd/suspect_prober.cc
+++ b/src/entryd/suspect_prober.cc
@@ -15,6 +15,18 @@
 constexpr duration kInitialBackoff = std::chrono::milliseconds(40);
 constexpr duration kMaxBackoff = std::chrono::seconds(1);
 
+probe_outcome OutcomeOf(connect_outcome connected) {
+  switch (connected) {
+    case connect_outcome::kNoAnswer:
+      return probe_outcome::kNoAnswer;
+    case connect_outcome::kRefused:
+      return probe_outcome::kRefused;
+    case connect_outcome::kConnected:
+      return probe_outcome::kReached;
+  }
+  return probe_outcome::kNoAnswer;
+}
+
 // Returns the delay before the next probe. It doubles up to one second, which
 // bounds the cost of a target that stays unreachable.
 duration BackoffAfter(std::uint32_t failures) {
@@ -106,9 +118,11 @@
   }
   const known_target& target = *directory_.Find(index);
   const std::uint32_t cookie = suspect.cookie;
-  suspect.probing = prober_.Probe(
-      ToEndpoint(target.record.address), kProbeDeadline,
-      [this, index, cookie](bool reached) { OnProbe(index, cookie, reached); });
+  suspect.probing =
+      prober_.Probe(ToEndpoint(target.record.address), kProbeDeadline,
+                    [this, index, cookie](connect_outcome connected) {
+                      OnProbe(index, cookie, OutcomeOf(connected));
+                    });
   if (suspect.probing) {
     metrics_.probes.Add();
   }
@@ -116,7 +130,8 @@
 
 void suspect_prober::OnProbe(target_index index,
                              std::uint32_t cookie,
-                             bool reached) {
+                             probe_outcome outcome) {
+  const bool reached = outcome == probe_outcome::kReached;
   const auto found = suspects_.find(index);
   if (found == suspects_.end() || found->second.cookie != cookie) {
     return;
@@ -137,7 +152,7 @@
     return;
   }
   const bool was_unreachable = Unreachable(tracker_.StatusOf(index));
-  tracker_.OnProbeResult(index, reached, now);
+  tracker_.OnProbeResult(index, outcome, now);
   const std::uint32_t failures = tracker_.StatusOf(index).failed_probes;
   const duration suspected_for = now - found->second.since;
   const std::string data_centre = directory_.Find(index)->record.data_centre;
@@ -151,7 +166,10 @@
   }
   found->second.next_probe = now + BackoffAfter(failures);
   if (!was_unreachable && Unreachable(tracker_.StatusOf(index))) {
-    Log(index, "target_unreachable", "probes got no answer", suspected_for);
+    Log(index, "target_unreachable",
+        outcome == probe_outcome::kRefused ? "probes were refused"
+                                           : "probes got no answer",
+        suspected_for);
     on_unreachable_(index);
   } else if (!was_unreachable && failures == kUnreachableProbes) {
     Log(index, "target_not_lost",
--- a/src/entryd/suspect_prober.h
+++ b/src/entryd/suspect_prober.h
@@ -42,6 +42,11 @@
   // Sends the probes that are due.
   void Tick();
 
+  // Returns whether probes are suspended: the target is gone and unreachable,
+  // so its open flows have failed, and it gets no new ones unless it is listed
+  // again.
+  bool IsProbingSuspended(target_index index) const;
+
  private:
   struct suspect {
     std::uint32_t cookie = 0;  // differs if the index was reused
@@ -57,12 +62,8 @@
   // Makes the probes of all suspected targets in a data centre due at once,
   // after one of its targets has answered.
   void ExpediteDataCentreProbes(const std::string& data_centre, time_point now);
-  void OnProbe(target_index index, std::uint32_t cookie, bool reached);
+  void OnProbe(target_index index, std::uint32_t cookie, probe_outcome outcome);
   bool IsResolved(target_index index, const suspect& suspect) const;
-  // Returns whether probes are suspended: the target is gone and unreachable,
-  // so its open flows have failed, and it gets no new ones unless it is listed
-  // again.
-  bool IsProbingSuspended(target_index index) const;
   void Log(target_index index,
            const char* outcome,
            const char* reason,
--- a/tests/connect_prober_test.cc
+++ b/tests/connect_prober_test.cc
@@ -15,31 +15,34 @@
 
 constexpr duration kDeadline = std::chrono::seconds(5);
 
-bool Reaches(event_loop& loop, const endpoint& address, duration deadline) {
+connect_outcome Probe(event_loop& loop,
+                      const endpoint& address,
+                      duration deadline) {
   connect_prober prober(loop, 4);
-  std::optional<bool> reached;
-  REQUIRE(prober.Probe(address, deadline, [&](bool answer) {
-    reached = answer;
+  std::optional<connect_outcome> outcome;
+  REQUIRE(prober.Probe(address, deadline, [&](connect_outcome answer) {
+    outcome = answer;
     loop.Stop();
   }));
   loop.Run();
-  return reached.value();
+  return outcome.value();
 }
 
 TEST_CASE("A listening port is reported as reached") {
   event_loop loop;
   const http_server_fixture server(
       loop, [](const std::string&) { return scripted_reply{}; });
-  CHECK(Reaches(loop, server.address(), kDeadline));
+  CHECK(Probe(loop, server.address(), kDeadline) ==
+        connect_outcome::kConnected);
 }
 
-TEST_CASE("A port that refuses connections is reported as not reached") {
+TEST_CASE("A port that refuses connections is reported as such") {
   event_loop loop;
-  CHECK_FALSE(Reaches(loop, {UniqueLoopbackAddress(), 9}, kDeadline));
+  CHECK(Probe(loop, {UniqueLoopbackAddress(), 9}, kDeadline) ==
+        connect_outcome::kRefused);
 }
 
-TEST_CASE(
-    "A port that does not answer is reported as not reached at the deadline") {
+TEST_CASE("A port that does not answer is reported as such at the deadline") {
   event_loop loop;
   // A listener with a full accept queue does not answer further SYNs.
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
@@ -53,8 +56,8 @@
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
     (void)connect(pending_connections.back(), local.get(), local.size);
   }
-  CHECK_FALSE(Reaches(loop, FromSocketAddress(local.storage),
-                      std::chrono::milliseconds(50)));
+  CHECK(Probe(loop, FromSocketAddress(local.storage),
+              std::chrono::milliseconds(50)) == connect_outcome::kNoAnswer);
   for (const int fd : pending_connections) {
     close(fd);
   }
@@ -64,7 +67,7 @@
 TEST_CASE("Probe() returns false beyond the limit of running probes") {
   event_loop loop;
   connect_prober prober(loop, 1);
-  const auto ignore = [](bool) {};
+  const auto ignore = [](connect_outcome) {};
   const http_server_fixture server(
       loop, [](const std::string&) { return scripted_reply{}; });
   CHECK(prober.Probe(server.address(), kDeadline, ignore));
--- a/tests/data_centre_reachability_test.cc
+++ b/tests/data_centre_reachability_test.cc
@@ -45,7 +45,7 @@
   CHECK_FALSE(fixture.IsIsolated());
   fixture.MakeUnreachable(remote, At(0));
   CHECK(fixture.IsIsolated());
-  fixture.tracker.OnProbeResult(remote, true, At(100));
+  fixture.tracker.OnProbeResult(remote, probe_outcome::kReached, At(100));
   CHECK_FALSE(fixture.IsIsolated());
 }
 
@@ -88,14 +88,14 @@
   const std::vector<target_index> c = fixture.AddMany("dc-c", 20);
   for (std::size_t i = 0; i < kReachabilitySample / 2; ++i) {
     fixture.tracker.MarkSuspected(b[i], "test");
-    fixture.tracker.OnProbeResult(b[i], false, At(9'900));
+    fixture.tracker.OnProbeResult(b[i], probe_outcome::kNoAnswer, At(9'900));
     fixture.tracker.MarkSuspected(c[i], "test");
-    fixture.tracker.OnProbeResult(c[i], false, At(9'900));
+    fixture.tracker.OnProbeResult(c[i], probe_outcome::kNoAnswer, At(9'900));
   }
   CHECK_FALSE(fixture.IsIsolated());
   fixture.Evacuate("dc-a", true, At(9'950));
   CHECK(fixture.IsIsolated());
-  fixture.tracker.OnProbeResult(c[0], true, At(9'990));
+  fixture.tracker.OnProbeResult(c[0], probe_outcome::kReached, At(9'990));
   CHECK_FALSE(fixture.IsIsolated());
 }
 
@@ -156,7 +156,7 @@
     }
   }
   CHECK(probed == kMaxConfirmTargets);
-  fixture.tracker.OnProbeResult(0, true, At(1));
+  fixture.tracker.OnProbeResult(0, probe_outcome::kReached, At(1));
   CHECK(fixture.reachability.Confirmed());
   CHECK(fixture.reachability.TargetsToConfirm(0).empty());
 }
@@ -166,7 +166,7 @@
   const target_index out = fixture.AddMany("dc-a", 1)[0];
   fixture.AddMany("dc-b", 1);
   fixture.Evacuate("dc-a", true, At(0));
-  fixture.tracker.OnProbeResult(out, true, At(1));
+  fixture.tracker.OnProbeResult(out, probe_outcome::kReached, At(1));
   CHECK_FALSE(fixture.reachability.Confirmed());
 }
 
@@ -178,7 +178,7 @@
   CHECK(fixture.reachability.Update(At(10'000)) ==
         std::vector<target_index>{other});
   CHECK(Refusal(fixture, 10'000) == packet_verdict::kDrop);
-  fixture.tracker.OnProbeResult(other, true, At(10'003));
+  fixture.tracker.OnProbeResult(other, probe_outcome::kReached, At(10'003));
   CHECK(Refusal(fixture, 10'010) == packet_verdict::kReset);
 }
 
@@ -211,7 +211,8 @@
   CHECK(fixture.reachability.DataCentreUnreachable("dc-b"));
   CHECK(fixture.IsIsolated());
   CHECK(fixture.picker.Pick("ledger", {}, At(10'000)).target == kNoTarget);
-  fixture.tracker.OnProbeResult(targets[0], true, At(10'000));
+  fixture.tracker.OnProbeResult(targets[0], probe_outcome::kReached,
+                                At(10'000));
   fixture.Update();
   CHECK_FALSE(fixture.reachability.DataCentreUnreachable("dc-b"));
   CHECK_FALSE(fixture.reachability.IsIsolated());
@@ -224,7 +225,8 @@
   const std::vector<target_index> targets = fixture.AddMany("dc-b", 80);
   const auto fail_once = [&](std::size_t i) {
     fixture.tracker.MarkSuspected(targets[i], "test");
-    fixture.tracker.OnProbeResult(targets[i], false, At(9'900));
+    fixture.tracker.OnProbeResult(targets[i], probe_outcome::kNoAnswer,
+                                  At(9'900));
   };
   for (std::size_t i = 0; i + 1 < kReachabilitySample; ++i) {
     fail_once(i);
@@ -244,7 +246,8 @@
   for (int round = 1; round <= 3; ++round) {
     for (const target_index target : targets) {
       fixture.tracker.MarkSuspected(target, "test");
-      fixture.tracker.OnProbeResult(target, false, At(9'900));
+      fixture.tracker.OnProbeResult(target, probe_outcome::kNoAnswer,
+                                    At(9'900));
     }
     fixture.Update();
     CHECK(fixture.reachability.DataCentreUnreachable("dc-b") == (round == 3));
@@ -262,7 +265,8 @@
   }
   fixture.Update();
   REQUIRE(fixture.reachability.DataCentreUnreachable("dc-b"));
-  fixture.tracker.OnProbeResult(targets[7], true, At(10'000));
+  fixture.tracker.OnProbeResult(targets[7], probe_outcome::kReached,
+                                At(10'000));
   CHECK(fixture.Update().empty());
   CHECK_FALSE(fixture.reachability.DataCentreUnreachable("dc-b"));
   CHECK(fixture.picker.Pick("ledger", {}, At(10'000)).target == targets[7]);
@@ -276,7 +280,7 @@
   for (const target_index target : targets) {
     fixture.MakeUnreachable(target, At(0));
   }
-  fixture.tracker.OnProbeResult(targets[0], true, At(9'900));
+  fixture.tracker.OnProbeResult(targets[0], probe_outcome::kReached, At(9'900));
   CHECK(fixture.Update().empty());
 }
 
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -93,7 +93,7 @@
   void MakeUnreachable(target_index target, time_point now) {
     tracker.MarkSuspected(target, "test");
     for (std::uint32_t i = 0; i < kUnreachableProbes; ++i) {
-      tracker.OnProbeResult(target, false, now);
+      tracker.OnProbeResult(target, probe_outcome::kNoAnswer, now);
     }
   }
 
--- a/tests/flow_tracker_test.cc
+++ b/tests/flow_tracker_test.cc
@@ -120,12 +120,12 @@
 TEST_CASE("A successful probe ends suspicion") {
   tracker_fixture fixture;
   fixture.tracker.MarkSuspected(kOne, "test");
-  fixture.tracker.OnProbeResult(kOne, false, At(100));
-  fixture.tracker.OnProbeResult(kOne, false, At(200));
+  fixture.tracker.OnProbeResult(kOne, probe_outcome::kNoAnswer, At(100));
+  fixture.tracker.OnProbeResult(kOne, probe_outcome::kNoAnswer, At(200));
   CHECK_FALSE(Unreachable(fixture.tracker.StatusOf(kOne)));
-  fixture.tracker.OnProbeResult(kOne, false, At(250));
+  fixture.tracker.OnProbeResult(kOne, probe_outcome::kNoAnswer, At(250));
   CHECK(Unreachable(fixture.tracker.StatusOf(kOne)));
-  fixture.tracker.OnProbeResult(kOne, true, At(300));
+  fixture.tracker.OnProbeResult(kOne, probe_outcome::kReached, At(300));
   CHECK_FALSE(fixture.tracker.StatusOf(kOne).suspected);
 }
 
--- a/tests/packet_forwarder_test.cc
+++ b/tests/packet_forwarder_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
+#include "adapters/json_log.h"
 #include "entry_fixture.h"
 #include "loopback_address.h"
 #include "standins/flow_wire.h"
@@ -54,8 +57,11 @@
 
   event_loop loop;
   entry_fixture entry;
-  null_log_sink silent;
-  entry_log log{silent};
+  std::vector<nlohmann::json> lines;
+  json_log sink{{log_level::kInfo, 1}, "e", [this](const std::string& line) {
+                  lines.push_back(nlohmann::json::parse(line));
+                }};
+  entry_log log{sink};
   std::unique_ptr<metrics_registry> registry = MakeMetricsRegistry();
   entry_metrics metrics{*registry};
   endpoint address{UniqueLoopbackAddress(), 7'000};
@@ -87,5 +93,41 @@
   CHECK(got.back() == 30U);
 }
 
+// Without these members the log can't tell old evidence from a lost target.
+TEST_CASE("The line on the reset of an open flow states its evidence") {
+  forwarder_fixture fixture;
+  fixture.entry.MakeUnreachable(0, BootTimeNow());
+  packet_decision decision{packet_verdict::kReset, 0, 0, "target_unreachable"};
+  const flow_packet packet =
+      LaterPacket(Flow(1), MakeCookie("l1", 1), 1'001, 5'001, 100);
+  decision.evidence =
+      fixture.entry.director.EvidenceOn(packet.flow, 0, BootTimeNow());
+  fixture.forwarder.Report(packet, decision, BootTimeNow());
+  REQUIRE(fixture.lines.size() == 1);
+  const nlohmann::json& line = fixture.lines.front();
+  CHECK(line["rule"] == "target_unreachable");
+  CHECK(line["state"] == "listed");
+  CHECK(line["doubt"] == "test");
+  CHECK(line["failed_probes"] == kUnreachableProbes);
+  CHECK(line["last_probe"] == "no_answer");
+  CHECK(line["probe_ms"] >= 0);
+  CHECK(line["reached_ms"] == -1);
+  CHECK(line["idle_ms"] == -1);
+  CHECK(
+      fixture.metrics.OpenFlowResets("target_unreachable", "listed").value() ==
+      1);
+}
+
+TEST_CASE("Lines on resets of open flows are limited") {
+  forwarder_fixture fixture;
+  packet_decision decision{packet_verdict::kReset, 0, 0, "target_unreachable"};
+  const flow_packet packet =
+      LaterPacket(Flow(1), MakeCookie("l1", 1), 1'001, 5'001, 100);
+  for (int i = 0; i < 1'000; ++i) {
+    fixture.forwarder.Report(packet, decision, At(1));
+  }
+  CHECK(fixture.lines.size() <= static_cast<std::size_t>(kResetLineBurst));
+}
+
 }  // namespace
 }  // namespace rosemaryreach
--- a/tests/suspect_prober_test.cc
+++ b/tests/suspect_prober_test.cc
@@ -100,7 +100,8 @@
     fixture.entry.tracker.Open(Flow(1), full,
                                BootTimeNow() - kOpenAnswerTimeout);
     fixture.entry.tracker.CheckOpenTimeout(full, BootTimeNow());
-    fixture.entry.tracker.OnProbeResult(full, true, BootTimeNow());
+    fixture.entry.tracker.OnProbeResult(full, probe_outcome::kReached,
+                                        BootTimeNow());
     fixture.entry.tracker.Drop(Flow(1));
     return BootTimeNow() >= end;
   });
--- a/tests/suspicion_accuracy_test.cc
+++ b/tests/suspicion_accuracy_test.cc
@@ -37,13 +37,13 @@
   void Disprove(std::size_t first, std::size_t count, std::int64_t ms) {
     for (std::size_t i = first; i < first + count; ++i) {
       Suspect(targets[i], ms);
-      entry.tracker.OnProbeResult(targets[i], true, At(ms));
+      entry.tracker.OnProbeResult(targets[i], probe_outcome::kReached, At(ms));
     }
   }
   // Fails a probe of each of the first `count` targets.
   void Fail(std::size_t count, std::int64_t ms) {
     for (std::size_t i = 0; i < count; ++i) {
-      entry.tracker.OnProbeResult(targets[i], false, At(ms));
+      entry.tracker.OnProbeResult(targets[i], probe_outcome::kNoAnswer, At(ms));
     }
   }
   std::size_t Unreached(std::size_t count) const {
@@ -141,7 +141,8 @@
   full_service service;
   for (std::size_t i = 10; i < 22; ++i) {
     service.entry.tracker.MarkSuspected(service.targets[i], "sample");
-    service.entry.tracker.OnProbeResult(service.targets[i], true, At(1));
+    service.entry.tracker.OnProbeResult(service.targets[i],
+                                        probe_outcome::kReached, At(1));
   }
   CHECK_FALSE(service.entry.accuracy.MostlyDisproved("ledger", At(2)));
 }
