Reset open flows only on recent, conclusive evidence

By the record, the reset came on the first packet after 8 s of idleness, at an instance that had judged the target before.

Cause: what probes once said about a target counted for as long as nothing contradicted it. Probes of a target that is gone and unreachable are suspended, so nothing could: the verdict stayed for the 75 s for which the target is known. A target may serve its open flows for many seconds after its entry has gone, and a cut may end meanwhile. Probes that were put off, held down, or not counted since the process lacked processor time or was paused left old verdicts too. And a target that leaves may refuse connections while it serves its flows, so that one false suspicion, from a lost packet or a handshake that ended at another instance, was never disproved.

Now JudgeOpenFlow() decides, on the next packet and for waiting flows alike. Failed probes count for 1.5 s; after that the packet is forwarded, the probes start anew, suspended ones too, and three must fail again. Against a target that is leaving, refused probes count only for a flow that has itself sent its data again without an answer. An unreachable target is trusted again by evidence of this instance's own, as flows that were moved acknowledge answers they got elsewhere. Flows to targets that crash are reset as before.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -116,10 +116,15 @@
   struct placed_flow {
     flow_key key;
     flow_phase phase = flow_phase::kOpening;
+    bool stalled = false;
     std::uint32_t acknowledged = 0;
   };
   std::vector<placed_flow> FlowsAt(target_index target) const;
 
+  // Returns whether the request of a flow goes unanswered at this instance:
+  // `packet` or an earlier one repeats its data.
+  bool IsUnanswered(const flow_packet& packet, time_point now) const;
+
   // Stops tracking a flow, for example after a reset.
   void Drop(const flow_key& key);
 
@@ -137,6 +142,10 @@
                      probe_outcome outcome,
                      time_point now);
 
+  // Forgets the failed probes of a target that stays suspected; new ones must
+  // prove again that it is unreachable.
+  void DiscardProbes(target_index target);
+
   // A probe reached a target that stays suspected for other reasons.
   void OnReachedWhileSuspected(target_index target, time_point now);
 
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -165,12 +165,24 @@
   std::vector<placed_flow> placed;
   for (const auto& [key, flow] : flows_) {
     if (flow.target == target) {
-      placed.push_back({key, flow.phase, flow.acknowledged});
+      placed.push_back({key, flow.phase, flow.stalled, flow.acknowledged});
     }
   }
   return placed;
 }
 
+bool flow_tracker::IsUnanswered(const flow_packet& packet,
+                                time_point now) const {
+  const flow_state* flow = Find(packet.flow);
+  if (flow == nullptr || flow->phase != flow_phase::kRunning) {
+    return false;
+  }
+  const bool repeats = packet.data_bytes > 0 &&
+                       !After(packet.sequence, flow->sequence) &&
+                       now - flow->phase_began >= kRepeatTime;
+  return flow->stalled || repeats;
+}
+
 void flow_tracker::Drop(const flow_key& key) {
   const auto found = flows_.find(key);
   if (found != flows_.end()) {
@@ -293,6 +305,12 @@
   }
 }
 
+void flow_tracker::DiscardProbes(target_index target) {
+  target_status& status = MutableStatus(target);
+  status.failed_probes = 0;
+  status.unreachable = false;
+}
+
 void flow_tracker::ResetTarget(target_index target) {
   absl::erase_if(flows_, [target](const auto& entry) {
     return entry.second.target == target;
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -136,12 +136,18 @@
   if (target == kNoTarget) {
     return HandleUnknownCookie(packet, now);
   }
-  const known_target& known = *directory_.Find(target);
-  const char* why = ResetReason(packet, known, tracker_.StatusOf(target));
-  if (why != nullptr) {
+  const open_flow_judgement judged =
+      Judge(packet, target, tracker_.IsUnanswered(packet, now), now);
+  if (judged.verdict == open_flow_verdict::kReset) {
     const reset_evidence evidence = EvidenceOn(packet.flow, target, now);
     tracker_.Drop(packet.flow);
-    return {packet_verdict::kReset, target, 0, why, evidence};
+    return {packet_verdict::kReset, target, 0, judged.rule, evidence};
+  }
+  if (judged.verdict == open_flow_verdict::kForwardAndProbe) {
+    tracker_.DiscardProbes(target);
+    if (hooks_.needs_probe) {
+      hooks_.needs_probe(target);
+    }
   }
   tracker_.OnPacket(packet, target, now);
   return {packet_verdict::kForward, target, 0, "cookie"};
@@ -203,21 +209,24 @@
   }
   const bool open = explanation.tracked != nullptr &&
                     explanation.tracked->phase != flow_phase::kOpening;
-  explanation.next = open ? ExplainData(flow, explanation.tracked->target)
+  explanation.next = open ? ExplainData(*explanation.tracked, flow, now)
                           : ExplainOpening(explanation, freshness, now);
   return explanation;
 }
 
-packet_decision packet_director::ExplainData(const flow_key& flow,
-                                             target_index target) const {
+packet_decision packet_director::ExplainData(const flow_state& flow,
+                                             const flow_key& key,
+                                             time_point now) const {
   flow_packet data;
-  data.flow = flow;
+  data.flow = key;
   data.data_bytes = 1;
-  const char* why =
-      ResetReason(data, *directory_.Find(target), tracker_.StatusOf(target));
-  return why == nullptr
-             ? packet_decision{packet_verdict::kForward, target, 0, "cookie"}
-             : packet_decision{packet_verdict::kReset, target, 0, why};
+  const open_flow_judgement judged =
+      Judge(data, flow.target, flow.stalled, now);
+  return judged.verdict == open_flow_verdict::kReset
+             ? packet_decision{packet_verdict::kReset, flow.target, 0,
+                               judged.rule}
+             : packet_decision{packet_verdict::kForward, flow.target, 0,
+                               "cookie"};
 }
 
 packet_decision packet_director::ExplainOpening(
@@ -249,16 +258,14 @@
 
 // A reset lets the caller retry at once but fails a request that must not be
 // retried, so flows with such requests are not reset.
-const char* packet_director::ResetReason(const flow_packet& packet,
-                                         const known_target& target,
-                                         const target_status& status) const {
-  if (!MayResetOpenFlow(packet)) {
-    return nullptr;
-  }
-  if (target.address_reused) {
-    return "target_replaced";
-  }
-  return Unreachable(status) ? "target_unreachable" : nullptr;
+open_flow_judgement packet_director::Judge(const flow_packet& packet,
+                                           target_index target,
+                                           bool unanswered,
+                                           time_point now) const {
+  return MayResetOpenFlow(packet)
+             ? JudgeOpenFlow(*directory_.Find(target),
+                             tracker_.StatusOf(target), unanswered, now)
+             : open_flow_judgement{};
 }
 
 bool packet_director::MayResetOpenFlow(const flow_packet& packet) const {
@@ -271,11 +278,16 @@
   return route != nullptr && route->kind != request_kind::kNonIdempotent;
 }
 
-std::vector<flow_packet> packet_director::ResetWaitingFlows(
-    target_index target) {
+std::vector<flow_packet> packet_director::ResetWaitingFlows(target_index target,
+                                                            time_point now) {
+  const known_target& known = *directory_.Find(target);
+  const target_status& status = tracker_.StatusOf(target);
   std::vector<flow_packet> given_up;
   for (const flow_tracker::placed_flow& placed : tracker_.FlowsAt(target)) {
+    const open_flow_judgement judged =
+        JudgeOpenFlow(known, status, placed.stalled, now);
     if (placed.phase == flow_phase::kRunning &&
+        judged.verdict == open_flow_verdict::kReset &&
         IsRetryable(placed.key.destination)) {
       flow_packet packet;
       packet.flow = placed.key;
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -99,8 +99,9 @@
              return accuracy_.ProvesUnreachable(target, now);
            },
            [this](target_index target) {
-             return reachability_.DataCentreUnreachable(
-                 directory_.Find(target)->record.data_centre);
+             return Unreachable(tracker_.StatusOf(target)) ||
+                    reachability_.DataCentreUnreachable(
+                        directory_.Find(target)->record.data_centre);
            }}),
       sync_(
           loop_,
@@ -136,14 +137,16 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
-      director_(directory_,
-                tracker_,
-                reachability_,
-                picker_,
-                guard_,
-                {[this](std::uint32_t cookie, time_point now) {
-                  return IsDeadCookie(cookie, now);
-                }}),
+      director_(
+          directory_,
+          tracker_,
+          reachability_,
+          picker_,
+          guard_,
+          {[this](std::uint32_t cookie, time_point now) {
+             return IsDeadCookie(cookie, now);
+           },
+           [this](target_index target) { suspect_prober_.ProbeNow(target); }}),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -89,7 +89,7 @@
   const time_point now = BootTimeNow();
   packet_decision decision{packet_verdict::kReset, target, 0,
                            "target_unreachable"};
-  for (const flow_packet& packet : director_.ResetWaitingFlows(target)) {
+  for (const flow_packet& packet : director_.ResetWaitingFlows(target, now)) {
     decision.evidence = director_.EvidenceOn(packet.flow, target, now);
     Report(packet, decision, now);
     Reset(packet);
--- a/src/entryd/suspect_prober.cc
+++ b/src/entryd/suspect_prober.cc
@@ -87,6 +87,14 @@
   }
 }
 
+void suspect_prober::ProbeNow(target_index target) {
+  const auto found = suspects_.find(target);
+  if (found != suspects_.end() && !found->second.probing &&
+      !IsResolved(target, found->second)) {
+    Probe(target, found->second);
+  }
+}
+
 bool suspect_prober::TakeProbe(time_point now) {
   const std::chrono::duration<double> elapsed =
       now - std::exchange(probes_refilled_, now);
--- a/src/entryd/suspect_prober.h
+++ b/src/entryd/suspect_prober.h
@@ -42,9 +42,12 @@
   // Sends the probes that are due.
   void Tick();
 
+  // Probes a suspected target at once, for a flow that needs new evidence.
+  void ProbeNow(target_index target);
+
   // Returns whether probes are suspended: the target is gone and unreachable,
-  // so its open flows have failed, and it gets no new ones unless it is listed
-  // again.
+  // so it gets no new flows unless it is listed again. ProbeNow() resumes them
+  // if an open flow still sends packets.
   bool IsProbingSuspended(target_index index) const;
 
  private:
--- a/tests/suspect_prober_test.cc
+++ b/tests/suspect_prober_test.cc
@@ -142,5 +142,19 @@
   CHECK(fixture.Until([&] { return !fixture.status(target).suspected; }));
 }
 
+TEST_CASE("Probes of a gone target resume when an open flow needs evidence") {
+  suspect_prober_fixture fixture;
+  const endpoint address{UniqueLoopbackAddress(), 9};
+  const target_index target = fixture.Add(address);
+  fixture.entry.Drain(fixture.record, BootTimeNow());
+  fixture.entry.Remove("l1", BootTimeNow());
+  fixture.MarkSuspected(target);
+  REQUIRE(fixture.Until([&] { return !fixture.unreachable_targets.empty(); }));
+  fixture.unreachable_targets.clear();
+  fixture.entry.tracker.DiscardProbes(target);
+  fixture.prober.ProbeNow(target);
+  CHECK(fixture.Until([&] { return !fixture.unreachable_targets.empty(); }));
+}
+
 }  // namespace
 }  // namespace rosemaryreach
