Take no address over for a service that the configuration doesn't name

Cause: any entry with a later start time counted as the target's successor. An entry of a service that is in no configuration names no target to use, so it says nothing about its address either. When a configuration names the service, the address is judged again.

The new case of target_directory_test fails without the check. An entry that copies a service's name can still claim an address; what a store allows its writers to write is outside the program.

--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -163,6 +163,9 @@
   // Finds out which targets at `address` were replaced by another one there.
   void UpdateReplaced(const ipv4_endpoint& address);
   const known_target* FindReplacement(const known_target& target) const;
+  // Whether the configuration names the service. An entry of any other service
+  // comes from another writer and says nothing about the address in it.
+  bool NamesService(const std::string& name) const;
   void Remove(target_index index);
   void IndexServices() const;
 
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -190,6 +190,9 @@
     report_({"configuration", "values_ignored", config.ignored});
   }
   config_ = config;
+  for (const auto& [address, targets] : by_address_) {
+    UpdateReplaced(address);
+  }
 }
 
 void target_directory::ApplyTarget(const target_record& record,
@@ -440,13 +443,24 @@
 const known_target* target_directory::FindReplacement(
     const known_target& target) const {
   for (const target_index index : by_address_.at(target.record.address)) {
-    if (TookAddressOf(*targets_[index], target)) {
-      return &*targets_[index];
+    const known_target& other = *targets_[index];
+    if (TookAddressOf(other, target) && NamesService(other.record.service)) {
+      return &other;
     }
   }
   return nullptr;
 }
 
+bool target_directory::NamesService(const std::string& name) const {
+  const auto names = [&name](const entry_route& route) {
+    return std::any_of(
+        route.services.begin(), route.services.end(),
+        [&name](const weighted_service& one) { return one.service == name; });
+  };
+  return FindService(name) != nullptr ||
+         std::any_of(config_.routes.begin(), config_.routes.end(), names);
+}
+
 void target_directory::Tick(bool store_unavailable, time_point now) {
   if (store_unavailable_ && !store_unavailable) {
     entries_due_ = now + kEntryReturnGrace;
--- a/tests/target_directory_test.cc
+++ b/tests/target_directory_test.cc
@@ -202,6 +202,19 @@
   CHECK_FALSE(fixture.directory.Find(dead)->address_reused);
 }
 
+TEST_CASE("An entry of a service without a route takes no address over") {
+  entry_fixture fixture;
+  const target_index live = fixture.Add(Target("l1", 1));
+  target_record foreign = Target("m1", 1, "dc-a", "meters");
+  foreign.incarnation = 2;
+  fixture.Add(foreign, At(10));
+  CHECK_FALSE(fixture.directory.Find(live)->address_reused);
+  entry_config config = Config(2);
+  config.services.push_back({"meters", 0, 0});
+  fixture.directory.Apply({}, config, At(20));
+  CHECK(fixture.directory.Find(live)->address_reused);
+}
+
 TEST_CASE("A listed target is not replaced by one whose entry is gone") {
   entry_fixture fixture;
   target_record clock_behind = Successor();
