Reset an open flow only if it is itself unanswered

Also, one packet of an old flow made failed probes of its target be forgotten, and with them the verdict on its data centre; and an answer that was not known to be this instance's no longer counted against failed probes.

Now two independent signs are needed: three probes in a row have failed, each within 1.5 s of the one before, with no answer since the last; and the flow has sent its data again at this instance without an answer. Old evidence is kept for other decisions, and renewed by probes before it counts for a reset.

A target that started again under its id no longer counts as replaced by itself: packets of its former flows reach it, and it resets those that it doesn't hold. It may hold some: a first packet sent under the former cookie before its new entry was read.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -30,6 +30,10 @@
 // may then have chosen another instance.
 inline constexpr duration kFirstRetransmission = std::chrono::milliseconds(200);
 
+// How long a failed probe says something about its target: longer than the
+// pause between two probes of an unreachable target.
+inline constexpr duration kProbeValidity = std::chrono::milliseconds(1'500);
+
 // Result of a probe, a TCP connection to a target.
 enum class probe_outcome : std::uint8_t {
   kNone,      // not probed yet
@@ -49,6 +53,8 @@
   time_point last_reached{};   // last answer or successful probe
   bool suspected = false;      // gets no new flows until a probe reaches it
   std::uint32_t failed_probes = 0;  // in a row, since it is suspected
+  // The same, of which each ended within kProbeValidity of the one before.
+  std::uint32_t recent_failures = 0;
   probe_outcome last_probe = probe_outcome::kNone;
   time_point last_probed{};         // when the last counted probe ended
   const char* suspect_reason = "";  // of the last suspicion, kept when it ends
@@ -142,10 +148,6 @@
                      probe_outcome outcome,
                      time_point now);
 
-  // Forgets the failed probes of a target that stays suspected; new ones must
-  // prove again that it is unreachable.
-  void DiscardProbes(target_index target);
-
   // A probe reached a target that stays suspected for other reasons.
   void OnReachedWhileSuspected(target_index target, time_point now);
 
--- a/include/rosemaryreach/open_flow_policy.h
+++ b/include/rosemaryreach/open_flow_policy.h
@@ -1,6 +1,6 @@
 // Judges whether an open flow is reset for what is known of its target. A wrong
 // reset cuts the flow of a live target, a missing one lets a caller wait for
-// its next retransmission, so only recent evidence counts.
+// its next retransmission.
 #ifndef ROSEMARYREACH_OPEN_FLOW_POLICY_H_
 #define ROSEMARYREACH_OPEN_FLOW_POLICY_H_
 
@@ -11,10 +11,6 @@
 
 namespace rosemaryreach {
 
-// How long a failed probe says something about its target: longer than the
-// pause between two probes of an unreachable target.
-inline constexpr duration kProbeValidity = std::chrono::milliseconds(1'500);
-
 enum class open_flow_verdict : std::uint8_t {
   kForward,
   kForwardAndProbe,  // the evidence against the target is out of date
@@ -26,9 +22,11 @@
   const char* rule = "";  // of a reset
 };
 
-// `unanswered` tells that the flow itself had to send its data again at this
-// instance. It is needed against a target that is leaving and refuses probes:
-// such a target may take no connections any more and serve its open flows.
+// A flow at an unreachable target is reset if three probes in a row have failed
+// lately, nothing was answered since, and the flow itself is `unanswered`: it
+// had to send its data again at this instance. Probes alone don't suffice, as a
+// target that is full or leaving may refuse connections, or leave them
+// unanswered, and serve its open flows.
 open_flow_judgement JudgeOpenFlow(const known_target& target,
                                   const target_status& status,
                                   bool unanswered,
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -249,6 +249,7 @@
   const bool disproved = std::exchange(status.unanswered, false);
   status.last_reached = now;
   status.failed_probes = 0;
+  status.recent_failures = 0;
   if (std::exchange(status.unreachable, false)) {
     status.returned = now;
   }
@@ -282,6 +283,7 @@
     status.suspected = true;
     status.suspect_reason = reason;
     status.failed_probes = 0;
+    status.recent_failures = 0;
     status.unreachable = false;
     hooks_.suspected(target, reason);
   }
@@ -291,6 +293,7 @@
                                  probe_outcome outcome,
                                  time_point now) {
   target_status& status = MutableStatus(target);
+  const bool continues = now - status.last_probed <= kProbeValidity;
   status.last_probe = outcome;
   status.last_probed = now;
   if (outcome == probe_outcome::kReached) {
@@ -298,6 +301,7 @@
     return;
   }
   ++status.failed_probes;
+  status.recent_failures = continues ? status.recent_failures + 1 : 1;
   if (status.suspected && !status.unreachable &&
       status.failed_probes >= kUnreachableProbes) {
     status.unreachable =
@@ -305,12 +309,6 @@
   }
 }
 
-void flow_tracker::DiscardProbes(target_index target) {
-  target_status& status = MutableStatus(target);
-  status.failed_probes = 0;
-  status.unreachable = false;
-}
-
 void flow_tracker::ResetTarget(target_index target) {
   absl::erase_if(flows_, [target](const auto& entry) {
     return entry.second.target == target;
--- a/src/entry/open_flow_policy.cc
+++ b/src/entry/open_flow_policy.cc
@@ -12,17 +12,15 @@
   if (!Unreachable(status)) {
     return {};
   }
-  if (now - status.last_probed > kProbeValidity) {
+  const bool recent = now - status.last_probed <= kProbeValidity &&
+                      status.recent_failures >= kUnreachableProbes &&
+                      status.last_answer <= status.last_probed;
+  if (!recent) {
     return {open_flow_verdict::kForwardAndProbe};
   }
-  const bool leaving = target.listing == target_listing::kGone ||
-                       target.record.state == target_state::kDraining;
-  const bool inconclusive =
-      leaving && status.last_probe == probe_outcome::kRefused;
-  if (inconclusive && !unanswered) {
-    return {};
-  }
-  return {open_flow_verdict::kReset, "target_unreachable"};
+  return unanswered ? open_flow_judgement{open_flow_verdict::kReset,
+                                          "target_unreachable"}
+                    : open_flow_judgement{};
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -143,11 +143,9 @@
     tracker_.Drop(packet.flow);
     return {packet_verdict::kReset, target, 0, judged.rule, evidence};
   }
-  if (judged.verdict == open_flow_verdict::kForwardAndProbe) {
-    tracker_.DiscardProbes(target);
-    if (hooks_.needs_probe) {
-      hooks_.needs_probe(target);
-    }
+  if (judged.verdict == open_flow_verdict::kForwardAndProbe &&
+      hooks_.needs_probe) {
+    hooks_.needs_probe(target);
   }
   tracker_.OnPacket(packet, target, now);
   return {packet_verdict::kForward, target, 0, "cookie"};
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -45,8 +45,11 @@
   const std::strong_ordering learned = later.added <=> earlier.added;
   const bool only_earlier_listed = earlier.listing == target_listing::kListed &&
                                    later.listing != target_listing::kListed;
-  return started >= 0 && learned >= 0 && (started > 0 || learned > 0) &&
-         !only_earlier_listed;
+  // A target that started again under its id gets the packets of its former
+  // flows and resets those that it doesn't hold itself; it may hold some that
+  // it accepted before its new entry was read.
+  return later.record.id != earlier.record.id && started >= 0 && learned >= 0 &&
+         (started > 0 || learned > 0) && !only_earlier_listed;
 }
 
 std::string DescribeColdRates(const entry_config& config) {
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -146,7 +146,7 @@
           {[this](std::uint32_t cookie, time_point now) {
              return IsDeadCookie(cookie, now);
            },
-           [this](target_index target) { suspect_prober_.ProbeNow(target); }}),
+           [this](target_index target) { suspect_prober_.Renew(target); }}),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
