--- a/tests/entry_path_fixture.h
+++ b/tests/entry_path_fixture.h
@@ -73,8 +73,11 @@
         [&] { return opened >= flows && testbed_.open_flows() == 0; });
   }
 
-  // Returns the log lines of instance `i` so far.
+  // Returns the log lines of instance `i` so far; none if it does not run.
   std::vector<nlohmann::json> LogLines(std::size_t i) {
+    if (instances_[i] == nullptr) {
+      return {};
+    }
     const std::lock_guard<std::mutex> lock(instances_[i]->mutex);
     return instances_[i]->lines;
   }
--- a/tests/standins/entry_target.h
+++ b/tests/standins/entry_target.h
@@ -35,6 +35,9 @@
   std::function<void(const class entry_target&)> flow_opened;
   std::function<void(const class entry_target&, const std::string& request)>
       request_run;
+  // Called for each packet of a flow that the target does not hold.
+  std::function<void(const class entry_target&, const ipv4_endpoint& caller)>
+      unknown_flow;
 };
 
 class entry_target {
@@ -50,8 +53,7 @@
         incarnation_(NextNumber()),
         heartbeat_timer_(loop, [this] { Register(); }) {
     Listen();
-    Register();
-    heartbeat_timer_.StartEvery(options_.heartbeat);
+    Renew();
   }
 
   ~entry_target() {
@@ -78,34 +80,63 @@
     store_.Delete("servers/" + options_.id);
   }
 
+  // Writes the entry, at once and with each heartbeat.
+  void Renew() {
+    Register();
+    heartbeat_timer_.StartEvery(options_.heartbeat);
+  }
+
   // Closes the port that probes connect to, and stops answers and heartbeats.
   void Silence() {
     silent_ = true;
     heartbeat_timer_.Stop();
+    CloseProbePort();
+  }
+
+  // Closes the port that probes connect to; open flows go on.
+  void CloseProbePort() {
     close(listener_);
     listener_ = -1;
   }
 
+  // While held, answers to requests wait, as those of a slow target do.
+  void HoldAnswers(bool hold) {
+    hold_answers_ = hold;
+    for (const std::function<void()>& send : held_answers_) {
+      send();
+    }
+    held_answers_.clear();
+  }
+
+  // While cut off, the target loses all datagrams; connections of probes are
+  // refused, or left without an answer.
+  void CutOff(bool probes_refused) {
+    cut_off_ = true;
+    if (probes_refused) {
+      CloseProbePort();
+    } else {
+      FillBacklog(true);
+    }
+  }
+  void EndCut() {
+    cut_off_ = false;
+    cut_ended_ = loop_.now();
+    if (listener_ < 0) {
+      OpenProbePort();
+    }
+    FillBacklog(full_);
+  }
+
+  // Whether the target is cut off, or was within `time`.
+  bool CutOffWithin(duration time) const {
+    return cut_off_ || loop_.now() - cut_ended_ < time;
+  }
+
   // While full, the target answers neither first packets nor the connections
   // of probes; its open flows go on.
   void SetFull(bool full) {
     full_ = full;
-    for (const int filler : fillers_) {
-      close(filler);
-    }
-    fillers_.clear();
-    for (int waiting = 0; waiting >= 0;) {
-      waiting = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-      close(waiting);
-    }
-    listen(listener_, full ? 0 : kBacklog);
-    const socket_address local = ToSocketAddress(options_.address);
-    // Two connections fill a queue of no length; the kernel drops the next.
-    for (int i = 0; full && i < 2; ++i) {
-      fillers_.push_back(
-          socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-      (void)connect(fillers_.back(), local.get(), local.size);
-    }
+    FillBacklog(full);
   }
 
   bool full() const { return full_; }
@@ -113,6 +144,10 @@
   bool draining() const { return draining_; }
   bool silent() const { return silent_; }
   std::size_t flows() const { return flows_.size(); }
+  bool Holds(const ipv4_endpoint& caller) const {
+    const auto known = flows_.find({caller.address, caller.port});
+    return known != flows_.end() && known->second.open;
+  }
   time_point draining_since() const { return draining_since_; }
 
  private:
@@ -131,6 +166,10 @@
             .value());
     watch_ = std::make_unique<descriptor_watch>(
         loop_, socket_->fd(), io_event::kRead, [this] { OnPackets(); });
+    OpenProbePort();
+  }
+
+  void OpenProbePort() {
     // Probes only connect, so connections are never accepted.
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const int on = 1;
@@ -141,6 +180,25 @@
     }
   }
 
+  void FillBacklog(bool fill) {
+    for (const int filler : fillers_) {
+      close(filler);
+    }
+    fillers_.clear();
+    for (int waiting = 0; waiting >= 0;) {
+      waiting = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      close(waiting);
+    }
+    listen(listener_, fill ? 0 : kBacklog);
+    const socket_address local = ToSocketAddress(options_.address);
+    // Two connections fill a queue of no length; the kernel drops the next.
+    for (int i = 0; fill && i < 2; ++i) {
+      fillers_.push_back(
+          socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      (void)connect(fillers_.back(), local.get(), local.size);
+    }
+  }
+
   void Register() {
     const nlohmann::json entry = {{"service", options_.service},
                                   {"address", FormatEndpoint(options_.address)},
@@ -163,7 +221,8 @@
       const std::string_view bytes(
           reinterpret_cast<const char*>(incoming.bytes.data()),
           incoming.bytes.size());
-      if (!silent_ && bytes.size() >= kTargetPrefixBytes + kPacketHeaderBytes) {
+      if (!silent_ && !cut_off_ &&
+          bytes.size() >= kTargetPrefixBytes + kPacketHeaderBytes) {
         OnPacket(incoming.bytes.first(kTargetPrefixBytes),
                  bytes.substr(kTargetPrefixBytes));
       }
@@ -194,10 +253,12 @@
     }
     const auto known = flows_.find(caller);
     if (known == flows_.end()) {
+      hooks_.unknown_flow(*this, {packet.from_address, packet.from_port});
       Answer(packet, {}, kWireRst, {});
       return;
     }
     known->second.cookie = packet.cookie;
+    known->second.open = true;
     OnFlowPacket(packet, known->second, bytes.substr(kPacketHeaderBytes));
     if ((packet.flags & (kWireFin | kWireRst)) != 0) {
       flows_.erase(known);
@@ -215,7 +276,14 @@
     const std::string request(data);
     hooks_.request_run(*this, request);
     const std::string answer = request + " by " + options_.id;
-    Answer(packet, flow, kWireAck, answer);
+    const auto send = [this, packet, copy = flow, answer] {
+      Answer(packet, copy, kWireAck, answer);
+    };
+    if (hold_answers_) {
+      held_answers_.emplace_back(send);
+    } else {
+      send();
+    }
     flow.sequence += static_cast<std::uint32_t>(answer.size());
   }
 
@@ -259,6 +327,10 @@
   std::uint64_t heartbeats_ = 0;
   bool draining_ = false;
   bool silent_ = false;
+  bool hold_answers_ = false;
+  std::vector<std::function<void()>> held_answers_;
+  bool cut_off_ = false;
+  time_point cut_ended_{};
   time_point draining_since_{};
 };
 
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -114,6 +114,9 @@
             [this](const entry_target& target) { OnOpened(target); },
             [this](const entry_target& target, const std::string& request) {
               OnRequestRun(target, request);
+            },
+            [this](const entry_target& target, const ipv4_endpoint& caller) {
+              OnUnknownFlow(target, caller);
             }});
     return options.id;
   }
@@ -195,6 +198,14 @@
                 [this](const call_report& report) { OnCall(report); });
   }
 
+  // Opens a watch that is idle for `pause` between its two requests.
+  void OpenIdleFlow(duration pause) {
+    const std::string name = "ledger watch " + std::to_string(++flows_opened_);
+    callers_[random_() % callers_.size()]->Open(
+        {0xC6120001, 8443}, {name + ".1", name + ".2"}, pause,
+        [this](const call_report& report) { OnCall(report); });
+  }
+
   // Opens a flow whose calls are reported to `report`; returns its key.
   flow_key OpenCall(const ipv4_endpoint& to,
                     std::vector<std::string> requests,
@@ -271,6 +282,7 @@
   static constexpr duration kDrainBound = std::chrono::seconds(3);
   static constexpr duration kEvacuationBound = std::chrono::seconds(5);
   static constexpr duration kConfigBound = std::chrono::seconds(3);
+  static constexpr int kMaxStrayedPackets = 3;
   static constexpr std::uint64_t kToggledRouteShare = 15;
   static constexpr duration kRecoveryTime = std::chrono::seconds(4);
   static constexpr duration kRewriteDelay = std::chrono::milliseconds(700);
@@ -350,6 +362,17 @@
     }
   }
 
+  void OnUnknownFlow(const entry_target& target, const ipv4_endpoint& caller) {
+    const bool held =
+        std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+          return entry.second.get() != &target && entry.second->Holds(caller);
+        });
+    if (held && ++strayed_packets_[caller] == kMaxStrayedPackets) {
+      AddViolation("packets of a flow that another target holds came to " +
+                   target.options().id);
+    }
+  }
+
   void OnCall(const call_report& report) {
     switch (report.outcome) {
       case call_outcome::kAnswered:
@@ -374,6 +397,9 @@
       return;
     }
     const entry_target& flow_target = *target->second;
+    if (flow_target.CutOffWithin(kRecoveryTime)) {
+      return;
+    }
     if (flow_target.full()) {
       // No fault explains this: a full target lives.
       AddViolation("open flow to full target " + report.target + " was reset");
@@ -402,6 +428,7 @@
   std::vector<std::unique_ptr<entry_caller>> callers_;
   std::map<std::string, time_point> evacuated_;
   std::set<std::string> booked_requests_;
+  std::map<ipv4_endpoint, int> strayed_packets_;
   std::vector<std::string> violations_;
   call_counts counts_;
   bool faults_active_ = false;
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -33,6 +33,7 @@
   bool check_time_bounds = true;
   bool hard_faults = false;
   bool planned_faults_only = false;
+  bool flow_faults = false;
 };
 
 class soak {
@@ -80,8 +81,8 @@
     const time_point end = loop_.now() + seconds(options_.seconds);
     WaitFor(seconds(options_.seconds + 1), [&] { return loop_.now() >= end; });
     faults_over_ = true;
-    const bool faults_cleared = WaitFor(
-        seconds(30), [this] { return active_faults_ == 0 && AllReady(); });
+    const bool faults_cleared =
+        WaitFor(seconds(30), [this] { return pending_ == 0 && AllReady(); });
     const bool upgraded = !upgrade_ || EndUpgrade();
     const bool recovered = faults_cleared && Recovers();
     return Report(recovered && upgraded);
@@ -160,7 +161,8 @@
   // Returns whether all calls opened some seconds after the faults are
   // answered.
   bool Recovers() {
-    WaitFor(seconds(5), [] { return false; });
+    WaitFor(options_.flow_faults ? kIdleTime + seconds(2) : seconds(5),
+            [] { return false; });
     const call_counts before = testbed_.counts();
     WaitFor(seconds(3), [] { return false; });
     flow_timer_.Stop();
@@ -194,6 +196,32 @@
     for (int i = 0; i < (surge_ ? kSurgeFactor : 1); ++i) {
       testbed_.OpenFlow();
     }
+    if (options_.flow_faults && !faults_over_ &&
+        ++flow_ticks_ % kIdleFlowShare == 0) {
+      testbed_.OpenIdleFlow(kIdleTime);
+    }
+  }
+
+  void RunAfter(duration delay, action run) {
+    ++pending_;
+    timers_.push_back(
+        std::make_unique<loop_timer>(loop_, [this, run = std::move(run)] {
+          --pending_;
+          run();
+        }));
+    timers_.back()->Start(delay);
+  }
+
+  // Calls `run` with the target `id` after `delay` if it is still alive.
+  void RunAfter(duration delay,
+                const std::string& id,
+                std::function<void(entry_target&)> run) {
+    RunAfter(delay, [this, id, run = std::move(run)] {
+      const auto found = testbed_.targets().find(id);
+      if (found != testbed_.targets().end() && !found->second->silent()) {
+        run(*found->second);
+      }
+    });
   }
 
   void RestartEndedProcesses() {
@@ -254,13 +282,12 @@
     testbed_.SetFaultsActive(active_unplanned_faults_ > 0);
     const duration length = drawn.begin();
     std::printf("%s for %ld ms\n", drawn.name, length.count() / 1'000);
-    timers_.push_back(std::make_unique<loop_timer>(loop_, [this, drawn] {
+    RunAfter(length, [this, drawn] {
       drawn.end();
       --active_faults_;
       active_unplanned_faults_ -= drawn.planned ? 0 : 1;
       testbed_.SetFaultsActive(active_unplanned_faults_ > 0);
-    }));
-    timers_.back()->Start(length);
+    });
   }
 
   fault DrawFault() {
@@ -268,6 +295,9 @@
     if (options_.hard_faults && Draw(2) == 0) {
       return DrawHardFault();
     }
+    if (options_.flow_faults && Draw(2) == 0) {
+      return DrawFlowFault();
+    }
     switch (Draw(12)) {
       case 0:
         return SignalFault("kill", false, SIGKILL, 0, 300, 800);
@@ -319,6 +349,78 @@
     }
   }
 
+  // Faults of single targets and entries. The testbed checks the open flows of
+  // all targets that are not cut off, so they count as planned.
+  fault DrawFlowFault() {
+    const std::string id = RandomTarget().options().id;
+    using begin_hook = duration (soak::*)(const std::string&);
+    static constexpr std::array<std::pair<const char*, begin_hook>, 5> kFaults =
+        {{{"target lingers", &soak::Linger},
+          {"target cut off", &soak::CutOff},
+          {"entry lapse", &soak::Lapse},
+          {"foreign entries", &soak::WriteForeignEntries},
+          {"address reused", &soak::ReuseAddress}}};
+    const auto& [name, begin] = kFaults.at(Draw(kFaults.size()));
+    return {name, true, [this, id, hook = begin] { return (this->*hook)(id); },
+            [] {}};
+  }
+
+  // Drains the target and deletes its entry; it serves its flows until later.
+  duration Linger(const std::string& id) {
+    entry_target& target = *testbed_.targets().at(id);
+    testbed_.AddTarget(target.options().service, target.options().data_centre);
+    target.Drain();
+    const duration drained = RandomDuration(1'000, 4'000);
+    RunAfter(drained, id, [](entry_target& left) { left.Deregister(); });
+    RunAfter(drained + RandomDuration(8'000, 15'000), id,
+             [this, id](entry_target&) { testbed_.RemoveTarget(id); });
+    return drained;
+  }
+
+  // Cuts off the target, or half of the time one that drains or lingers.
+  duration CutOff(const std::string& drawn) {
+    std::string id = drawn;
+    const bool leaving = Draw(2) == 0;
+    for (const auto& [other, target] : testbed_.targets()) {
+      id = leaving && target->draining() && !target->silent() ? other : id;
+    }
+    const duration length = RandomDuration(1'000, 5'000);
+    testbed_.targets().at(id)->CutOff(Draw(2) == 0);
+    RunAfter(length, id, [](entry_target& target) { target.EndCut(); });
+    return length;
+  }
+
+  duration Lapse(const std::string& id) {
+    testbed_.targets().at(id)->Deregister();
+    RunAfter(seconds(2), id, [](entry_target& target) {
+      if (!target.draining()) {
+        target.Renew();
+      }
+    });
+    return seconds(2);
+  }
+
+  // Writes entries that name no target, one in place of the target's own until
+  // its next heartbeat.
+  duration WriteForeignEntries(const std::string& id) {
+    testbed_.store().Put("servers/i-f1", R"({"service":"ledger"})");
+    testbed_.store().Put("servers/i-f2", R"({"address":7,"state":"lost"})");
+    testbed_.store().Put("servers/" + id, "\xff\xfe");
+    return RandomDuration(500, 2'000);
+  }
+
+  // Ends the target; another service's gets its address two seconds later.
+  duration ReuseAddress(const std::string& id) {
+    const entry_target_options left = testbed_.targets().at(id)->options();
+    testbed_.AddTarget(left.service, left.data_centre);
+    testbed_.RemoveTarget(id);
+    RunAfter(seconds(2), [this, left] {
+      testbed_.AddTarget(left.service == "ledger" ? "files" : "ledger",
+                         left.data_centre, left.address);
+    });
+    return seconds(2);
+  }
+
   // The target lives, so that none of its open flows may be reset. A planned
   // fault, so that the testbed checks this.
   fault FullFault() {
@@ -464,6 +566,8 @@
   static constexpr int kUpgradeSeconds = 240;
   static constexpr int kMaxActiveFaults = 3;
   static constexpr int kSurgeFactor = 8;
+  static constexpr std::uint64_t kIdleFlowShare = 4;
+  static constexpr duration kIdleTime = seconds(8);
 
   soak_options options_;
   std::mt19937_64 random_;
@@ -478,6 +582,8 @@
   loop_timer restart_timer_;
   int faults_injected_ = 0;
   int active_faults_ = 0;
+  std::uint64_t flow_ticks_ = 0;
+  int pending_ = 0;  // ends of faults that are still to come
   int active_unplanned_faults_ = 0;
   int abnormal_ends_ = 0;
   bool faults_over_ = false;
@@ -493,6 +599,7 @@
   int skip_time_bounds = 0;
   int hard_faults = 0;
   int planned_only = 0;
+  int flow_faults = 0;
   const std::vector<poptOption> table = {
       {"program", 'p', POPT_ARG_STRING, &program, 0,
        "path of rosemaryreach-entry", ""},
@@ -511,6 +618,11 @@
        nullptr},
       {"planned", 0, POPT_ARG_NONE, &planned_only, 0,
        "planned faults only, which must fail no call", nullptr},
+      {"flows", 0, POPT_ARG_NONE, &flow_faults, 0,
+       "also idle flows, targets that linger or are cut off, lapsed and "
+       "foreign "
+       "entries, addresses reused",
+       nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("soak", argc, argv, table.data(), 0);
   const int parsed = poptGetNextOpt(context);
@@ -524,6 +636,7 @@
   options.planned_faults_only = planned_only != 0;
   options.directory = directory;
   options.seed = static_cast<std::uint64_t>(seed);
+  options.flow_faults = flow_faults != 0;
   options.hard_faults = hard_faults != 0;
   options.check_time_bounds = skip_time_bounds == 0;
   std::filesystem::create_directories(options.directory);
--- a/tests/suspect_prober_test.cc
+++ b/tests/suspect_prober_test.cc
@@ -1,5 +1,10 @@
 #include "entryd/suspect_prober.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "entry_fixture.h"
@@ -141,5 +146,37 @@
   CHECK(fixture.Until([&] { return !fixture.status(target).suspected; }));
 }
 
+// Flows to targets that still count as unreachable are reset. Those of a cut
+// data centre are probed at a limited rate.
+TEST_CASE("All targets of a cut are trusted again soon after it ends") {
+  constexpr std::size_t kTargets = 300;
+  suspect_prober_fixture fixture;
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const endpoint any{UniqueLoopbackAddress(), 0};
+  socket_address local = ToSocketAddress(any);
+  REQUIRE(bind(listener, local.get(), local.size) == 0);
+  REQUIRE(getsockname(listener, local.get(), &local.size) == 0);
+  const std::uint16_t port =
+      ntohs(reinterpret_cast<sockaddr_in*>(local.get())->sin_port);
+  std::vector<target_index> targets;
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    target_record record = Target("l" + std::to_string(i), 1);
+    record.address = ToIpv4Endpoint({any.address, port});
+    targets.push_back(fixture.entry.Add(record, BootTimeNow()));
+    fixture.MarkSuspected(targets.back());
+  }
+  REQUIRE(fixture.Until(
+      [&] { return fixture.unreachable_targets.size() == kTargets; }));
+  REQUIRE(listen(listener, 1'024) == 0);
+  const time_point ended = BootTimeNow();
+  CHECK(fixture.Until([&] {
+    return std::none_of(targets.begin(), targets.end(), [&](target_index one) {
+      return fixture.status(one).suspected;
+    });
+  }));
+  CHECK(BootTimeNow() - ended < std::chrono::milliseconds(1'500));
+  close(listener);
+}
+
 }  // namespace
 }  // namespace rosemaryreach
