Keep the soak's idle flows open for two pauses

A flow with a single pause ends with its second request, so that few met an instance that had judged their target before.

--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -198,11 +198,11 @@
                 [this](const call_report& report) { OnCall(report); });
   }
 
-  // Opens a watch that is idle for `pause` between its two requests.
+  // Opens a watch that is idle for `pause` between its three requests.
   void OpenIdleFlow(duration pause) {
     const std::string name = "ledger watch " + std::to_string(++flows_opened_);
     callers_[random_() % callers_.size()]->Open(
-        {0xC6120001, 8443}, {name + ".1", name + ".2"}, pause,
+        {0xC6120001, 8443}, {name + ".1", name + ".2", name + ".3"}, pause,
         [this](const call_report& report) { OnCall(report); });
   }
 
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -161,7 +161,7 @@
   // Returns whether all calls opened some seconds after the faults are
   // answered.
   bool Recovers() {
-    WaitFor(options_.flow_faults ? kIdleTime + seconds(2) : seconds(5),
+    WaitFor(options_.flow_faults ? 2 * kIdleTime + seconds(2) : seconds(5),
             [] { return false; });
     const call_counts before = testbed_.counts();
     WaitFor(seconds(3), [] { return false; });
