--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -190,8 +190,8 @@
 };
 
 // Probes that must fail in a row before a target may count as unreachable. With
-// the pauses between them this takes half a second; a full link may delay
-// packets that long.
+// the pauses between them this takes half a second if they get no answer, as a
+// full link may delay packets that long, and 0.2 s if they are refused.
 inline constexpr std::uint32_t kUnreachableProbes = 3;
 
 // Returns whether probes show that this instance can't reach the target.
