Count resets of first packets by copy, and name the cookie of drops

New: rosemaryreach_entry_opening_resets_total{rule,copy}, and the member cookie of the flow line. No decision changes.

--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -156,9 +156,12 @@
   }
   if (decision.verdict == packet_verdict::kReset && !packet.opens) {
     LogOpenFlowReset(packet, decision, now);
-  } else {
-    Log(packet, decision, now);
+    return;
+  }
+  if (decision.verdict == packet_verdict::kReset) {
+    metrics_.OpeningResets(decision.rule, packet.retransmit_count).Add();
   }
+  Log(packet, decision, now);
 }
 
 void packet_forwarder::Log(const flow_packet& packet,
@@ -171,13 +174,14 @@
   }
   const std::string flow = FormatFlow(packet.flow);
   const known_target* target = directory_.Find(decision.target);
-  const std::array<log_field, 6> fields = {
+  const std::array<log_field, 7> fields = {
       log_field{"flow", flow},
       log_field{"target",
                 target == nullptr ? std::string_view() : target->record.id},
       log_field{"rule", decision.rule},
       log_field{"outcome",
                 kOutcomes.at(static_cast<std::size_t>(decision.verdict))},
+      log_field{"cookie", static_cast<std::int64_t>(packet.cookie)},
       log_field{"copy", static_cast<std::int64_t>(packet.retransmit_count)},
       log_field{"configuration",
                 static_cast<std::int64_t>(directory_.config().version)}};
--- a/tests/packet_forwarder_test.cc
+++ b/tests/packet_forwarder_test.cc
@@ -129,5 +129,27 @@
   CHECK(fixture.lines.size() <= static_cast<std::size_t>(kResetLineBurst));
 }
 
+// Without the copy, resets that may reach an open flow can't be counted.
+TEST_CASE("Resets of first packets are counted by rule and copy") {
+  forwarder_fixture fixture;
+  const packet_decision decision{packet_verdict::kReset, kNoTarget, 0,
+                                 "over_capacity"};
+  fixture.forwarder.Report(FirstPacket(Flow(1)), decision, At(1));
+  fixture.forwarder.Report(FirstPacket(Flow(2), 2), decision, At(1));
+  CHECK(fixture.metrics.OpeningResets("over_capacity", 0).value() == 1);
+  CHECK(fixture.metrics.OpeningResets("over_capacity", 1).value() == 0);
+  CHECK(fixture.metrics.OpeningResets("over_capacity", 2).value() == 1);
+}
+
+TEST_CASE("The line on a dropped packet names its cookie") {
+  forwarder_fixture fixture;
+  const packet_decision decision{packet_verdict::kDrop, kNoTarget, 0,
+                                 "unknown_cookie"};
+  fixture.forwarder.Report(LaterPacket(Flow(1), 12'345, 1'001, 5'001, 100),
+                           decision, At(1));
+  REQUIRE(fixture.lines.size() == 1);
+  CHECK(fixture.lines.front()["cookie"] == 12'345);
+}
+
 }  // namespace
 }  // namespace rosemaryreach
