Reset no open flow for the silence of its target

Callers of a live target lost their flow when an instance got no answer from it: a path cut between the two, or a slow target that refuses probes. Failed probes and a request that is sent again are both silence as seen from here, so no number of them proves that the target has ended.

target_unreachable no longer resets: neither on a packet nor for the flows that wait when a target becomes unreachable. Probes still keep new flows away from such a target. With the rule go the age of evidence, the renewal of probes and open_flow_policy.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -30,10 +30,6 @@
 // may then have chosen another instance.
 inline constexpr duration kFirstRetransmission = std::chrono::milliseconds(200);
 
-// How long a failed probe says something about its target: longer than the
-// pause between two probes of an unreachable target.
-inline constexpr duration kProbeValidity = std::chrono::milliseconds(1'500);
-
 // Result of a probe, a TCP connection to a target.
 enum class probe_outcome : std::uint8_t {
   kNone,      // not probed yet
@@ -53,8 +49,6 @@
   time_point last_reached{};   // last answer or successful probe
   bool suspected = false;      // gets no new flows until a probe reaches it
   std::uint32_t failed_probes = 0;  // in a row, since it is suspected
-  // The same, of which each ended within kProbeValidity of the one before.
-  std::uint32_t recent_failures = 0;
   probe_outcome last_probe = probe_outcome::kNone;
   time_point last_probed{};         // when the last counted probe ended
   const char* suspect_reason = "";  // of the last suspicion, kept when it ends
@@ -118,18 +112,8 @@
   // Records a later packet of a flow whose cookie names `target`.
   void OnPacket(const flow_packet& packet, target_index target, time_point now);
 
-  // A flow assigned to a target, and the highest acknowledgement of its caller.
-  struct placed_flow {
-    flow_key key;
-    flow_phase phase = flow_phase::kOpening;
-    bool stalled = false;
-    std::uint32_t acknowledged = 0;
-  };
-  std::vector<placed_flow> FlowsAt(target_index target) const;
-
-  // Returns whether the request of a flow goes unanswered at this instance:
-  // `packet` or an earlier one repeats its data.
-  bool IsUnanswered(const flow_packet& packet, time_point now) const;
+  // Returns the flows assigned to a target.
+  std::vector<flow_key> FlowsAt(target_index target) const;
 
   // Stops tracking a flow, for example after a reset.
   void Drop(const flow_key& key);
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -12,7 +12,6 @@
 #include "rosemaryreach/data_centre_reachability.h"
 #include "rosemaryreach/flow_packet.h"
 #include "rosemaryreach/flow_tracker.h"
-#include "rosemaryreach/open_flow_policy.h"
 #include "rosemaryreach/overload_guard.h"
 #include "rosemaryreach/target_directory.h"
 #include "rosemaryreach/target_picker.h"
@@ -75,8 +74,6 @@
   // Returns whether no live target can have this unknown cookie. Without it,
   // packets with an unknown cookie are dropped.
   std::function<bool(std::uint32_t cookie, time_point now)> is_dead_cookie{};
-  // An open flow needs new evidence on its unreachable target.
-  std::function<void(target_index)> needs_probe{};
 };
 
 class packet_director {
@@ -108,13 +105,6 @@
                             target_index target,
                             time_point now) const;
 
-  // Drops the flows that wait for an answer of an unreachable target, whose
-  // requests may be retried and which JudgeOpenFlow() resets. Returns a packet
-  // of each for its reset, since the next retransmission of the caller may be
-  // up to 1.6 s away.
-  std::vector<flow_packet> ResetWaitingFlows(target_index target,
-                                             time_point now);
-
  private:
   packet_decision HandleFirstPacket(const flow_packet& packet,
                                     const view_freshness& freshness,
@@ -139,18 +129,15 @@
                                  const view_freshness& freshness,
                                  time_point now) const;
   packet_decision ExplainData(const flow_state& flow,
-                              const flow_key& key,
-                              time_point now) const;
+                              const flow_key& key) const;
   // Returns the decision if a first packet must be refused before a target is
   // picked; otherwise nothing.
   std::optional<packet_decision> RefuseOpening(
       const entry_route* route,
       const view_freshness& freshness) const;
-  // Judges a packet of an open flow; `unanswered` as for JudgeOpenFlow().
-  open_flow_judgement Judge(const flow_packet& packet,
-                            target_index target,
-                            bool unanswered,
-                            time_point now) const;
+  // Whether the flow of the packet is reset, since another target has taken
+  // over the address of its target.
+  bool IsReplaced(const flow_packet& packet, target_index target) const;
   packet_decision ForwardTo(target_index target, const char* rule) const;
 
   const target_directory& directory_;
--- a/src/entry/flow_tracker.cc
+++ b/src/entry/flow_tracker.cc
@@ -160,27 +160,14 @@
   }
 }
 
-std::vector<flow_tracker::placed_flow> flow_tracker::FlowsAt(
-    target_index target) const {
-  std::vector<placed_flow> placed;
+std::vector<flow_key> flow_tracker::FlowsAt(target_index target) const {
+  std::vector<flow_key> keys;
   for (const auto& [key, flow] : flows_) {
     if (flow.target == target) {
-      placed.push_back({key, flow.phase, flow.stalled, flow.acknowledged});
+      keys.push_back(key);
     }
   }
-  return placed;
-}
-
-bool flow_tracker::IsUnanswered(const flow_packet& packet,
-                                time_point now) const {
-  const flow_state* flow = Find(packet.flow);
-  if (flow == nullptr || flow->phase != flow_phase::kRunning) {
-    return false;
-  }
-  const bool repeats = packet.data_bytes > 0 &&
-                       !After(packet.sequence, flow->sequence) &&
-                       now - flow->phase_began >= kRepeatTime;
-  return flow->stalled || repeats;
+  return keys;
 }
 
 void flow_tracker::Drop(const flow_key& key) {
@@ -249,7 +236,6 @@
   const bool disproved = std::exchange(status.unanswered, false);
   status.last_reached = now;
   status.failed_probes = 0;
-  status.recent_failures = 0;
   if (std::exchange(status.unreachable, false)) {
     status.returned = now;
   }
@@ -283,7 +269,6 @@
     status.suspected = true;
     status.suspect_reason = reason;
     status.failed_probes = 0;
-    status.recent_failures = 0;
     status.unreachable = false;
     hooks_.suspected(target, reason);
   }
@@ -293,7 +278,6 @@
                                  probe_outcome outcome,
                                  time_point now) {
   target_status& status = MutableStatus(target);
-  const bool continues = now - status.last_probed <= kProbeValidity;
   status.last_probe = outcome;
   status.last_probed = now;
   if (outcome == probe_outcome::kReached) {
@@ -301,7 +285,6 @@
     return;
   }
   ++status.failed_probes;
-  status.recent_failures = continues ? status.recent_failures + 1 : 1;
   if (status.suspected && !status.unreachable &&
       status.failed_probes >= kUnreachableProbes) {
     status.unreachable =
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -11,6 +11,7 @@
 
 constexpr const char* kUnknownCookieRule = "unknown_cookie";
 constexpr const char* kDeadCookieRule = "cookie_of_no_target";
+constexpr const char* kReplacedRule = "target_replaced";
 constexpr const char* kOverloadRule = "over_capacity";
 
 // Returns the service of a new flow by the weights of the route. All
@@ -136,16 +137,10 @@
   if (target == kNoTarget) {
     return HandleUnknownCookie(packet, now);
   }
-  const open_flow_judgement judged =
-      Judge(packet, target, tracker_.IsUnanswered(packet, now), now);
-  if (judged.verdict == open_flow_verdict::kReset) {
+  if (IsReplaced(packet, target)) {
     const reset_evidence evidence = EvidenceOn(packet.flow, target, now);
     tracker_.Drop(packet.flow);
-    return {packet_verdict::kReset, target, 0, judged.rule, evidence};
-  }
-  if (judged.verdict == open_flow_verdict::kForwardAndProbe &&
-      hooks_.needs_probe) {
-    hooks_.needs_probe(target);
+    return {packet_verdict::kReset, target, 0, kReplacedRule, evidence};
   }
   tracker_.OnPacket(packet, target, now);
   return {packet_verdict::kForward, target, 0, "cookie"};
@@ -207,22 +202,19 @@
   }
   const bool open = explanation.tracked != nullptr &&
                     explanation.tracked->phase != flow_phase::kOpening;
-  explanation.next = open ? ExplainData(*explanation.tracked, flow, now)
+  explanation.next = open ? ExplainData(*explanation.tracked, flow)
                           : ExplainOpening(explanation, freshness, now);
   return explanation;
 }
 
 packet_decision packet_director::ExplainData(const flow_state& flow,
-                                             const flow_key& key,
-                                             time_point now) const {
+                                             const flow_key& key) const {
   flow_packet data;
   data.flow = key;
   data.data_bytes = 1;
-  const open_flow_judgement judged =
-      Judge(data, flow.target, flow.stalled, now);
-  return judged.verdict == open_flow_verdict::kReset
+  return IsReplaced(data, flow.target)
              ? packet_decision{packet_verdict::kReset, flow.target, 0,
-                               judged.rule}
+                               kReplacedRule}
              : packet_decision{packet_verdict::kForward, flow.target, 0,
                                "cookie"};
 }
@@ -256,14 +248,9 @@
 
 // A reset lets the caller retry at once but fails a request that must not be
 // retried, so flows with such requests are not reset.
-open_flow_judgement packet_director::Judge(const flow_packet& packet,
-                                           target_index target,
-                                           bool unanswered,
-                                           time_point now) const {
-  return MayResetOpenFlow(packet)
-             ? JudgeOpenFlow(*directory_.Find(target),
-                             tracker_.StatusOf(target), unanswered, now)
-             : open_flow_judgement{};
+bool packet_director::IsReplaced(const flow_packet& packet,
+                                 target_index target) const {
+  return directory_.Find(target)->address_reused && MayResetOpenFlow(packet);
 }
 
 bool packet_director::MayResetOpenFlow(const flow_packet& packet) const {
@@ -276,27 +263,6 @@
   return route != nullptr && route->kind != request_kind::kNonIdempotent;
 }
 
-std::vector<flow_packet> packet_director::ResetWaitingFlows(target_index target,
-                                                            time_point now) {
-  const known_target& known = *directory_.Find(target);
-  const target_status& status = tracker_.StatusOf(target);
-  std::vector<flow_packet> given_up;
-  for (const flow_tracker::placed_flow& placed : tracker_.FlowsAt(target)) {
-    const open_flow_judgement judged =
-        JudgeOpenFlow(known, status, placed.stalled, now);
-    if (placed.phase == flow_phase::kRunning &&
-        judged.verdict == open_flow_verdict::kReset &&
-        IsRetryable(placed.key.destination)) {
-      flow_packet packet;
-      packet.flow = placed.key;
-      packet.acknowledged = placed.acknowledged;
-      given_up.push_back(packet);
-      tracker_.Drop(placed.key);
-    }
-  }
-  return given_up;
-}
-
 packet_decision packet_director::ForwardTo(target_index target,
                                            const char* rule) const {
   return {packet_verdict::kForward, target, directory_.Find(target)->cookie,
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -137,16 +137,14 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
-      director_(
-          directory_,
-          tracker_,
-          reachability_,
-          picker_,
-          guard_,
-          {[this](std::uint32_t cookie, time_point now) {
-             return IsDeadCookie(cookie, now);
-           },
-           [this](target_index target) { suspect_prober_.Renew(target); }}),
+      director_(directory_,
+                tracker_,
+                reachability_,
+                picker_,
+                guard_,
+                {[this](std::uint32_t cookie, time_point now) {
+                  return IsDeadCookie(cookie, now);
+                }}),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -347,17 +345,16 @@
 }
 
 void entry_instance::OnTargetUnreachable(target_index target) {
-  const std::vector<flow_tracker::placed_flow> flows = tracker_.FlowsAt(target);
+  const std::vector<flow_key> flows = tracker_.FlowsAt(target);
   std::string names;
   for (std::size_t i = 0; i < std::min(flows.size(), kMaxFlowsPerLine); ++i) {
-    names += (i == 0 ? "" : " ") + FormatFlow(flows[i].key);
+    names += (i == 0 ? "" : " ") + FormatFlow(flows[i]);
   }
   const std::array<log_field, 3> fields = {
       log_field{"target", directory_.Find(target)->record.id},
       log_field{"count", static_cast<std::int64_t>(flows.size())},
       log_field{"flows", names}};
   log_.LogStateChange("flows_at_lost_target", fields);
-  packet_forwarder_.ResetWaitingFlows(target);
   // Until the next tick, callers would be refused that are about to move.
   UpdateReachability(BootTimeNow());
 }
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -85,18 +85,6 @@
   return received.size() == kBatchDatagrams;
 }
 
-void packet_forwarder::ResetWaitingFlows(target_index target) {
-  const time_point now = BootTimeNow();
-  packet_decision decision{packet_verdict::kReset, target, 0,
-                           "target_unreachable"};
-  for (const flow_packet& packet : director_.ResetWaitingFlows(target, now)) {
-    decision.evidence = director_.EvidenceOn(packet.flow, target, now);
-    Report(packet, decision, now);
-    Reset(packet);
-  }
-  send_batch_->Flush();
-}
-
 void packet_forwarder::Handle(std::span<std::uint8_t> bytes,
                               const view_freshness& freshness,
                               time_point now) {
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -35,9 +35,6 @@
   // Handles the packets that wait in the socket, until `until` at the latest.
   void HandleWaiting(time_point until);
 
-  // Resets the flows that wait for an answer of the unreachable `target`.
-  void ResetWaitingFlows(target_index target);
-
   // Time of the last packet of a caller, or of construction before the first.
   time_point last_packet() const { return last_packet_; }
 
--- a/src/entryd/suspect_prober.cc
+++ b/src/entryd/suspect_prober.cc
@@ -75,7 +75,7 @@
   });
   std::vector<std::pair<time_point, target_index>> due;
   for (const auto& [index, suspect] : suspects_) {
-    if (!suspect.probing && (suspect.renewing || !IsProbingSuspended(index)) &&
+    if (!suspect.probing && !IsProbingSuspended(index) &&
         now >= suspect.next_probe) {
       due.emplace_back(suspect.next_probe, index);
     }
@@ -87,19 +87,6 @@
   }
 }
 
-void suspect_prober::Renew(target_index target) {
-  const auto found = suspects_.find(target);
-  if (found == suspects_.end() || found->second.renewing ||
-      IsResolved(target, found->second)) {
-    return;
-  }
-  found->second.renewing = true;
-  found->second.next_probe = BootTimeNow();
-  if (!found->second.probing) {
-    Probe(target, found->second);
-  }
-}
-
 bool suspect_prober::TakeProbe(time_point now) {
   const std::chrono::duration<double> elapsed =
       now - std::exchange(probes_refilled_, now);
@@ -166,11 +153,7 @@
   }
   const bool was_unreachable = Unreachable(tracker_.StatusOf(index));
   tracker_.OnProbeResult(index, outcome, now);
-  const std::uint32_t failures = tracker_.StatusOf(index).recent_failures;
-  const bool renewed = was_unreachable && failures == kUnreachableProbes;
-  if (failures >= kUnreachableProbes) {
-    found->second.renewing = false;
-  }
+  const std::uint32_t failures = tracker_.StatusOf(index).failed_probes;
   const duration suspected_for = now - found->second.since;
   const std::string data_centre = directory_.Find(index)->record.data_centre;
   if (reached) {
@@ -187,7 +170,7 @@
     return;
   }
   found->second.next_probe = now + BackoffAfter(failures);
-  if (renewed || (!was_unreachable && Unreachable(tracker_.StatusOf(index)))) {
+  if (!was_unreachable && Unreachable(tracker_.StatusOf(index))) {
     Log(index, "target_unreachable",
         outcome == probe_outcome::kRefused ? "probes were refused"
                                            : "probes got no answer",
--- a/src/entryd/suspect_prober.h
+++ b/src/entryd/suspect_prober.h
@@ -42,12 +42,8 @@
   // Sends the probes that are due.
   void Tick();
 
-  // Probes a suspected target at once, and goes on until the evidence against
-  // it is recent again, for an open flow that still sends packets to it.
-  void Renew(target_index target);
-
   // Returns whether probes are suspended: the target is gone and unreachable,
-  // so it gets no new flows unless it is listed again. Renew() resumes them.
+  // so it gets no new flows unless it is listed again.
   bool IsProbingSuspended(target_index index) const;
 
  private:
@@ -57,7 +53,6 @@
     time_point next_probe{};
     time_point hold_down_until{};  // even if probes succeed
     bool probing = false;
-    bool renewing = false;
   };
 
   void Probe(target_index index, suspect& suspect);
