Reset no open flow for an unknown cookie

An instance that did not know a cookie reset its flows once its own view had been confirmed for 3.4 s. A live target may still be unknown here and known elsewhere: its entry is gone and this instance started since. And once one flow with the cookie was dropped, the first packet of the next one was reset, as in the users' record, where an instance that had not seen the flow reset it at once.

No view of one instance proves that no target has a cookie, so packets with an unknown one are dropped, and callers keep their flow. unknown_cookies and what fed it (view_state, departed_sync::Known(), the hook of the director, unknown_cookie in explanations, a gauge) are gone; packets_total{rule= "unknown_cookie"} counts the packets.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -69,21 +69,13 @@
   std::vector<rule_count> targets;  // of the service, for a new flow
 };
 
-// Observations and decisions of other parts. Optional.
-struct director_hooks {
-  // Returns whether no live target can have this unknown cookie. Without it,
-  // packets with an unknown cookie are dropped.
-  std::function<bool(std::uint32_t cookie, time_point now)> is_dead_cookie{};
-};
-
 class packet_director {
  public:
   packet_director(const target_directory& directory,
                   flow_tracker& tracker,
                   const data_centre_reachability& reachability,
                   target_picker& picker,
-                  overload_guard& guard,
-                  director_hooks hooks = {});
+                  overload_guard& guard);
 
   packet_decision Direct(const flow_packet& packet,
                          const view_freshness& freshness,
@@ -95,11 +87,6 @@
                            const view_freshness& freshness,
                            time_point now) const;
 
-  // Returns the rule for packets with data to `route` whose cookie is unknown,
-  // where `view_trusted` tells that it can't be that of a live target.
-  const char* UnknownCookieRule(const entry_route* route,
-                                bool view_trusted) const;
-
   // Returns what is known of `target`, to which `flow` belongs.
   reset_evidence EvidenceOn(const flow_key& flow,
                             target_index target,
@@ -119,8 +106,6 @@
                                       const pick_result& none,
                                       time_point now) const;
   packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
-  packet_decision HandleUnknownCookie(const flow_packet& packet,
-                                      time_point now) const;
   // Whether the packet asks for an answer to a request that may be retried.
   bool MayResetOpenFlow(const flow_packet& packet) const;
   // Returns whether requests to `address` may be retried on another target.
@@ -145,7 +130,6 @@
   const data_centre_reachability& reachability_;
   target_picker& picker_;
   overload_guard& guard_;
-  director_hooks hooks_;
 };
 
 }  // namespace rosemaryreach
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -122,8 +122,6 @@
   }
   // Targets that left before this instance knew them.
   std::size_t departed() const { return departed_; }
-  // Whether two known targets have the same cookie.
-  bool cookies_conflict() const { return conflicts_ > 0; }
   // Whether entries of live targets may be missing, since the store was
   // unavailable or restored until recently.
   bool EntriesMayBeMissing(time_point now) const {
@@ -180,8 +178,7 @@
   std::map<std::uint32_t, target_index> by_cookie_;
   std::map<ipv4_endpoint, std::vector<target_index>> by_address_;
   std::vector<target_index> free_;
-  std::size_t departed_ = 0;   // targets that are `departed`
-  std::size_t conflicts_ = 0;  // targets with `cookie_conflict`
+  std::size_t departed_ = 0;  // targets that are `departed`
   // Rebuilt lazily after changes, since a batch may change all targets.
   mutable std::map<std::string, std::vector<target_index>> by_service_;
   mutable bool services_indexed_ = false;
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -1,7 +1,5 @@
 #include "rosemaryreach/packet_director.h"
 
-#include <utility>
-
 namespace rosemaryreach {
 namespace {
 
@@ -10,7 +8,6 @@
 constexpr duration kLateCopyTime = std::chrono::seconds(2);
 
 constexpr const char* kUnknownCookieRule = "unknown_cookie";
-constexpr const char* kDeadCookieRule = "cookie_of_no_target";
 constexpr const char* kReplacedRule = "target_replaced";
 constexpr const char* kOverloadRule = "over_capacity";
 
@@ -37,14 +34,12 @@
                                  flow_tracker& tracker,
                                  const data_centre_reachability& reachability,
                                  target_picker& picker,
-                                 overload_guard& guard,
-                                 director_hooks hooks)
+                                 overload_guard& guard)
     : directory_(directory),
       tracker_(tracker),
       reachability_(reachability),
       picker_(picker),
-      guard_(guard),
-      hooks_(std::move(hooks)) {}
+      guard_(guard) {}
 
 packet_decision packet_director::Direct(const flow_packet& packet,
                                         const view_freshness& freshness,
@@ -135,7 +130,7 @@
                                                 time_point now) {
   const target_index target = directory_.FindCookie(packet.cookie);
   if (target == kNoTarget) {
-    return HandleUnknownCookie(packet, now);
+    return {packet_verdict::kDrop, kNoTarget, 0, kUnknownCookieRule};
   }
   if (IsReplaced(packet, target)) {
     const reset_evidence evidence = EvidenceOn(packet.flow, target, now);
@@ -146,18 +141,6 @@
   return {packet_verdict::kForward, target, 0, "cookie"};
 }
 
-packet_decision packet_director::HandleUnknownCookie(const flow_packet& packet,
-                                                     time_point now) const {
-  // Asked for each packet, since the hook notes when a cookie was first seen.
-  const bool dead =
-      hooks_.is_dead_cookie && hooks_.is_dead_cookie(packet.cookie, now);
-  return dead && MayResetOpenFlow(packet)
-             ? packet_decision{packet_verdict::kReset, kNoTarget, 0,
-                               kDeadCookieRule}
-             : packet_decision{packet_verdict::kDrop, kNoTarget, 0,
-                               kUnknownCookieRule};
-}
-
 reset_evidence packet_director::EvidenceOn(const flow_key& flow,
                                            target_index target,
                                            time_point now) const {
@@ -183,13 +166,6 @@
   return evidence;
 }
 
-const char* packet_director::UnknownCookieRule(const entry_route* route,
-                                               bool view_trusted) const {
-  return view_trusted && route != nullptr && IsRetryable(route->address)
-             ? kDeadCookieRule
-             : kUnknownCookieRule;
-}
-
 flow_explanation packet_director::Explain(const flow_key& flow,
                                           const view_freshness& freshness,
                                           time_point now) const {
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -287,7 +287,6 @@
   const target_index index = free_.back();
   free_.pop_back();
   target.cookie_conflict = !by_cookie_.emplace(target.cookie, index).second;
-  conflicts_ += target.cookie_conflict ? 1 : 0;
   targets_[index] = target;
   by_id_[record.id] = index;
   services_indexed_ = false;
@@ -501,7 +500,6 @@
   }
   UnindexAddress(index);
   departed_ -= target.departed ? 1 : 0;
-  conflicts_ -= target.cookie_conflict ? 1 : 0;
   targets_[index].reset();
   free_.push_back(index);
   on_removed_(index);
--- a/src/entryd/departed_sync.cc
+++ b/src/entryd/departed_sync.cc
@@ -106,12 +106,6 @@
   return cached_answer_;
 }
 
-bool departed_sync::Known(time_point now) const {
-  return departed_.Complete(now) || answers_ >= kMaxAnswers ||
-         (unanswered_ == 0 && !PullInProgress() &&
-          peers_.HistorySource(asked_) == 0);
-}
-
 bool departed_sync::PullInProgress() const {
   return client_ != nullptr && client_->busy();
 }
--- a/src/entryd/departed_sync.h
+++ b/src/entryd/departed_sync.h
@@ -41,9 +41,6 @@
   // Returns the message for a peer, deflated.
   const std::string& Answer(time_point now);
 
-  // Whether peers have said what they know, as far as there are any.
-  bool Known(time_point now) const;
-
   std::size_t size() const { return departed_.size(); }
 
  private:
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -36,8 +36,7 @@
           {"changed_revision", components.sync.changed().revision},
           {"view_age_ms", ToMillis(components.sync.age())},
           {"store_away", components.sync.store_unavailable()},
-          {"departed_targets", components.directory.departed()},
-          {"unknown_cookies", components.unknown.size()}};
+          {"departed_targets", components.directory.departed()}};
 }
 
 json TargetDocument(const entry_components& components,
@@ -91,8 +90,6 @@
   for (const rule_count& count : explanation.targets) {
     answer["targets"][count.rule] = count.targets;
   }
-  answer["unknown_cookie"] = components.director.UnknownCookieRule(
-      explanation.route, components.unknown.trusted());
   answer["followed"] = explanation.tracked == nullptr
                            ? json(nullptr)
                            : TrackedFlowDocument(*explanation.tracked, now);
--- a/src/entryd/entry_documents.h
+++ b/src/entryd/entry_documents.h
@@ -8,7 +8,6 @@
 #include "entryd/store_sync.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/packet_director.h"
-#include "rosemaryreach/unknown_cookies.h"
 
 namespace rosemaryreach {
 
@@ -21,7 +20,6 @@
   const flow_tracker& tracker;
   const target_picker& picker;
   const packet_director& director;
-  const unknown_cookies& unknown;
 };
 
 // Returns the version and age of the view, the state of the store and the
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -137,14 +137,7 @@
            [this] { return sync_.peers().size() + 1; },
            [this](std::uint32_t cookie) { return sync_.peers().Owns(cookie); }},
           seed),
-      director_(directory_,
-                tracker_,
-                reachability_,
-                picker_,
-                guard_,
-                {[this](std::uint32_t cookie, time_point now) {
-                  return IsDeadCookie(cookie, now);
-                }}),
+      director_(directory_, tracker_, reachability_, picker_, guard_),
       packet_forwarder_(
           loop_,
           settings.packet_endpoint,
@@ -312,29 +305,6 @@
   change_lines_left_ = kMaxChangeLines;
 }
 
-bool entry_instance::IsDeadCookie(std::uint32_t cookie, time_point now) {
-  UpdateUnknownCookies(now);
-  return unknown_cookies_.IsDead(cookie, now);
-}
-
-void entry_instance::UpdateUnknownCookies(time_point now) {
-  view_state view;
-  view.complete = directory_.complete();
-  view.store_unavailable = sync_.store_unavailable();
-  view.entries_may_be_missing = directory_.EntriesMayBeMissing(now);
-  view.holds_items = directory_.held_items() > 0;
-  view.cookies_conflict = directory_.cookies_conflict();
-  view.settled = !refreshing_after_pause_;
-  view.departed_known = sync_.departed().Known(now);
-  view.confirmed_at = sync_.synced_at();
-  const bool trusted_before = unknown_cookies_.trusted();
-  unknown_cookies_.Update(view, now);
-  if (unknown_cookies_.trusted() && !trusted_before) {
-    LogLifecycle("unknown_cookies_reset",
-                 "the view has listed all live targets long enough");
-  }
-}
-
 void entry_instance::StartForwarding(const char* reason) {
   if (!packet_forwarder_.receiving()) {
     packet_forwarder_.StartReceiving();
@@ -445,7 +415,6 @@
   tracker_.CheckOpenTimeouts(now);
   suspect_prober_.Tick();
   sync_.Tick();
-  UpdateUnknownCookies(now);
   UpdateReachability(now);
   ConfirmReachability();
   FinishStopWhenDue(now);
@@ -459,14 +428,13 @@
   change_lines_left_ = kMaxChangeLines;
   sync_.LogPeers();
   tracker_.Sweep(BootTimeNow());
-  unknown_cookies_.Tick(settings_.bounds.flow_lifetime, BootTimeNow());
   log_.LogSkippedLines();
   CheckSettingsFile();
 }
 
 entry_components entry_instance::Components() const {
-  return {settings_, options_.build, sync_,     directory_,
-          tracker_,  picker_,        director_, unknown_cookies_};
+  return {settings_, options_.build, sync_,    directory_,
+          tracker_,  picker_,        director_};
 }
 
 }  // namespace rosemaryreach
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -22,7 +22,6 @@
 #include "rosemaryreach/packet_director.h"
 #include "rosemaryreach/stop_schedule.h"
 #include "rosemaryreach/suspicion_accuracy.h"
-#include "rosemaryreach/unknown_cookies.h"
 
 namespace rosemaryreach {
 
@@ -72,8 +71,6 @@
   void OnViewChanged(const view_change& change);
   void OnTargetsDeparted(std::span<const departed_target> targets);
   // Returns whether no live target can have this unknown cookie.
-  bool IsDeadCookie(std::uint32_t cookie, time_point now);
-  void UpdateUnknownCookies(time_point now);
   void OnDirectoryChange(const directory_change& change);
   void OnTargetUnreachable(target_index target);
   void OnTargetReached(target_index target);
@@ -105,7 +102,6 @@
   suspect_prober suspect_prober_;
   target_picker picker_;
   overload_guard guard_;
-  unknown_cookies unknown_cookies_;
   packet_director director_;
   packet_forwarder packet_forwarder_;
   admin_server admin_;
--- a/src/entryd/entry_instance_log.cc
+++ b/src/entryd/entry_instance_log.cc
@@ -81,8 +81,6 @@
   metrics_.unprobed_targets.Set(unprobed);
   metrics_.departed_targets.Set(
       static_cast<std::int64_t>(directory_.departed()));
-  metrics_.unknown_cookies.Set(
-      static_cast<std::int64_t>(unknown_cookies_.size()));
   metrics_.peers.Set(static_cast<std::int64_t>(sync_.peers().size()));
   metrics_.flows.Set(static_cast<std::int64_t>(tracker_.size()));
   return registry_->PrometheusText();
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -67,9 +67,6 @@
       departed_targets(
           registry.Gauge({"rosemaryreach_entry_departed_targets",
                           "Targets that left before this instance started."})),
-      unknown_cookies(registry.Gauge(
-          {"rosemaryreach_entry_unknown_cookies",
-           "Cookies of no known target, seen within the life of a flow."})),
       peers(registry.Gauge(
           {"rosemaryreach_entry_peers", "Other instances that are heard of."})),
       flows(registry.Gauge(
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -46,7 +46,6 @@
   gauge& unreachable_targets;
   gauge& unprobed_targets;  // unreachable, and not probed any more
   gauge& departed_targets;  // that left before this instance knew them
-  gauge& unknown_cookies;   // seen in packets lately
   gauge& peers;
   gauge& flows;
   // From the first packet of a flow to the caller's next one.
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -69,7 +69,6 @@
   // started; nothing without a view or while the bandwidth budget is used up.
   std::optional<std::string> DepartedTargets();
 
-  const departed_sync& departed() const { return departed_; }
   const peer_group& peers() const { return peers_; }
   time_point synced_at() const { return read_scheduler_.synced_at(); }
   duration age() const { return BootTimeNow() - read_scheduler_.synced_at(); }
