Let whichever target has an address reset the flows that it lacks

An instance reset the flows of a target when another one was listed at its address with a later start. Which of the two lives it took from their clocks and from the order of entries; target_directory_test even asserted that a live target with a slow clock counts as replaced until the dead one's entry has lapsed, so that its flows were reset for that time.

Now packets of open flows to an address that another listed target states are forwarded with the prefix that addresses any target. The one that has the address serves the flows that it holds and resets the others itself, so a live target keeps its flows whatever the clocks and entries say, and callers of one that ended still learn of it.

With this no instance resets an open flow. TookAddressOf(), the evidence of resets, their line and their metric are gone; the director has one decision on open flows, and packet_verdict::kReset is for first packets alone.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -20,32 +20,18 @@
 
 enum class packet_verdict : std::uint8_t {
   kForward,
-  kReset,  // the caller learns of the failure at once
+  kReset,  // only first packets: the caller learns of the refusal at once
   kDrop,   // silently; the caller retransmits
 };
 
-// What an instance knows of the target of an open flow when it resets the
-// flow.
-struct reset_evidence {
-  target_listing listing = target_listing::kListed;
-  bool draining = false;
-  duration listing_age{};           // since the listing changed
-  const char* suspect_reason = "";  // of the last suspicion
-  std::uint32_t failed_probes = 0;  // in a row
-  probe_outcome last_probe = probe_outcome::kNone;
-  std::optional<duration> probe_age;    // since the last probe, if any
-  std::optional<duration> reached_age;  // since it was last reached, if ever
-  // Since the last packet of the flow at this instance; empty if the instance
-  // does not track it.
-  std::optional<duration> idle;
-};
-
 struct packet_decision {
   packet_verdict verdict = packet_verdict::kDrop;
   target_index target = kNoTarget;
   std::uint32_t cookie = 0;  // to write into the packet; 0 keeps its cookie
   const char* rule = "";
-  std::optional<reset_evidence> evidence{};  // on the reset of an open flow
+  // Whichever target has the address takes the packet, and resets a flow that
+  // it doesn't hold.
+  bool any_target = false;
 };
 
 // Which decisions the age of the view of the store permits.
@@ -87,11 +73,6 @@
                            const view_freshness& freshness,
                            time_point now) const;
 
-  // Returns what is known of `target`, to which `flow` belongs.
-  reset_evidence EvidenceOn(const flow_key& flow,
-                            target_index target,
-                            time_point now) const;
-
  private:
   packet_decision HandleFirstPacket(const flow_packet& packet,
                                     const view_freshness& freshness,
@@ -106,23 +87,16 @@
                                       const pick_result& none,
                                       time_point now) const;
   packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
-  // Whether the packet asks for an answer to a request that may be retried.
-  bool MayResetOpenFlow(const flow_packet& packet) const;
-  // Returns whether requests to `address` may be retried on another target.
-  bool IsRetryable(const ipv4_endpoint& address) const;
   packet_decision ExplainOpening(const flow_explanation& explanation,
                                  const view_freshness& freshness,
                                  time_point now) const;
-  packet_decision ExplainData(const flow_state& flow,
-                              const flow_key& key) const;
   // Returns the decision if a first packet must be refused before a target is
   // picked; otherwise nothing.
   std::optional<packet_decision> RefuseOpening(
       const entry_route* route,
       const view_freshness& freshness) const;
-  // Whether the flow of the packet is reset, since another target has taken
-  // over the address of its target.
-  bool IsReplaced(const flow_packet& packet, target_index target) const;
+  // Returns the decision on a packet of an open flow at `target`.
+  packet_decision ForwardOpenFlow(target_index target) const;
   packet_decision ForwardTo(target_index target, const char* rule) const;
 
   const target_directory& directory_;
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -50,9 +50,9 @@
   // An older target has the same cookie, so this one gets no flows.
   bool cookie_conflict = false;
   time_point added{};  // the same for all targets of one batch of changes
-  // Another target has taken over the address, so flows to this one are dead.
-  bool address_reused = false;
-  std::string replaced_by;  // id of that target
+  // The store lists another target at the address. Only the target that has the
+  // address knows which flows it holds.
+  bool address_shared = false;
   // It left before this instance knew it.
   bool departed = false;
 };
@@ -91,9 +91,8 @@
              time_point now);
 
   // Adds a target that left `age` ago, before this instance knew it. It gets no
-  // new flows; packets of its flows go to it as to any target that is gone. It
-  // counts as older than the listed ones, so that one of them at its address
-  // with a later start time has replaced it. Ignored if it is known or listed.
+  // new flows; packets of its flows go to it as to any target that is gone.
+  // Ignored if it is known or listed.
   void ApplyDeparted(const target_record& record, duration age, time_point now);
 
   // Marks missing targets as gone after kEntryReturnGrace and removes gone ones
@@ -158,12 +157,9 @@
   void ApplyHeld(time_point now);
   void IndexAddress(target_index index);
   void UnindexAddress(target_index index);
-  // Finds out which targets at `address` were replaced by another one there.
-  void UpdateReplaced(const ipv4_endpoint& address);
-  const known_target* FindReplacement(const known_target& target) const;
-  // Whether the configuration names the service. An entry of any other service
-  // comes from another writer and says nothing about the address in it.
-  bool NamesService(const std::string& name) const;
+  // Finds out which targets share `address` with another listed one.
+  void UpdateShared(const ipv4_endpoint& address);
+  const known_target* FindOtherAt(const known_target& target) const;
   void Remove(target_index index);
   void IndexServices() const;
 
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -8,7 +8,7 @@
 constexpr duration kLateCopyTime = std::chrono::seconds(2);
 
 constexpr const char* kUnknownCookieRule = "unknown_cookie";
-constexpr const char* kReplacedRule = "target_replaced";
+constexpr const char* kSharedAddressRule = "address_shared";
 constexpr const char* kOverloadRule = "over_capacity";
 
 // Returns the service of a new flow by the weights of the route. All
@@ -132,38 +132,14 @@
   if (target == kNoTarget) {
     return {packet_verdict::kDrop, kNoTarget, 0, kUnknownCookieRule};
   }
-  if (IsReplaced(packet, target)) {
-    const reset_evidence evidence = EvidenceOn(packet.flow, target, now);
-    tracker_.Drop(packet.flow);
-    return {packet_verdict::kReset, target, 0, kReplacedRule, evidence};
-  }
   tracker_.OnPacket(packet, target, now);
-  return {packet_verdict::kForward, target, 0, "cookie"};
+  return ForwardOpenFlow(target);
 }
 
-reset_evidence packet_director::EvidenceOn(const flow_key& flow,
-                                           target_index target,
-                                           time_point now) const {
-  const known_target& known = *directory_.Find(target);
-  const target_status& status = tracker_.StatusOf(target);
-  const auto age = [now](time_point when) {
-    return when == time_point{} ? std::nullopt
-                                : std::optional<duration>(now - when);
-  };
-  reset_evidence evidence;
-  evidence.listing = known.listing;
-  evidence.draining = known.record.state == target_state::kDraining;
-  evidence.listing_age = now - known.listing_changed;
-  evidence.suspect_reason = status.suspect_reason;
-  evidence.failed_probes = status.failed_probes;
-  evidence.last_probe = status.last_probe;
-  evidence.probe_age = age(status.last_probed);
-  evidence.reached_age = age(status.last_reached);
-  const flow_state* tracked = tracker_.Find(flow);
-  if (tracked != nullptr) {
-    evidence.idle = now - tracked->last_packet;
-  }
-  return evidence;
+packet_decision packet_director::ForwardOpenFlow(target_index target) const {
+  const bool shared = directory_.Find(target)->address_shared;
+  return {packet_verdict::kForward, target, 0,
+          shared ? kSharedAddressRule : "cookie", shared};
 }
 
 flow_explanation packet_director::Explain(const flow_key& flow,
@@ -178,23 +154,11 @@
   }
   const bool open = explanation.tracked != nullptr &&
                     explanation.tracked->phase != flow_phase::kOpening;
-  explanation.next = open ? ExplainData(*explanation.tracked, flow)
+  explanation.next = open ? ForwardOpenFlow(explanation.tracked->target)
                           : ExplainOpening(explanation, freshness, now);
   return explanation;
 }
 
-packet_decision packet_director::ExplainData(const flow_state& flow,
-                                             const flow_key& key) const {
-  flow_packet data;
-  data.flow = key;
-  data.data_bytes = 1;
-  return IsReplaced(data, flow.target)
-             ? packet_decision{packet_verdict::kReset, flow.target, 0,
-                               kReplacedRule}
-             : packet_decision{packet_verdict::kForward, flow.target, 0,
-                               "cookie"};
-}
-
 packet_decision packet_director::ExplainOpening(
     const flow_explanation& explanation,
     const view_freshness& freshness,
@@ -222,23 +186,6 @@
   return RefuseWithoutTarget(flow_packet{}, *explanation.route, none, now);
 }
 
-// A reset lets the caller retry at once but fails a request that must not be
-// retried, so flows with such requests are not reset.
-bool packet_director::IsReplaced(const flow_packet& packet,
-                                 target_index target) const {
-  return directory_.Find(target)->address_reused && MayResetOpenFlow(packet);
-}
-
-bool packet_director::MayResetOpenFlow(const flow_packet& packet) const {
-  return packet.data_bytes > 0 && !packet.resets &&
-         IsRetryable(packet.flow.destination);
-}
-
-bool packet_director::IsRetryable(const ipv4_endpoint& address) const {
-  const entry_route* route = directory_.FindRoute(address);
-  return route != nullptr && route->kind != request_kind::kNonIdempotent;
-}
-
 packet_decision packet_director::ForwardTo(target_index target,
                                            const char* rule) const {
   return {packet_verdict::kForward, target, directory_.Find(target)->cookie,
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <compare>
 #include <utility>
 
 namespace rosemaryreach {
@@ -33,25 +32,6 @@
          record.data_centre;
 }
 
-// Whether `later` is known to have taken over the address of `earlier`. Start
-// times come from the targets' clocks, which may step, and a restored store
-// lists dead targets again. So both the start times and the order in which this
-// instance learned of the two count; if they disagree, neither is replaced,
-// since a reset cuts the flows of a live target while flows to a dead one only
-// wait.
-bool TookAddressOf(const known_target& later, const known_target& earlier) {
-  const std::strong_ordering started =
-      later.record.incarnation <=> earlier.record.incarnation;
-  const std::strong_ordering learned = later.added <=> earlier.added;
-  const bool only_earlier_listed = earlier.listing == target_listing::kListed &&
-                                   later.listing != target_listing::kListed;
-  // A target that started again under its id gets the packets of its former
-  // flows and resets those that it doesn't hold itself; it may hold some that
-  // it accepted before its new entry was read.
-  return later.record.id != earlier.record.id && started >= 0 && learned >= 0 &&
-         (started > 0 || learned > 0) && !only_earlier_listed;
-}
-
 std::string DescribeColdRates(const entry_config& config) {
   std::string text;
   for (const entry_service& service : config.services) {
@@ -193,9 +173,6 @@
     report_({"configuration", "values_ignored", config.ignored});
   }
   config_ = config;
-  for (const auto& [address, targets] : by_address_) {
-    UpdateReplaced(address);
-  }
 }
 
 void target_directory::ApplyTarget(const target_record& record,
@@ -259,8 +236,6 @@
   known_target& target = *targets_[added];
   target.listing = target_listing::kGone;
   target.listing_changed = now - age;
-  // Listed targets were learned of later, whichever answer came first.
-  target.added = time_point{};
   target.departed = true;
   ++departed_;
   report_({record.id, "target_departed",
@@ -308,7 +283,7 @@
   if (record.address != target.record.address) {
     const target_index index = by_id_.at(record.id);
     UnindexAddress(index);
-    target.record.address = record.address;
+    UpdateShared(std::exchange(target.record.address, record.address));
     IndexAddress(index);
   }
   target.record = record;
@@ -401,13 +376,13 @@
   report_({target.record.id, kOutcomes.at(static_cast<std::size_t>(listing)),
            reason});
   services_indexed_ = false;
-  UpdateReplaced(target.record.address);
+  UpdateShared(target.record.address);
 }
 
 void target_directory::IndexAddress(target_index index) {
   const ipv4_endpoint& address = targets_[index]->record.address;
   by_address_[address].push_back(index);
-  UpdateReplaced(address);
+  UpdateShared(address);
 }
 
 void target_directory::UnindexAddress(target_index index) {
@@ -418,51 +393,36 @@
   }
 }
 
-void target_directory::UpdateReplaced(const ipv4_endpoint& address) {
+void target_directory::UpdateShared(const ipv4_endpoint& address) {
   const auto known = by_address_.find(address);
   if (known == by_address_.end()) {
     return;
   }
   for (const target_index index : known->second) {
     known_target& target = *targets_[index];
-    const known_target* replacement = FindReplacement(target);
-    const bool reused = replacement != nullptr;
-    target.replaced_by = reused ? replacement->record.id : "";
-    if (reused != std::exchange(target.address_reused, reused)) {
-      report_(
-          {target.record.id, reused ? "address_reused" : "address_kept",
-           FormatIpv4Endpoint(address) +
-               (reused
-                    ? " is that of " + replacement->record.id + ", started " +
-                          std::to_string(replacement->record.incarnation -
-                                         target.record.incarnation) +
-                          " ms later"
-                    : " is no other target's any more")});
+    const known_target* other = FindOtherAt(target);
+    const bool shared = other != nullptr;
+    if (shared != std::exchange(target.address_shared, shared)) {
+      report_({target.record.id, shared ? "address_shared" : "address_its_own",
+               FormatIpv4Endpoint(address) +
+                   (shared ? " is that of " + other->record.id + ", too"
+                           : " is no other listed target's any more")});
     }
   }
 }
 
-const known_target* target_directory::FindReplacement(
+const known_target* target_directory::FindOtherAt(
     const known_target& target) const {
   for (const target_index index : by_address_.at(target.record.address)) {
     const known_target& other = *targets_[index];
-    if (TookAddressOf(other, target) && NamesService(other.record.service)) {
+    if (other.listing == target_listing::kListed &&
+        other.record.id != target.record.id) {
       return &other;
     }
   }
   return nullptr;
 }
 
-bool target_directory::NamesService(const std::string& name) const {
-  const auto names = [&name](const entry_route& route) {
-    return std::any_of(
-        route.services.begin(), route.services.end(),
-        [&name](const weighted_service& one) { return one.service == name; });
-  };
-  return FindService(name) != nullptr ||
-         std::any_of(config_.routes.begin(), config_.routes.end(), names);
-}
-
 void target_directory::Tick(bool store_unavailable, time_point now) {
   if (store_unavailable_ && !store_unavailable) {
     entries_due_ = now + kEntryReturnGrace;
--- a/src/entryd/entry_log.cc
+++ b/src/entryd/entry_log.cc
@@ -14,16 +14,6 @@
   lines = std::min(burst, lines + elapsed.count() * per_second);
 }
 
-bool entry_log::ShouldLogReset(time_point now) {
-  reset_lines_.Refill(kResetLinesPerSecond, kResetLineBurst, now);
-  if (reset_lines_.lines < 1) {
-    ++skipped_;
-    return false;
-  }
-  reset_lines_.lines -= 1;
-  return true;
-}
-
 bool entry_log::ShouldLogFlow(bool unusual, time_point now) {
   if (!unusual && placements_++ % kPlacementSampleInterval != 0) {
     return false;
--- a/src/entryd/entry_log.h
+++ b/src/entryd/entry_log.h
@@ -16,9 +16,6 @@
 // counted.
 inline constexpr double kFlowLinesPerSecond = 40;
 inline constexpr double kFlowLineBurst = 120;
-// The same for resets of open flows, which have a limit of their own.
-inline constexpr double kResetLinesPerSecond = 20;
-inline constexpr double kResetLineBurst = 60;
 // One in this many ordinary placements is logged.
 inline constexpr std::uint32_t kPlacementSampleInterval = 16;
 
@@ -39,9 +36,6 @@
   // the rate limit if so. Half of the burst is reserved for unusual decisions.
   bool ShouldLogFlow(bool unusual, time_point now);
 
-  // The same for the reset of an open flow.
-  bool ShouldLogReset(time_point now);
-
   void LogFlow(std::span<const log_field> fields) {
     sink_.WriteEvent(log_level::kInfo, "flow", fields);
   }
@@ -60,7 +54,6 @@
 
   log_sink& sink_;
   allowance flow_lines_{kFlowLineBurst};
-  allowance reset_lines_{kResetLineBurst};
   std::uint32_t placements_ = 0;
   std::uint64_t skipped_ = 0;
 };
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -87,19 +87,6 @@
                    rule);
 }
 
-counter& entry_metrics::OpenFlowResets(const char* rule, const char* state) {
-  counter*& found = open_flow_resets_[{rule, state}];
-  if (found == nullptr) {
-    const std::array<metric_label, 2> labels = {metric_label{"rule", rule},
-                                                metric_label{"state", state}};
-    found = &registry_.Counter({"rosemaryreach_entry_open_flow_resets_total",
-                                "Open flows reset, by rule and by what the "
-                                "store says of their target.",
-                                labels});
-  }
-  return *found;
-}
-
 counter& entry_metrics::OpeningResets(const char* rule, std::uint32_t copy) {
   const std::uint32_t bounded = std::min(copy, kLastCopy);
   counter*& found = opening_resets_[{rule, bounded}];
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -17,9 +17,6 @@
 
   // Returns the counter of packets decided by `rule`.
   counter& Packets(const char* rule);
-  // Returns the counter of open flows reset by `rule`, whose target is `state`:
-  // "listed", "draining", "missing" or "gone".
-  counter& OpenFlowResets(const char* rule, const char* state);
   // Returns the counter of first packets that `rule` answered with a reset. A
   // later `copy` (0 to 2) is sent since the earlier ones went unanswered; the
   // flow may have opened meanwhile.
@@ -61,7 +58,6 @@
                      const char* value);
 
   metrics_registry& registry_;
-  std::map<std::pair<const char*, const char*>, counter*> open_flow_resets_;
   std::map<std::pair<const char*, std::uint32_t>, counter*> opening_resets_;
   std::map<const char*, counter*> packets_;
   std::map<const char*, counter*> store_calls_;
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -18,16 +18,6 @@
 
 constexpr std::array<const char*, 3> kOutcomes = {"forwarded", "reset",
                                                   "dropped"};
-constexpr std::array<const char*, 4> kProbeOutcomes = {"none", "no_answer",
-                                                       "refused", "reached"};
-constexpr std::array<const char*, 3> kListings = {"listed", "missing", "gone"};
-
-const char* TargetStateName(const reset_evidence& evidence) {
-  return evidence.draining && evidence.listing != target_listing::kGone
-             ? "draining"
-             : kListings.at(static_cast<std::size_t>(evidence.listing));
-}
-
 }  // namespace
 
 packet_forwarder::packet_forwarder(
@@ -121,7 +111,8 @@
     WriteCookie(bytes, decision.cookie);
   }
   const std::span<std::uint8_t> prefix = send_batch_->NextHeader();
-  WriteTargetPrefix(prefix, target.record.wire_id);
+  WriteTargetPrefix(prefix,
+                    decision.any_target ? kAnyTarget : target.record.wire_id);
   send_batch_->Add(kTargetPrefixBytes, bytes,
                    ToEndpoint(target.record.address));
 }
@@ -138,14 +129,6 @@
                               const packet_decision& decision,
                               time_point now) {
   metrics_.Packets(decision.rule).Add();
-  if (decision.evidence) {
-    metrics_.OpenFlowResets(decision.rule, TargetStateName(*decision.evidence))
-        .Add();
-  }
-  if (decision.verdict == packet_verdict::kReset && !packet.opens) {
-    LogOpenFlowReset(packet, decision, now);
-    return;
-  }
   if (decision.verdict == packet_verdict::kReset) {
     metrics_.OpeningResets(decision.rule, packet.retransmit_count).Add();
   }
@@ -176,40 +159,4 @@
   log_.LogFlow(fields);
 }
 
-void packet_forwarder::LogOpenFlowReset(const flow_packet& packet,
-                                        const packet_decision& decision,
-                                        time_point now) {
-  if (!log_.ShouldLogReset(now)) {
-    return;
-  }
-  const std::string flow = FormatFlow(packet.flow);
-  const known_target* target = directory_.Find(decision.target);
-  const auto age = [](const std::optional<duration>& value) {
-    return value ? ToMillis(*value) : std::int64_t{-1};
-  };
-  std::vector<log_field> fields = {
-      log_field{"flow", flow},
-      log_field{"target",
-                target == nullptr ? std::string_view() : target->record.id},
-      log_field{"rule", decision.rule}, log_field{"outcome", "reset"},
-      log_field{"cookie", static_cast<std::int64_t>(packet.cookie)}};
-  if (decision.evidence) {
-    const reset_evidence& evidence = *decision.evidence;
-    fields.insert(
-        fields.end(),
-        {log_field{"state", TargetStateName(evidence)},
-         log_field{"state_ms", ToMillis(evidence.listing_age)},
-         log_field{"doubt", evidence.suspect_reason},
-         log_field{"failed_probes", evidence.failed_probes},
-         log_field{"last_probe", kProbeOutcomes.at(static_cast<std::size_t>(
-                                     evidence.last_probe))},
-         log_field{"probe_ms", age(evidence.probe_age)},
-         log_field{"reached_ms", age(evidence.reached_age)},
-         log_field{"idle_ms", age(evidence.idle)},
-         log_field{"replaced_by",
-                   target == nullptr ? "" : target->replaced_by}});
-  }
-  log_.LogFlow(fields);
-}
-
 }  // namespace rosemaryreach
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -57,9 +57,6 @@
              time_point now);
   void Forward(std::span<std::uint8_t> bytes, const packet_decision& decision);
   void Reset(const flow_packet& packet);
-  void LogOpenFlowReset(const flow_packet& packet,
-                        const packet_decision& decision,
-                        time_point now);
   void Log(const flow_packet& packet,
            const packet_decision& decision,
            time_point now);
