Follow a target that starts again with its clock behind

A target that started again under its id while its clock was behind stated an earlier start, and instances that knew the former one ignored its entry (older_incarnation_ignored), for as long as it lived. Instances that started later knew only the present start and gave its flows its cookie. When routers moved such a flow to one of the others, its cookie was unknown there: reset before, dropped until the caller's timeout since.

The order of the store counts now, not that of clocks: items reach the directory in the order of their revisions. In the entries of a restored store, which are older than what is known, an earlier start is held like other contradictions. Which of two departed starts was the last also follows from when they left.

--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -170,7 +170,7 @@
   std::map<ipv4_endpoint, std::size_t> routes_;
   std::set<std::string> evacuated_;
   std::vector<std::optional<known_target>> targets_;
-  std::map<std::string, target_index> by_id_;  // newest incarnation
+  std::map<std::string, target_index> by_id_;  // latest start
   std::map<std::uint32_t, target_index> by_cookie_;
   std::map<ipv4_endpoint, std::vector<target_index>> by_address_;
   std::vector<target_index> free_;
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -142,8 +142,9 @@
   const known_target& before = *targets_[known->second];
   const bool undrains = before.record.state == target_state::kDraining &&
                         target->record.state == target_state::kActive;
-  return before.record.incarnation == target->record.incarnation &&
-         (undrains || before.listing != target_listing::kListed);
+  return target->record.incarnation < before.record.incarnation ||
+         (target->record.incarnation == before.record.incarnation &&
+          (undrains || before.listing != target_listing::kListed));
 }
 
 void target_directory::ApplyHeld(time_point now) {
@@ -184,10 +185,6 @@
       Update(target, record, now);
       return;
     }
-    if (target.record.incarnation > record.incarnation) {
-      report_({record.id, "older_incarnation_ignored", ""});
-      return;
-    }
     SetListing(target, target_listing::kGone, "started again", now);
   }
   const target_index same = FindIncarnation(record);
@@ -227,7 +224,7 @@
   const bool has_newer =
       newest != by_id_.end() &&
       (targets_[newest->second]->listing != target_listing::kGone ||
-       targets_[newest->second]->record.incarnation > record.incarnation);
+       targets_[newest->second]->listing_changed > now - age);
   const target_index kept = has_newer ? newest->second : kNoTarget;
   const target_index added = Add(record, now);
   if (has_newer) {
