Answer no copy of a first packet with a reset

A first packet and its copies may be handled by different instances, or by one that lacks processor time in the same instant. The refusal of a copy (over_capacity, no_target, no_route) was a reset, although an earlier packet may have opened the flow meanwhile; and a copy that waited in the same socket as its first packet counted as the silence of a target that had had 1 ms: the target became suspected and the copy went to another one, or was reset if there was none.

A copy that must be refused is now dropped, and one that comes within kOpenAnswerTimeout of the forwarded packet goes to the same target.

--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -21,10 +21,9 @@
 inline constexpr duration kOpenAnswerTimeout = std::chrono::milliseconds(60);
 
 // Callers send a first packet up to three times: copies follow after 200 and
-// 600 ms, and the attempt ends after 1.4 s.
+// 600 ms.
 inline constexpr std::size_t kMaxTriedTargets = 3;
 inline constexpr std::uint32_t kLastCopy = 2;
-inline constexpr duration kAttemptTime = std::chrono::milliseconds(1'400);
 
 // Callers send any packet again this long after it stays unanswered; routers
 // may then have chosen another instance.
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -20,7 +20,7 @@
 
 enum class packet_verdict : std::uint8_t {
   kForward,
-  kReset,  // only first packets: the caller learns of the refusal at once
+  kReset,  // a first packet, not a copy: the caller learns of it at once
   kDrop,   // silently; the caller retransmits
 };
 
@@ -81,11 +81,14 @@
                                const entry_route& route,
                                time_point now);
   // Refuses a first packet that no target can get. It is dropped instead if a
-  // later one of the request is likely to reach another instance.
-  packet_decision RefuseWithoutTarget(const flow_packet& packet,
-                                      const entry_route& route,
-                                      const pick_result& none,
+  // copy is likely to reach another instance.
+  packet_decision RefuseWithoutTarget(const pick_result& none,
                                       time_point now) const;
+  // Returns the refusal of a first packet. A copy is dropped instead of reset:
+  // an earlier packet of its flow, sent here or to another instance, may have
+  // opened the flow.
+  packet_decision Refuse(const flow_packet& packet,
+                         packet_decision refusal) const;
   packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
   packet_decision ExplainOpening(const flow_explanation& explanation,
                                  const view_freshness& freshness,
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -56,14 +56,18 @@
   const std::optional<packet_decision> refused =
       RefuseOpening(route, freshness);
   if (refused) {
-    return *refused;
+    return Refuse(packet, *refused);
   }
   const flow_state* known = tracker_.Find(packet.flow);
-  if (known != nullptr && known->phase != flow_phase::kOpening) {
-    if (now - known->phase_began < kLateCopyTime) {
+  if (known != nullptr) {
+    const duration age = now - known->phase_began;
+    if (known->phase != flow_phase::kOpening && age >= kLateCopyTime) {
+      tracker_.Drop(packet.flow);
+    } else if (known->phase != flow_phase::kOpening) {
       return ForwardTo(known->target, "late_copy");
+    } else if (age < kOpenAnswerTimeout) {
+      return ForwardTo(known->target, "early_copy");
     }
-    tracker_.Drop(packet.flow);
   }
   const std::string& service = ServiceFor(*route, packet.flow);
   if (packet.retransmit_count == 0) {
@@ -74,7 +78,8 @@
     const service_load_estimate load = picker_.EstimateLoad(service, now);
     guard_.OnLoad(service, load);
     if (guard_.Refuses(service, *route, load, now)) {
-      return {packet_verdict::kReset, kNoTarget, 0, kOverloadRule};
+      return Refuse(packet,
+                    {packet_verdict::kReset, kNoTarget, 0, kOverloadRule});
     }
   }
   return AssignTarget(packet, *route, now);
@@ -105,27 +110,33 @@
   const pick_result chosen =
       picker_.Pick(ServiceFor(route, packet.flow), tried, now);
   if (chosen.target == kNoTarget) {
+    const packet_decision refused =
+        Refuse(packet, RefuseWithoutTarget(chosen, now));
     tracker_.Drop(packet.flow);
-    return RefuseWithoutTarget(packet, route, chosen, now);
+    return refused;
   }
   tracker_.Open(packet.flow, chosen.target, now);
   return ForwardTo(chosen.target, chosen.rule);
 }
 
-packet_decision packet_director::RefuseWithoutTarget(const flow_packet& packet,
-                                                     const entry_route& route,
-                                                     const pick_result& none,
+packet_decision packet_director::RefuseWithoutTarget(const pick_result& none,
                                                      time_point now) const {
-  // After the last copy the next attempt starts when this one ends, unless the
-  // request has timed out by then; a reset has it start at once.
-  const bool sent_again =
-      packet.retransmit_count < kLastCopy || route.timeout > kAttemptTime;
-  if (none.unreachable && sent_again && reachability_.CallersAreMoving(now)) {
+  if (none.unreachable && reachability_.CallersAreMoving(now)) {
     return {packet_verdict::kDrop, kNoTarget, 0, "callers_moving"};
   }
   return {packet_verdict::kReset, kNoTarget, 0, none.rule};
 }
 
+packet_decision packet_director::Refuse(const flow_packet& packet,
+                                        packet_decision refusal) const {
+  const bool may_be_open =
+      packet.retransmit_count > 0 || tracker_.Find(packet.flow) != nullptr;
+  if (may_be_open) {
+    refusal.verdict = packet_verdict::kDrop;
+  }
+  return refusal;
+}
+
 packet_decision packet_director::HandleOpenFlow(const flow_packet& packet,
                                                 time_point now) {
   const target_index target = directory_.FindCookie(packet.cookie);
@@ -183,7 +194,7 @@
   pick_result none;
   none.rule = best.rule;
   none.unreachable = best.unreachable;
-  return RefuseWithoutTarget(flow_packet{}, *explanation.route, none, now);
+  return RefuseWithoutTarget(none, now);
 }
 
 packet_decision packet_director::ForwardTo(target_index target,
--- a/tests/packet_director_test.cc
+++ b/tests/packet_director_test.cc
@@ -69,6 +69,46 @@
   CHECK(third != first);
 }
 
+// Both wait in the socket of an instance that lacks processor time.
+TEST_CASE("A copy that comes with its first packet goes to the same target") {
+  entry_fixture fixture;
+  fixture.Add(Target("l1", 1));
+  const target_index target =
+      fixture.Direct(FirstPacket(Flow(1)), At(0)).target;
+  fixture.Add(Target("l2", 2));
+  const packet_decision copy = fixture.Direct(FirstPacket(Flow(1), 1), At(1));
+  CHECK(copy.verdict == packet_verdict::kForward);
+  CHECK(copy.target == target);
+  CHECK(fixture.suspected.empty());
+}
+
+// Another instance may have forwarded the first packet, and the flow be open.
+TEST_CASE("A copy of a first packet is not answered with a reset") {
+  const bool known = GENERATE(false, true);
+  const std::string change =
+      GENERATE(as<std::string>(), "no_route", "no_target", "unreachable");
+  CAPTURE(known, change);
+  entry_fixture fixture;
+  const target_index target = fixture.Add(Target("l1", 1));
+  const flow_key flow = Flow(
+      1, change == "no_route" ? ipv4_endpoint{0xC6120009, 443} : kWatchAddress);
+  if (known) {
+    fixture.Direct(FirstPacket(flow), At(0));
+  }
+  if (change == "no_target") {
+    fixture.Evacuate("dc-a", true, At(10));
+  } else if (change == "unreachable") {
+    fixture.MakeUnreachable(target, At(10));
+  }
+  for (const std::uint32_t copy : {1, 2}) {
+    CHECK(fixture.Direct(FirstPacket(flow, copy), At(copy * 200)).verdict !=
+          packet_verdict::kReset);
+  }
+  CHECK(
+      fixture.Direct(FirstPacket(Flow(2, flow.destination)), At(500)).verdict ==
+      packet_verdict::kReset);
+}
+
 TEST_CASE("A late first packet goes to the target of the open flow") {
   entry_fixture fixture;
   fixture.Add(Target("l1", 1));
