State how the last probe of a target ended

The line on a reset named it; that line is gone with the resets, and whether a target refuses probes or leaves them unanswered is what tells a full target from a cut. /v1/targets and explanations have it now as last_probe.

--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -15,6 +15,12 @@
   return kNames.at(static_cast<std::size_t>(listing));
 }
 
+const char* NameOf(probe_outcome outcome) {
+  static constexpr std::array<const char*, 4> kNames = {"none", "no_answer",
+                                                        "refused", "reached"};
+  return kNames.at(static_cast<std::size_t>(outcome));
+}
+
 const char* NameOf(flow_phase phase) {
   static constexpr std::array<const char*, 3> kNames = {"opening", "open",
                                                         "running"};
@@ -57,6 +63,7 @@
           {"doubted", status.suspected},
           {"last_doubt", status.suspect_reason},
           {"failed_probes", status.failed_probes},
+          {"last_probe", NameOf(status.last_probe)},
           {"last_probe_ms", status.last_probed == time_point{}
                                 ? json(nullptr)
                                 : json(ToMillis(now - status.last_probed))},
--- a/tests/entry_explain_test.cc
+++ b/tests/entry_explain_test.cc
@@ -179,6 +179,7 @@
       {{"event", "flows_at_lost_target"}, {"target", id}, {"flows", flow.id}}));
   const nlohmann::json explanation = fixture.Explain(flow.key);
   CHECK(explanation.at("targets").at("targets_unreachable") == 1);
+  CHECK(explanation.at("target").at("last_probe") == "refused");
   CHECK(fixture.Metrics().find("rosemaryreach_entry_stalled_total 1") !=
         std::string::npos);
 }
