Let no odd or restored entry move a target that is known

Found by review and by tests of the pure modules, in the directory: - Packets of a listed target's flows were addressed to any target as soon as another one stated its address. An entry that misstates an address could so have another target reset them. Now only those of a target whose own entry is missing or gone are. - An entry without a start time counted as an earlier start since and replaced a live target; one of another service moved a target's address. The first is ignored, the second counts as the loss of the entry. - After a restore, an earlier start was held, a later one taken at once, though the copy may list a dead start with the later clock; now any other start is held. Its cookie is known meanwhile, since newcomers may open flows at it. - Which of two targets has a cookie that both have depended on the order of learning, so that two instances sent the packets of one flow to different targets; now it is the one with the earlier start. Once it is forgotten, the cookie passes on to the other one.

--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -47,12 +47,13 @@
   bool lapse_excused = false;
   time_point draining_since{};  // when this instance learned of it
   time_point cold_until{};
-  // An older target has the same cookie, so this one gets no flows.
+  // A target with an earlier start has the same cookie, so this one gets no
+  // flows.
   bool cookie_conflict = false;
   time_point added{};  // the same for all targets of one batch of changes
-  // The store lists another target at the address. Only the target that has the
-  // address knows which flows it holds.
-  bool address_shared = false;
+  // Its entry is missing or gone, and the store lists another target at the
+  // address. Only the target that has the address knows which flows it holds.
+  bool address_taken = false;
   // It left before this instance knew it.
   bool departed = false;
 };
@@ -154,13 +155,20 @@
   // Whether an item of a restored store would make a target or a data centre
   // usable that is known not to be.
   bool ContradictsKnown(const decoded_item& decoded) const;
+  void Hold(const changed_item& changed, time_point now);
   void ApplyHeld(time_point now);
   void IndexAddress(target_index index);
   void UnindexAddress(target_index index);
-  // Finds out which targets share `address` with another listed one.
-  void UpdateShared(const ipv4_endpoint& address);
+  // Finds out which unlisted targets at `address` another one may have
+  // replaced.
+  void UpdateTaken(const ipv4_endpoint& address);
   const known_target* FindOtherAt(const known_target& target) const;
   void Remove(target_index index);
+  // Gives the cookie of a target to that with the earliest start of all that
+  // have it, which is the same one on every instance.
+  void OwnCookie(target_index index);
+  // The same for the remaining targets once the owner is removed.
+  void PassCookieOn(std::uint32_t cookie);
   void IndexServices() const;
 
   duration retention_;
@@ -174,7 +182,8 @@
   std::map<std::uint32_t, target_index> by_cookie_;
   std::map<ipv4_endpoint, std::vector<target_index>> by_address_;
   std::vector<target_index> free_;
-  std::size_t departed_ = 0;  // targets that are `departed`
+  std::size_t departed_ = 0;   // targets that are `departed`
+  std::size_t conflicts_ = 0;  // targets with `cookie_conflict`
   // Rebuilt lazily after changes, since a batch may change all targets.
   mutable std::map<std::string, std::vector<target_index>> by_service_;
   mutable bool services_indexed_ = false;
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -8,7 +8,7 @@
 constexpr duration kLateCopyTime = std::chrono::seconds(2);
 
 constexpr const char* kUnknownCookieRule = "unknown_cookie";
-constexpr const char* kSharedAddressRule = "address_shared";
+constexpr const char* kTakenAddressRule = "address_taken";
 constexpr const char* kOverloadRule = "over_capacity";
 
 // Returns the service of a new flow by the weights of the route. All
@@ -148,9 +148,9 @@
 }
 
 packet_decision packet_director::ForwardOpenFlow(target_index target) const {
-  const bool shared = directory_.Find(target)->address_shared;
+  const bool taken = directory_.Find(target)->address_taken;
   return {packet_verdict::kForward, target, 0,
-          shared ? kSharedAddressRule : "cookie", shared};
+          taken ? kTakenAddressRule : "cookie", taken};
 }
 
 flow_explanation packet_director::Explain(const flow_key& flow,
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace rosemaryreach {
@@ -106,8 +107,7 @@
     if (change.era && removed != nullptr) {
       ApplyRestoredWithout(removed->id, now);
     } else if (change.era && ContradictsKnown(changed.decoded)) {
-      held_[changed.item.key] = changed;
-      report_({changed.item.key, "held", "the restored store contradicts it"});
+      Hold(changed, now);
     } else {
       Apply(changed.item, changed.decoded, now);
     }
@@ -142,9 +142,18 @@
   const known_target& before = *targets_[known->second];
   const bool undrains = before.record.state == target_state::kDraining &&
                         target->record.state == target_state::kActive;
-  return target->record.incarnation < before.record.incarnation ||
-         (target->record.incarnation == before.record.incarnation &&
-          (undrains || before.listing != target_listing::kListed));
+  return target->record.incarnation != before.record.incarnation || undrains ||
+         before.listing != target_listing::kListed;
+}
+
+void target_directory::Hold(const changed_item& changed, time_point now) {
+  held_[changed.item.key] = changed;
+  report_({changed.item.key, "held", "the restored store contradicts it"});
+  // Instances that know nothing but the restored store may open flows at it.
+  const target_item* target = std::get_if<target_item>(&changed.decoded);
+  if (target != nullptr) {
+    ApplyDeparted(target->record, duration::zero(), now);
+  }
 }
 
 void target_directory::ApplyHeld(time_point now) {
@@ -182,7 +191,15 @@
   if (known != by_id_.end()) {
     known_target& target = *targets_[known->second];
     if (target.record.incarnation == record.incarnation) {
-      Update(target, record, now);
+      if (record.service == target.record.service) {
+        Update(target, record, now);
+      } else {
+        ApplyRemoval(record.id, "entry of another service", now);
+      }
+      return;
+    }
+    if (record.incarnation == 0) {
+      report_({record.id, "entry_without_start_ignored", ""});
       return;
     }
     SetListing(target, target_listing::kGone, "started again", now);
@@ -258,8 +275,8 @@
   }
   const target_index index = free_.back();
   free_.pop_back();
-  target.cookie_conflict = !by_cookie_.emplace(target.cookie, index).second;
   targets_[index] = target;
+  OwnCookie(index);
   by_id_[record.id] = index;
   services_indexed_ = false;
   return index;
@@ -280,7 +297,7 @@
   if (record.address != target.record.address) {
     const target_index index = by_id_.at(record.id);
     UnindexAddress(index);
-    UpdateShared(std::exchange(target.record.address, record.address));
+    UpdateTaken(std::exchange(target.record.address, record.address));
     IndexAddress(index);
   }
   target.record = record;
@@ -373,13 +390,13 @@
   report_({target.record.id, kOutcomes.at(static_cast<std::size_t>(listing)),
            reason});
   services_indexed_ = false;
-  UpdateShared(target.record.address);
+  UpdateTaken(target.record.address);
 }
 
 void target_directory::IndexAddress(target_index index) {
   const ipv4_endpoint& address = targets_[index]->record.address;
   by_address_[address].push_back(index);
-  UpdateShared(address);
+  UpdateTaken(address);
 }
 
 void target_directory::UnindexAddress(target_index index) {
@@ -390,20 +407,22 @@
   }
 }
 
-void target_directory::UpdateShared(const ipv4_endpoint& address) {
+void target_directory::UpdateTaken(const ipv4_endpoint& address) {
   const auto known = by_address_.find(address);
   if (known == by_address_.end()) {
     return;
   }
   for (const target_index index : known->second) {
     known_target& target = *targets_[index];
-    const known_target* other = FindOtherAt(target);
-    const bool shared = other != nullptr;
-    if (shared != std::exchange(target.address_shared, shared)) {
-      report_({target.record.id, shared ? "address_shared" : "address_its_own",
+    const known_target* other = target.listing == target_listing::kListed
+                                    ? nullptr
+                                    : FindOtherAt(target);
+    const bool taken = other != nullptr;
+    if (taken != std::exchange(target.address_taken, taken)) {
+      report_({target.record.id, taken ? "address_taken" : "address_free",
                FormatIpv4Endpoint(address) +
-                   (shared ? " is that of " + other->record.id + ", too"
-                           : " is no other listed target's any more")});
+                   (taken ? " is that of " + other->record.id
+                          : " is no other listed target's")});
     }
   }
 }
@@ -451,18 +470,56 @@
   if (id != by_id_.end() && id->second == index) {
     by_id_.erase(id);
   }
-  const auto cookie = by_cookie_.find(target.cookie);
-  if (cookie != by_cookie_.end() && cookie->second == index) {
-    by_cookie_.erase(cookie);
-  }
+  const std::uint32_t cookie = target.cookie;
+  const bool owned = FindCookie(cookie) == index;
   UnindexAddress(index);
   departed_ -= target.departed ? 1 : 0;
+  conflicts_ -= target.cookie_conflict ? 1 : 0;
   targets_[index].reset();
+  if (owned) {
+    by_cookie_.erase(cookie);
+    PassCookieOn(cookie);
+  }
   free_.push_back(index);
   on_removed_(index);
   services_indexed_ = false;
 }
 
+void target_directory::OwnCookie(target_index index) {
+  known_target& target = *targets_[index];
+  const auto [owner, added] = by_cookie_.emplace(target.cookie, index);
+  if (added) {
+    return;
+  }
+  known_target& other = *targets_[owner->second];
+  const auto start = [](const known_target& one) {
+    return std::tie(one.record.incarnation, one.record.id);
+  };
+  const bool earlier = start(target) < start(other);
+  if (earlier) {
+    owner->second = index;
+  }
+  (earlier ? other : target).cookie_conflict = true;
+  ++conflicts_;
+}
+
+void target_directory::PassCookieOn(std::uint32_t cookie) {
+  if (conflicts_ == 0) {
+    return;
+  }
+  for (target_index i = 0; i < targets_.size(); ++i) {
+    if (targets_[i] && targets_[i]->cookie == cookie) {
+      targets_[i]->cookie_conflict = false;
+      --conflicts_;
+    }
+  }
+  for (target_index i = 0; i < targets_.size(); ++i) {
+    if (targets_[i] && targets_[i]->cookie == cookie) {
+      OwnCookie(i);
+    }
+  }
+}
+
 void target_directory::IndexServices() const {
   services_indexed_ = true;
   by_service_.clear();
--- a/src/entryd/entry_documents.cc
+++ b/src/entryd/entry_documents.cc
@@ -51,6 +51,7 @@
   const known_target& target = *components.directory.Find(index);
   const target_status& status = components.tracker.StatusOf(index);
   return {{"id", target.record.id},
+          {"cookie", target.cookie},
           {"service", target.record.service},
           {"address", FormatIpv4Endpoint(target.record.address)},
           {"data_centre", target.record.data_centre},
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -1,10 +1,6 @@
 #include "entryd/entry_metrics.h"
 
-#include <algorithm>
 #include <array>
-#include <string>
-
-#include "rosemaryreach/flow_tracker.h"
 
 namespace rosemaryreach {
 namespace {
@@ -87,19 +83,11 @@
                    rule);
 }
 
-counter& entry_metrics::OpeningResets(const char* rule, std::uint32_t copy) {
-  const std::uint32_t bounded = std::min(copy, kLastCopy);
-  counter*& found = opening_resets_[{rule, bounded}];
-  if (found == nullptr) {
-    const std::string number = std::to_string(bounded);
-    const std::array<metric_label, 2> labels = {metric_label{"rule", rule},
-                                                metric_label{"copy", number}};
-    found = &registry_.Counter({"rosemaryreach_entry_opening_resets_total",
-                                "First packets answered with a reset, by rule "
-                                "and by how often they were sent before.",
-                                labels});
-  }
-  return *found;
+counter& entry_metrics::OpeningResets(const char* rule) {
+  return FindOrAdd(opening_resets_, "rosemaryreach_entry_opening_resets_total",
+                   "First packets answered with a reset, by the rule that "
+                   "decided.",
+                   "rule", rule);
 }
 
 gauge& entry_metrics::Build(const std::string& build) {
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 
 #include "rosemaryreach/metrics.h"
 
@@ -17,10 +16,8 @@
 
   // Returns the counter of packets decided by `rule`.
   counter& Packets(const char* rule);
-  // Returns the counter of first packets that `rule` answered with a reset. A
-  // later `copy` (0 to 2) is sent since the earlier ones went unanswered; the
-  // flow may have opened meanwhile.
-  counter& OpeningResets(const char* rule, std::uint32_t copy);
+  // Returns the counter of first packets that `rule` answered with a reset.
+  counter& OpeningResets(const char* rule);
   // Returns the gauge that names this build in its label.
   gauge& Build(const std::string& build);
   // Returns the counter of store calls that ended with `outcome`.
@@ -58,7 +55,7 @@
                      const char* value);
 
   metrics_registry& registry_;
-  std::map<std::pair<const char*, std::uint32_t>, counter*> opening_resets_;
+  std::map<const char*, counter*> opening_resets_;
   std::map<const char*, counter*> packets_;
   std::map<const char*, counter*> store_calls_;
 };
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -130,7 +130,7 @@
                               time_point now) {
   metrics_.Packets(decision.rule).Add();
   if (decision.verdict == packet_verdict::kReset) {
-    metrics_.OpeningResets(decision.rule, packet.retransmit_count).Add();
+    metrics_.OpeningResets(decision.rule).Add();
   }
   Log(packet, decision, now);
 }
@@ -152,7 +152,9 @@
       log_field{"rule", decision.rule},
       log_field{"outcome",
                 kOutcomes.at(static_cast<std::size_t>(decision.verdict))},
-      log_field{"cookie", static_cast<std::int64_t>(packet.cookie)},
+      log_field{"cookie", static_cast<std::int64_t>(decision.cookie == 0
+                                                        ? packet.cookie
+                                                        : decision.cookie)},
       log_field{"copy", static_cast<std::int64_t>(packet.retransmit_count)},
       log_field{"configuration",
                 static_cast<std::int64_t>(directory_.config().version)}};
