Count each reset that reaches a flow which a live target holds

The soak counted the reset of an open flow only if the flow had had an answer before, as the target was named by the last answer: bookings and files, of one request each, and watches before their first answer were never checked. Callers also gave a flow up with the first request that timed out, so that no reset after a cut or a slow target could reach them.

The testbed now looks at each reset that a caller receives, of whichever packet, also for flows that the caller has given up, and counts it if a live target holds the flow at that time (or has answered its first packet, and the caller counts it as open). It names the flow, the target and the sender. Only the flows of dead targets are excused. In the soak, callers go on with a request for 3 s after it has timed out. The former check stays beside it.

--- a/tests/standins/entry_caller.h
+++ b/tests/standins/entry_caller.h
@@ -100,6 +100,7 @@
 };
 
 // One flow of a caller: sends `requests` one by one with pauses, then closes.
+// An open flow whose request has timed out sends it for `patience` more.
 class entry_flow {
  public:
   using report_hook = std::function<void(const call_report&)>;
@@ -110,6 +111,7 @@
              flow_key key,
              std::vector<std::string> requests,
              duration pause,
+             duration patience,
              report_hook report)
       : loop_(loop),
         fabric_(fabric),
@@ -117,6 +119,7 @@
         key_(key),
         requests_(std::move(requests)),
         pause_(pause),
+        patience_(patience),
         report_(std::move(report)),
         timer_(loop, [this] { OnTimer(); }) {
     deadline_ = loop_.now() + kCallTimeout;
@@ -124,10 +127,16 @@
   }
 
   bool finished() const { return finished_; }
+  // The sender of the answer that opened the flow, while it is open.
+  std::optional<endpoint> open_at() const {
+    return finished_ ? std::nullopt : open_at_;
+  }
   const flow_key& key() const { return key_; }
   const std::string& target() const { return target_; }
 
-  void OnPacket(const wire_packet& packet, std::string_view data) {
+  void OnPacket(const wire_packet& packet,
+                std::string_view data,
+                const endpoint& from) {
     if (finished_) {
       return;
     }
@@ -139,6 +148,7 @@
     if ((packet.flags & kWireSyn) != 0) {
       if (!opened_) {
         opened_ = true;
+        open_at_ = from;
         next_expected_ = packet.sequence + 1;
         ++sequence_;
         SendNextRequest();
@@ -165,6 +175,7 @@
 
   void SendNextRequest() {
     awaiting_answer_ = true;
+    timed_out_ = false;
     deadline_ = loop_.now() + kCallTimeout;
     SendRequest();
   }
@@ -180,8 +191,10 @@
     target_ =
         separator == std::string::npos ? "" : answer.substr(separator + 4);
     const bool matches = answer.substr(0, separator) == request;
-    report_({matches ? call_outcome::kAnswered : call_outcome::kMismatched,
-             request, target_, true});
+    if (!matches || !timed_out_) {
+      report_({matches ? call_outcome::kAnswered : call_outcome::kMismatched,
+               request, target_, true});
+    }
     sequence_ += static_cast<std::uint32_t>(request.size());
     awaiting_answer_ = false;
     if (++request_index_ == requests_.size()) {
@@ -197,6 +210,10 @@
   void OnTimer() {
     if (opened_ && !awaiting_answer_) {
       SendNextRequest();
+    } else if (opened_ && loop_.now() >= deadline_ &&
+               loop_.now() < deadline_ + patience_) {
+      ReportTimeout();
+      SendRequest();
     } else if (loop_.now() >= deadline_ || (!opened_ && syns_sent_ >= 3)) {
       Finish(call_outcome::kTimeout);
     } else if (opened_) {
@@ -206,10 +223,20 @@
     }
   }
 
+  void ReportTimeout() {
+    if (!timed_out_) {
+      timed_out_ = true;
+      report_({call_outcome::kTimeout, requests_.at(request_index_), target_,
+               opened_});
+    }
+  }
+
   void Finish(call_outcome outcome) {
     finished_ = true;
     timer_.Stop();
-    report_({outcome, requests_.at(request_index_), target_, opened_});
+    if (!timed_out_) {
+      report_({outcome, requests_.at(request_index_), target_, opened_});
+    }
   }
 
   void Send(std::uint8_t flags,
@@ -236,6 +263,7 @@
   flow_key key_;
   std::vector<std::string> requests_;
   duration pause_;
+  duration patience_;
   report_hook report_;
   loop_timer timer_;
   time_point deadline_{};
@@ -246,23 +274,36 @@
   std::uint32_t next_expected_ = 0;
   std::size_t request_index_ = 0;
   bool opened_ = false;
+  std::optional<endpoint> open_at_;
   bool awaiting_answer_ = false;
+  bool timed_out_ = false;  // the present request, as reported
   bool finished_ = false;
 };
 
 // A caller with one address and its flows.
 class entry_caller {
  public:
+  // Called for each reset, also of flows that have ended, with entry_flow's
+  // open_at() and the sender of the reset.
+  using reset_hook = std::function<void(const ipv4_endpoint& caller,
+                                        const std::optional<endpoint>& open_at,
+                                        const endpoint& from)>;
+
   entry_caller(event_loop& loop,
                const entry_fabric& fabric,
-               const endpoint& address)
+               const endpoint& address,
+               reset_hook on_reset)
       : loop_(loop),
         fabric_(fabric),
         address_(ToIpv4Endpoint(address)),
+        on_reset_(std::move(on_reset)),
         socket_(udp_socket::Bind(address, port_sharing::kExclusive, 1'048'576)
                     .value()),
         watch_(loop, socket_.fd(), io_event::kRead, [this] { OnPackets(); }) {}
 
+  // Sets for how long later flows go on with a request that has timed out.
+  void SetPatience(duration patience) { patience_ = patience; }
+
   flow_key Open(const ipv4_endpoint& destination,
                 std::vector<std::string> requests,
                 duration pause,
@@ -272,7 +313,7 @@
     const flow_key key{{address_.address, ++next_port_}, destination};
     flows_[next_port_] = std::make_unique<entry_flow>(
         loop_, fabric_, socket_.fd(), key, std::move(requests), pause,
-        std::move(report));
+        patience_, std::move(report));
     return key;
   }
 
@@ -293,8 +334,14 @@
       }
       const wire_packet packet = DecodeWirePacket(bytes);
       const auto flow = flows_.find(packet.to_port);
+      if ((packet.flags & kWireRst) != 0) {
+        on_reset_({packet.to_address, packet.to_port},
+                  flow == flows_.end() ? std::nullopt : flow->second->open_at(),
+                  entry.from);
+      }
       if (flow != flows_.end()) {
-        flow->second->OnPacket(packet, bytes.substr(kPacketHeaderBytes));
+        flow->second->OnPacket(packet, bytes.substr(kPacketHeaderBytes),
+                               entry.from);
       }
     }
   }
@@ -302,6 +349,8 @@
   event_loop& loop_;
   const entry_fabric& fabric_;
   ipv4_endpoint address_;
+  reset_hook on_reset_;
+  duration patience_{};
   udp_socket socket_;
   descriptor_watch watch_;
   receive_batch received_;
--- a/tests/standins/entry_target.h
+++ b/tests/standins/entry_target.h
@@ -142,6 +142,10 @@
     const auto known = flows_.find({caller.address, caller.port});
     return known != flows_.end() && known->second.open;
   }
+  // Whether the target has answered the first packet of a flow.
+  bool Accepted(const ipv4_endpoint& caller) const {
+    return flows_.contains({caller.address, caller.port});
+  }
   time_point draining_since() const { return draining_since_; }
 
  private:
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -55,7 +55,11 @@
     fabric_ = std::make_unique<entry_fabric>(loop, fabric);
     for (std::size_t i = 0; i < callers; ++i) {
       callers_.push_back(std::make_unique<entry_caller>(
-          loop, *fabric_, endpoint{UniqueLoopbackAddress(), kPacketPort}));
+          loop, *fabric_, endpoint{UniqueLoopbackAddress(), kPacketPort},
+          [this](const ipv4_endpoint& caller,
+                 const std::optional<endpoint>& open_at, const endpoint& from) {
+            OnResetPacket(caller, open_at, from);
+          }));
     }
   }
 
@@ -169,6 +173,13 @@
     }
   }
 
+  // Has callers keep open flows in use for some time after a timeout.
+  void KeepFlowsAfterTimeouts() {
+    for (const std::unique_ptr<entry_caller>& caller : callers_) {
+      caller->SetPatience(kPatience);
+    }
+  }
+
   // Opens a random flow: a watch with 10 requests, a booking or a file; one in
   // kToggledRouteShare goes to the address of the route "spare".
   void OpenFlow() {
@@ -282,6 +293,7 @@
   static constexpr duration kDrainBound = std::chrono::seconds(3);
   static constexpr duration kEvacuationBound = std::chrono::seconds(5);
   static constexpr duration kConfigBound = std::chrono::seconds(3);
+  static constexpr duration kPatience = std::chrono::seconds(3);
   static constexpr int kMaxStrayedPackets = 3;
   static constexpr std::uint64_t kToggledRouteShare = 15;
   static constexpr duration kRecoveryTime = std::chrono::seconds(4);
@@ -373,6 +385,25 @@
     }
   }
 
+  // No fault explains a reset that reaches a flow that a live target holds,
+  // whoever sent it and whichever packet it answers. A target resets no flow
+  // that it holds.
+  void OnResetPacket(const ipv4_endpoint& caller,
+                     const std::optional<endpoint>& open_at,
+                     const endpoint& from) {
+    for (const auto& [id, target] : targets_) {
+      const bool open =
+          target->Holds(caller) ||
+          (open_at == target->options().address && target->Accepted(caller));
+      if (open && !target->silent() && reset_flows_.insert(caller).second) {
+        AddViolation("flow of " + FormatEndpoint(ToEndpoint(caller)) +
+                     (target->Holds(caller) ? " held" : " accepted") +
+                     " by live target " + id + " was reset by " +
+                     FormatEndpoint(from));
+      }
+    }
+  }
+
   void OnCall(const call_report& report) {
     switch (report.outcome) {
       case call_outcome::kAnswered:
@@ -418,6 +449,7 @@
   std::map<std::string, time_point> evacuated_;
   std::set<std::string> booked_requests_;
   std::map<ipv4_endpoint, int> strayed_packets_;
+  std::set<ipv4_endpoint> reset_flows_;
   std::vector<std::string> violations_;
   call_counts counts_;
   bool faults_active_ = false;
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -49,6 +49,7 @@
         fault_timer_(loop_, [this] { InjectNextFault(); }),
         restart_timer_(loop_, [this] { RestartEndedProcesses(); }) {
     testbed_.SetCheckTimeBounds(options.check_time_bounds);
+    testbed_.KeepFlowsAfterTimeouts();
     proxy_ = std::make_unique<tcp_proxy>(loop_, testbed_.ProxyAddress(),
                                          testbed_.StoreAddress());
     testbed_.PublishConfiguration();
