Let entries of targets that lingered run out of a restored store

After a restore the stand-in store deleted entries of targets that had ended, but kept those of targets that live on without an entry. Entries that nobody renews run out after three heartbeats.

The check of new flows at draining targets is as it was.

--- a/tests/standins/entry_target.h
+++ b/tests/standins/entry_target.h
@@ -76,12 +76,14 @@
 
   // Deletes the entry in the store, as a target does when it leaves.
   void Deregister() {
+    registered_ = false;
     heartbeat_timer_.Stop();
     store_.Delete("servers/" + options_.id);
   }
 
   // Writes the entry, at once and with each heartbeat.
   void Renew() {
+    registered_ = true;
     Register();
     heartbeat_timer_.StartEvery(options_.heartbeat);
   }
@@ -134,6 +136,7 @@
   }
 
   bool full() const { return full_; }
+  bool registered() const { return registered_; }  // false without an entry
   const entry_target_options& options() const { return options_; }
   bool draining() const { return draining_; }
   bool silent() const { return silent_; }
@@ -326,6 +329,7 @@
   bool full_ = false;
   std::map<caller_endpoint, flow> flows_;
   std::uint64_t heartbeats_ = 0;
+  bool registered_ = false;
   bool draining_ = false;
   bool silent_ = false;
   bool hold_answers_ = false;
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -309,9 +309,10 @@
         store_->Delete(key);
       }
     }
-    // Entries of targets that have ended are not renewed, so they run out.
+    // Entries that no target renews run out.
     for (const std::string& key : store_->Keys("servers/")) {
-      if (!targets_.contains(key.substr(key.find('/') + 1))) {
+      const auto target = targets_.find(key.substr(key.find('/') + 1));
+      if (target == targets_.end() || !target->second->registered()) {
         store_->Delete(key);
       }
     }
