--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -355,8 +355,9 @@
   fault DrawFlowFault() {
     const std::string id = RandomTarget().options().id;
     using begin_hook = duration (soak::*)(const std::string&);
-    static constexpr std::array<std::pair<const char*, begin_hook>, 5> kFaults =
-        {{{"target lingers", &soak::Linger},
+    static constexpr std::array<std::pair<const char*, begin_hook>, 6> kFaults =
+        {{{"roll", &soak::Roll},
+          {"target lingers", &soak::Linger},
           {"target cut off", &soak::CutOff},
           {"entry lapse", &soak::Lapse},
           {"foreign entries", &soak::WriteForeignEntries},
@@ -366,6 +367,26 @@
             [] {}};
   }
 
+  // Stops several instances one after the other, each before the last one has
+  // ended, among a series of configurations and reloads.
+  duration Roll(const std::string&) {
+    const std::size_t first = Draw(processes_.size());
+    for (int i = 0; i < kRolledProcesses; ++i) {
+      const std::size_t index = first + static_cast<std::size_t>(i);
+      entry_process& rolled = *processes_[index % processes_.size()];
+      entry_process& other = RandomProcess();
+      RunAfter(i * kRollPause, [&rolled] { rolled.Signal(SIGTERM); });
+      RunAfter(i * kRollPause + kRollPause / 2, [&rolled, &other] {
+        rolled.Signal(SIGHUP);
+        other.Signal(SIGHUP);
+      });
+    }
+    for (int i = 0; i < kStormConfigurations; ++i) {
+      RunAfter(i * kStormPause, [this] { testbed_.PublishConfiguration(); });
+    }
+    return kRolledProcesses * kRollPause;
+  }
+
   // Drains the target and deletes its entry; it serves its flows until later.
   duration Linger(const std::string& id) {
     entry_target& target = *testbed_.targets().at(id);
@@ -569,6 +590,10 @@
   static constexpr int kSurgeFactor = 8;
   static constexpr std::uint64_t kIdleFlowShare = 4;
   static constexpr duration kIdleTime = seconds(8);
+  static constexpr int kRolledProcesses = 4;
+  static constexpr duration kRollPause = milliseconds(1'200);
+  static constexpr int kStormConfigurations = 20;
+  static constexpr duration kStormPause = milliseconds(190);
 
   soak_options options_;
   std::mt19937_64 random_;
@@ -620,9 +645,8 @@
       {"planned", 0, POPT_ARG_NONE, &planned_only, 0,
        "planned faults only, which must fail no call", nullptr},
       {"flows", 0, POPT_ARG_NONE, &flow_faults, 0,
-       "also idle flows, targets that linger or are cut off, lapsed and "
-       "foreign "
-       "entries, addresses reused",
+       "also idle flows, rolls in a storm of configurations, targets that "
+       "linger or are cut off, lapsed and foreign entries, addresses reused",
        nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext context = poptGetContext("soak", argc, argv, table.data(), 0);
