--- a/include/rosemaryreach/flow_tracker.h
+++ b/include/rosemaryreach/flow_tracker.h
@@ -122,7 +122,7 @@
   // Returns the flows assigned to a target.
   std::vector<flow_key> FlowsAt(target_index target) const;
 
-  // Stops tracking a flow, for example after a reset.
+  // Stops tracking a flow.
   void Drop(const flow_key& key);
 
   // Stops tracking flows that have been idle too long for their phase.
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -4,7 +4,6 @@
 #define ROSEMARYREACH_PACKET_DIRECTOR_H_
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
-#include <vector>
 
 #include "packet_header.h"
 
