--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -69,7 +69,8 @@
   std::string id;
   // Numeric form of the id; datagrams to this target start with it.
   std::uint64_t wire_id = 0;
-  // Distinguishes restarts under the same id; later ones are higher.
+  // Tells starts under the same id apart; 0 if the entry states none. A target
+  // whose clock is behind may state a lower one than before.
   std::uint64_t incarnation = 0;
   std::string service;
   ipv4_endpoint address;
--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -19,7 +19,7 @@
 
 enum class packet_verdict : std::uint8_t {
   kForward,
-  kReset,  // a first packet, not a copy: the caller learns of it at once
+  kReset,  // refuses a first packet that is no copy; its caller learns at once
   kDrop,   // silently; the caller retransmits
 };
 
@@ -79,6 +79,10 @@
   packet_decision HandleFirstPacket(const flow_packet& packet,
                                     const view_freshness& freshness,
                                     time_point now);
+  // Forwards a copy of a first packet to the target of its flow if that is
+  // open, or had no time to answer; nothing for other first packets.
+  std::optional<packet_decision> ForwardCopy(const flow_packet& packet,
+                                             time_point now);
   packet_decision AssignTarget(const flow_packet& packet,
                                const entry_route& route,
                                const view_freshness& freshness,
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -58,21 +58,9 @@
   if (refused) {
     return Refuse(packet, *refused, freshness);
   }
-  const flow_state* known = tracker_.Find(packet.flow);
-  if (known != nullptr) {
-    const duration age = now - known->phase_began;
-    const bool late = known->first_sequence
-                          ? known->first_sequence == packet.sequence
-                          : age < kLateCopyTime;
-    if (known->phase == flow_phase::kOpening) {
-      if (age < kOpenAnswerTimeout) {
-        return ForwardTo(known->target, "early_copy");
-      }
-    } else if (late) {
-      return ForwardTo(known->target, "late_copy");
-    } else {
-      tracker_.Drop(packet.flow);
-    }
+  const std::optional<packet_decision> copy = ForwardCopy(packet, now);
+  if (copy) {
+    return *copy;
   }
   const std::string& service = ServiceFor(*route, packet.flow);
   if (packet.retransmit_count == 0) {
@@ -91,6 +79,30 @@
   return AssignTarget(packet, *route, freshness, now);
 }
 
+std::optional<packet_decision> packet_director::ForwardCopy(
+    const flow_packet& packet,
+    time_point now) {
+  const flow_state* known = tracker_.Find(packet.flow);
+  if (known == nullptr) {
+    return std::nullopt;
+  }
+  const duration age = now - known->phase_began;
+  if (known->phase == flow_phase::kOpening) {
+    return age < kOpenAnswerTimeout
+               ? std::optional(ForwardTo(known->target, "early_copy"))
+               : std::nullopt;
+  }
+  const bool is_copy = known->first_sequence
+                           ? known->first_sequence == packet.sequence
+                           : age < kLateCopyTime;
+  if (is_copy) {
+    return ForwardTo(known->target, "late_copy");
+  }
+  // Another flow of the same caller and port.
+  tracker_.Drop(packet.flow);
+  return std::nullopt;
+}
+
 std::optional<packet_decision> packet_director::RefuseOpening(
     const entry_route* route,
     const view_freshness& freshness) const {
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -70,7 +70,6 @@
   void LogFirstView();
   void OnViewChanged(const view_change& change);
   void OnTargetsDeparted(std::span<const departed_target> targets);
-  // Returns whether no live target can have this unknown cookie.
   void OnDirectoryChange(const directory_change& change);
   void OnTargetUnreachable(target_index target);
   void OnTargetReached(target_index target);
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -17,6 +17,7 @@
 
 constexpr std::array<const char*, 3> kOutcomes = {"forwarded", "reset",
                                                   "dropped"};
+
 }  // namespace
 
 packet_forwarder::packet_forwarder(
