--- a/tests/flow_safety_test.cc
+++ b/tests/flow_safety_test.cc
@@ -80,9 +80,9 @@
 // The properties that a case checks:
 // P1: no packet of an open flow whose target lives is reset.
 // P2: none is forwarded to another target.
-// P3: no first packet is reset whose flow is open, or has reached a live target.
-// P4: none is dropped once the entry of its target's present start was read.
-// P5: copies within kOpenAnswerTimeout go to the target of the first packet.
+// P3: no first packet of a flow is reset that is open, or at a live target.
+// P4: none is dropped once the entry of its target's present start is read.
+// P5: copies within kOpenAnswerTimeout go to the target of the first one.
 struct play_options {
   std::string properties;
   std::vector<event_kind> kinds;
