--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -17,6 +17,9 @@
 
 namespace rosemaryreach {
 
+// Rule of packets of open flows whose target is not known.
+inline constexpr const char* kUnknownCookieRule = "unknown_cookie";
+
 enum class packet_verdict : std::uint8_t {
   kForward,
   kReset,  // refuses a first packet that is no copy; its caller learns at once
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -7,7 +7,6 @@
 // this ago, is a late retransmission.
 constexpr duration kLateCopyTime = std::chrono::seconds(2);
 
-constexpr const char* kUnknownCookieRule = "unknown_cookie";
 constexpr const char* kTakenAddressRule = "address_taken";
 constexpr const char* kOverloadRule = "over_capacity";
 
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -144,6 +144,7 @@
           directory_,
           director_,
           [this] { return CheckFreshness(); },
+          [this](std::uint32_t cookie) { OnUnknownCookie(cookie); },
           log_,
           metrics_),
       admin_(loop_, "", AdminHooks()),
@@ -277,6 +278,11 @@
   taking_first_view_ = first;
   directory_.ApplyBatch(change, now);
   taking_first_view_ = false;
+  for (const changed_item& changed : change.items) {
+    if (const auto* listed = std::get_if<target_item>(&changed.decoded)) {
+      OnTargetLearned(listed->record, now);
+    }
+  }
   if (directory_.complete() && !packet_forwarder_.receiving() &&
       sync_.age() >= kMaxRecentViewAge) {
     // The peers are as stale as an instance after a pause: no flow is opened
@@ -305,10 +311,15 @@
   change_lines_left_ = kMaxChangeLines;
   for (const departed_target& target : targets) {
     directory_.ApplyDeparted(target.record, target.age, now);
+    OnTargetLearned(target.record, now);
   }
   change_lines_left_ = kMaxChangeLines;
 }
 
+void entry_instance::OnUnknownCookie(std::uint32_t cookie) {
+  dropped_cookies_.OnDropped(cookie, BootTimeNow());
+}
+
 void entry_instance::StartForwarding(const char* reason) {
   if (!packet_forwarder_.receiving()) {
     packet_forwarder_.StartReceiving();
--- a/src/entryd/entry_instance.h
+++ b/src/entryd/entry_instance.h
@@ -17,6 +17,7 @@
 #include "entryd/packet_forwarder.h"
 #include "entryd/store_sync.h"
 #include "entryd/suspect_prober.h"
+#include "rosemaryreach/dropped_cookies.h"
 #include "rosemaryreach/entry_types.h"
 #include "rosemaryreach/overload_guard.h"
 #include "rosemaryreach/packet_director.h"
@@ -70,6 +71,9 @@
   void LogFirstView();
   void OnViewChanged(const view_change& change);
   void OnTargetsDeparted(std::span<const departed_target> targets);
+  // Counts and logs a target that packets were dropped for until now.
+  void OnTargetLearned(const target_record& record, time_point now);
+  void OnUnknownCookie(std::uint32_t cookie);
   void OnDirectoryChange(const directory_change& change);
   void OnTargetUnreachable(target_index target);
   void OnTargetReached(target_index target);
@@ -94,6 +98,7 @@
   std::unique_ptr<metrics_registry> registry_;
   entry_metrics metrics_;
   target_directory directory_;
+  dropped_cookies dropped_cookies_;
   flow_tracker tracker_;
   store_sync sync_;
   suspicion_accuracy accuracy_;
--- a/src/entryd/entry_instance_log.cc
+++ b/src/entryd/entry_instance_log.cc
@@ -23,6 +23,20 @@
   log_.LogStateChange("directory", fields);
 }
 
+void entry_instance::OnTargetLearned(const target_record& record,
+                                     time_point now) {
+  const std::optional<duration> dropped = dropped_cookies_.OnLearned(
+      MakeCookie(record.id, record.incarnation), now);
+  if (!dropped) {
+    return;
+  }
+  metrics_.late_targets.Add();
+  const std::array<log_field, 3> fields = {
+      log_field{"subject", record.id}, log_field{"outcome", "learned_late"},
+      log_field{"dropped_for_ms", ToMillis(*dropped)}};
+  log_.LogStateChange("directory", fields);
+}
+
 void entry_instance::LogFirstView() {
   // Active targets by service and data centre.
   std::map<std::pair<std::string, std::string>, std::size_t> counts;
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -17,6 +17,9 @@
 entry_metrics::entry_metrics(metrics_registry& registry)
     : malformed_packets(registry.Counter({"rosemaryreach_entry_malformed_total",
                                           "Datagrams that are no packets."})),
+      late_targets(registry.Counter(
+          {"rosemaryreach_entry_late_targets_total",
+           "Targets learned after packets of their flows were dropped."})),
       stalled_requests(registry.Counter(
           {"rosemaryreach_entry_stalled_total",
            "Requests whose data was sent again without an answer."})),
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -24,6 +24,7 @@
   counter& StoreCalls(const char* outcome);
 
   counter& malformed_packets;
+  counter& late_targets;  // learned after packets of their flows were dropped
   counter& stalled_requests;
   counter& probes;
   counter& deferred_probes;       // for the limit of probes a second
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <string_view>
 
 #include "packet_header.h"
 
@@ -26,6 +27,7 @@
     const target_directory& directory,
     packet_director& director,
     std::function<view_freshness()> check_freshness,
+    unknown_cookie_hook on_unknown_cookie,
     entry_log& log,
     entry_metrics& metrics)
     : loop_(loop),
@@ -33,6 +35,7 @@
       directory_(directory),
       director_(director),
       check_freshness_(std::move(check_freshness)),
+      on_unknown_cookie_(std::move(on_unknown_cookie)),
       log_(log),
       metrics_(metrics),
       last_packet_(BootTimeNow()) {}
@@ -100,6 +103,9 @@
       Reset(packet);
       return;
     case packet_verdict::kDrop:
+      if (std::string_view(decision.rule) == kUnknownCookieRule) {
+        on_unknown_cookie_(packet.cookie);
+      }
       return;
   }
 }
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -3,6 +3,8 @@
 #ifndef ROSEMARYREACH_ENTRYD_PACKET_FORWARDER_H_
 #define ROSEMARYREACH_ENTRYD_PACKET_FORWARDER_H_
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -16,11 +18,16 @@
 
 class packet_forwarder {
  public:
+  // Called with the cookie of each packet that is dropped, as no target with it
+  // is known.
+  using unknown_cookie_hook = std::function<void(std::uint32_t)>;
+
   packet_forwarder(event_loop& loop,
                    const endpoint& address,
                    const target_directory& directory,
                    packet_director& director,
                    std::function<view_freshness()> check_freshness,
+                   unknown_cookie_hook on_unknown_cookie,
                    entry_log& log,
                    entry_metrics& metrics);
 
@@ -66,6 +73,7 @@
   const target_directory& directory_;
   packet_director& director_;
   std::function<view_freshness()> check_freshness_;
+  unknown_cookie_hook on_unknown_cookie_;
   entry_log& log_;
   entry_metrics& metrics_;
   std::optional<udp_socket> socket_;
--- a/tests/packet_forwarder_test.cc
+++ b/tests/packet_forwarder_test.cc
@@ -82,15 +82,18 @@
   udp_socket target = Bind({UniqueLoopbackAddress(), 8'000});
   udp_socket sender = Bind({UniqueLoopbackAddress(), 0});
   receive_batch received;
-  packet_forwarder forwarder{loop,
-                             address,
-                             entry.directory,
-                             entry.director,
-                             [] {
-                               return view_freshness{true, true};
-                             },
-                             log,
-                             metrics};
+  std::vector<std::uint32_t> unknown_cookies;
+  packet_forwarder forwarder{
+      loop,
+      address,
+      entry.directory,
+      entry.director,
+      [] {
+        return view_freshness{true, true};
+      },
+      [this](std::uint32_t cookie) { unknown_cookies.push_back(cookie); },
+      log,
+      metrics};
 };
 
 // Packets that wait since the socket was bound must not be lost or reordered.
@@ -129,6 +132,20 @@
   CHECK(fixture.metrics.OpeningResets("no_target").value() == 0);
 }
 
+TEST_CASE("The cookie of a packet without a known target is passed on") {
+  forwarder_fixture fixture;
+  fixture.Send(kWireAck, kWatchAddress, 1, 10);
+  CHECK(fixture.Handle().size() == 1);
+  CHECK(fixture.unknown_cookies.empty());
+  fixture.entry.Drain(Target("l1", 1), At(1));
+  fixture.entry.Remove("l1", At(2));
+  fixture.entry.directory.Tick(false, At(80'000));
+  fixture.Send(kWireAck, kWatchAddress, 1, 20);
+  CHECK(fixture.Handle().empty());
+  CHECK(fixture.unknown_cookies ==
+        std::vector<std::uint32_t>{MakeCookie("l1", 1)});
+}
+
 TEST_CASE("The line on a dropped packet names its cookie") {
   forwarder_fixture fixture;
   const packet_decision decision{packet_verdict::kDrop, kNoTarget, 0,
