Make resets from refusals of first packets alone

Such a reset counts only if it states a number near the one that the caller has acknowledged, and MakeReset() still wrote that number for any packet that opens nothing.

MakeReset() now takes a flow_refusal, which only a first packet gives, and has no number to state but 0. The test of a reset with the caller's number, which asserted the fault, is replaced by static assertions that no reset can be made from a packet or a flow, and by a property: of all headers only first packets give a refusal, and every reset states 0.

--- a/include/rosemaryreach/flow_packet.h
+++ b/include/rosemaryreach/flow_packet.h
@@ -3,6 +3,7 @@
 #define ROSEMARYREACH_FLOW_PACKET_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "rosemaryreach/types.h"
@@ -61,6 +62,22 @@
   std::uint16_t data_bytes = 0;
 };
 
+// The refusal of a flow that is not open. Resets are made from refusals alone,
+// and only first packets give one, so no packet of an open flow can be answered
+// with a reset.
+class flow_refusal {
+ public:
+  // Returns nothing unless `packet` opens a flow.
+  static std::optional<flow_refusal> Of(const flow_packet& packet);
+
+  const flow_key& flow() const { return flow_; }
+
+ private:
+  explicit flow_refusal(const flow_key& flow) : flow_(flow) {}
+
+  flow_key flow_;
+};
+
 }  // namespace rosemaryreach
 
 #endif  // ROSEMARYREACH_FLOW_PACKET_H_
--- a/src/entry/flow_packet.cc
+++ b/src/entry/flow_packet.cc
@@ -53,4 +53,8 @@
          FormatIpv4Endpoint(key.destination);
 }
 
+std::optional<flow_refusal> flow_refusal::Of(const flow_packet& packet) {
+  return packet.opens ? std::optional(flow_refusal(packet.flow)) : std::nullopt;
+}
+
 }  // namespace rosemaryreach
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -100,7 +100,7 @@
       Forward(bytes, decision);
       return;
     case packet_verdict::kReset:
-      Reset(packet);
+      Refuse(packet);
       return;
     case packet_verdict::kDrop:
       if (std::string_view(decision.rule) == kUnknownCookieRule) {
@@ -123,8 +123,12 @@
                    ToEndpoint(target.record.address));
 }
 
-void packet_forwarder::Reset(const flow_packet& packet) {
-  const packet_header reset = MakeReset(packet);
+void packet_forwarder::Refuse(const flow_packet& packet) {
+  const std::optional<flow_refusal> refusal = flow_refusal::Of(packet);
+  if (!refusal) {
+    return;
+  }
+  const packet_header reset = MakeReset(*refusal);
   const std::span<std::uint8_t> header = send_batch_->NextHeader();
   std::copy(reset.begin(), reset.end(), header.begin());
   const ipv4_endpoint caller = {packet.flow.caller.address, address_.port};
--- a/src/entryd/packet_forwarder.h
+++ b/src/entryd/packet_forwarder.h
@@ -63,7 +63,8 @@
              const packet_decision& decision,
              time_point now);
   void Forward(std::span<std::uint8_t> bytes, const packet_decision& decision);
-  void Reset(const flow_packet& packet);
+  // Resets the flow of a first packet; ignores other packets.
+  void Refuse(const flow_packet& packet);
   void Log(const flow_packet& packet,
            const packet_decision& decision,
            time_point now);
--- a/tests/packet_forwarder_test.cc
+++ b/tests/packet_forwarder_test.cc
@@ -123,6 +123,52 @@
   CHECK(fixture.HandlePrefixes() == std::vector<std::uint64_t>{kAnyTarget});
 }
 
+// Whatever is wrong with the cookie, the configuration or the view.
+TEST_CASE("No packet of an open flow is answered with a reset") {
+  const endpoint caller{UniqueLoopbackAddress(), 7'000};
+  forwarder_fixture fixture;
+  const udp_socket resets = forwarder_fixture::Bind(caller);
+  std::uint32_t sequence = 0;
+  const auto send_all = [&] {
+    for (unsigned flags = 0; flags <= 0xFF; ++flags) {
+      for (const ipv4_endpoint& to :
+           {kWatchAddress, ipv4_endpoint{0xC6120009, 1}}) {
+        for (const std::uint32_t cookie :
+             {std::uint32_t{0}, MakeCookie("l1", 1), MakeCookie("l9", 1)}) {
+          if ((flags & kWireSyn) == 0) {
+            wire_packet packet;
+            packet.flags = static_cast<std::uint8_t>(flags);
+            packet.from_address = ToIpv4Endpoint(caller).address;
+            packet.from_port = 40'001;
+            packet.to_address = to.address;
+            packet.to_port = to.port;
+            packet.cookie = cookie;
+            packet.sequence = ++sequence;
+            SendTo(fixture.sender.fd(), fixture.address,
+                   EncodeWirePacket(packet, {}));
+          }
+        }
+      }
+    }
+    fixture.Handle();
+  };
+  send_all();
+  fixture.entry.Remove("l1", At(10));
+  fixture.entry.directory.Tick(false, At(200'000));
+  send_all();
+  CHECK(fixture.received.Receive(resets.fd()).empty());
+  // The same socket gets the reset of a first packet.
+  wire_packet first;
+  first.flags = kWireSyn;
+  first.from_address = ToIpv4Endpoint(caller).address;
+  first.from_port = 40'001;
+  first.to_address = kWatchAddress.address;
+  first.to_port = kWatchAddress.port;
+  SendTo(fixture.sender.fd(), fixture.address, EncodeWirePacket(first, {}));
+  fixture.Handle();
+  CHECK(fixture.received.Receive(resets.fd()).size() == 1);
+}
+
 TEST_CASE("Resets of first packets are counted by rule") {
   forwarder_fixture fixture;
   const packet_decision decision{packet_verdict::kReset, kNoTarget, 0,
--- a/tests/packet_header_test.cc
+++ b/tests/packet_header_test.cc
@@ -2,8 +2,11 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <string>
+#include <type_traits>
 #include <vector>
 
 namespace rosemaryreach {
@@ -34,17 +37,41 @@
   CHECK(packet.value().sequence == 0x11223344);
 }
 
+packet_header ResetOf(const flow_packet& packet) {
+  return MakeReset(flow_refusal::Of(packet).value());
+}
+
 TEST_CASE("A reset matches the specification") {
-  const packet_header header = MakeReset(ParseFlowPacket(kFirst).value());
+  const packet_header header = ResetOf(ParseFlowPacket(kFirst).value());
   CHECK(std::vector<std::uint8_t>(header.begin(), header.end()) == kReset);
 }
 
-TEST_CASE("A reset of an open flow carries what the caller acknowledged") {
-  std::vector<std::uint8_t> data = kFirst;
-  data[4] = 64;
-  data[28] = 0x55;
-  const packet_header header = MakeReset(ParseFlowPacket(data).value());
-  CHECK(header[24] == 0x55);
+// A reset that an open flow takes states a number near the caller's.
+static_assert(!std::is_invocable_v<decltype(MakeReset), flow_packet>);
+static_assert(!std::is_invocable_v<decltype(MakeReset), flow_key>);
+static_assert(!std::is_constructible_v<flow_refusal, flow_packet>);
+static_assert(!std::is_constructible_v<flow_refusal, flow_key>);
+static_assert(!std::is_default_constructible_v<flow_refusal>);
+
+TEST_CASE("No reset can be made that an open flow takes") {
+  constexpr std::size_t kFlagsAt = 4;
+  constexpr std::size_t kSequenceAt = 24;
+  constexpr std::uint8_t kSyn = 4;
+  CHECK(rc::check([](std::array<std::uint8_t, kPacketHeaderBytes> header) {
+    header[18] = 0;  // no data
+    header[19] = 0;
+    const result<flow_packet> packet = ParseFlowPacket(header);
+    if (!packet) {
+      return;
+    }
+    const bool opens = (header[kFlagsAt] & kSyn) != 0;
+    RC_ASSERT(flow_refusal::Of(packet.value()).has_value() == opens);
+    if (opens) {
+      const packet_header reset = ResetOf(packet.value());
+      RC_ASSERT(std::all_of(reset.begin() + kSequenceAt, reset.end(),
+                            [](std::uint8_t byte) { return byte == 0; }));
+    }
+  }));
 }
 
 TEST_CASE("WriteCookie changes only the cookie") {
