Send packets of an open flow to its own target alone

While a flow's target was not listed and another listed target stated its address, its packets were sent to whichever target has the address. That took the entry of another target as a proof of the first one's end.

Every datagram now names the flow's own target, which any other one ignores. open_flow_decision, what HandleOpenFlow() returns, can say no more than that target or nowhere, so neither a reset nor "any target" can be expressed there. address_taken and its index are gone. Entries without the number of a target, whose datagrams any target would take, are ignored by the directory as well as by the decoder.

--- a/include/rosemaryreach/packet_director.h
+++ b/include/rosemaryreach/packet_director.h
@@ -31,9 +31,13 @@
   target_index target = kNoTarget;
   std::uint32_t cookie = 0;  // to write into the packet; 0 keeps its cookie
   const char* rule = "";
-  // Whichever target has the address takes the packet, and resets a flow that
-  // it doesn't hold.
-  bool any_target = false;
+};
+
+// Where a packet of an open flow goes. There is no refusal: an instance can't
+// tell a target that has ended from one that it doesn't know or reach.
+struct open_flow_decision {
+  target_index target = kNoTarget;  // kNoTarget: nowhere
+  const char* rule = "";
 };
 
 // Which decisions the age of the view of the store permits.
@@ -100,7 +104,7 @@
   packet_decision Refuse(const flow_packet& packet,
                          packet_decision refusal,
                          const view_freshness& freshness) const;
-  packet_decision HandleOpenFlow(const flow_packet& packet, time_point now);
+  open_flow_decision HandleOpenFlow(const flow_packet& packet, time_point now);
   packet_decision ExplainOpening(const flow_explanation& explanation,
                                  const view_freshness& freshness,
                                  time_point now) const;
@@ -109,8 +113,8 @@
   std::optional<packet_decision> RefuseOpening(
       const entry_route* route,
       const view_freshness& freshness) const;
-  // Returns the decision on a packet of an open flow at `target`.
-  packet_decision ForwardOpenFlow(target_index target) const;
+  // Returns the decision on a packet with this cookie.
+  open_flow_decision FindOpenFlow(std::uint32_t cookie) const;
   packet_decision ForwardTo(target_index target, const char* rule) const;
 
   const target_directory& directory_;
--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -51,9 +51,6 @@
   // flows.
   bool cookie_conflict = false;
   time_point added{};  // the same for all targets of one batch of changes
-  // Its entry is missing or gone, and the store lists another target at the
-  // address. Only the target that has the address knows which flows it holds.
-  bool address_taken = false;
   // It left before this instance knew it.
   bool departed = false;
 };
@@ -157,12 +154,6 @@
   bool ContradictsKnown(const decoded_item& decoded) const;
   void Hold(const changed_item& changed, time_point now);
   void ApplyHeld(time_point now);
-  void IndexAddress(target_index index);
-  void UnindexAddress(target_index index);
-  // Finds out which unlisted targets at `address` another one may have
-  // replaced.
-  void UpdateTaken(const ipv4_endpoint& address);
-  const known_target* FindOtherAt(const known_target& target) const;
   void Remove(target_index index);
   // Gives the cookie of a target to that with the earliest start of all that
   // have it, which is the same one on every instance.
@@ -180,7 +171,6 @@
   std::vector<std::optional<known_target>> targets_;
   std::map<std::string, target_index> by_id_;  // latest start
   std::map<std::uint32_t, target_index> by_cookie_;
-  std::map<ipv4_endpoint, std::vector<target_index>> by_address_;
   std::vector<target_index> free_;
   std::size_t departed_ = 0;   // targets that are `departed`
   std::size_t conflicts_ = 0;  // targets with `cookie_conflict`
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -7,7 +7,6 @@
 // this ago, is a late retransmission.
 constexpr duration kLateCopyTime = std::chrono::seconds(2);
 
-constexpr const char* kTakenAddressRule = "address_taken";
 constexpr const char* kOverloadRule = "over_capacity";
 
 // Returns the service of a new flow by the weights of the route. All
@@ -27,6 +26,12 @@
   return route.services.front().service;
 }
 
+packet_decision ToPacketDecision(const open_flow_decision& decision) {
+  return {decision.target == kNoTarget ? packet_verdict::kDrop
+                                       : packet_verdict::kForward,
+          decision.target, 0, decision.rule};
+}
+
 }  // namespace
 
 packet_director::packet_director(const target_directory& directory,
@@ -44,7 +49,7 @@
                                         const view_freshness& freshness,
                                         time_point now) {
   return packet.opens ? HandleFirstPacket(packet, freshness, now)
-                      : HandleOpenFlow(packet, now);
+                      : ToPacketDecision(HandleOpenFlow(packet, now));
 }
 
 packet_decision packet_director::HandleFirstPacket(
@@ -156,20 +161,18 @@
   return refusal;
 }
 
-packet_decision packet_director::HandleOpenFlow(const flow_packet& packet,
-                                                time_point now) {
-  const target_index target = directory_.FindCookie(packet.cookie);
-  if (target == kNoTarget) {
-    return {packet_verdict::kDrop, kNoTarget, 0, kUnknownCookieRule};
+open_flow_decision packet_director::HandleOpenFlow(const flow_packet& packet,
+                                                   time_point now) {
+  const open_flow_decision decision = FindOpenFlow(packet.cookie);
+  if (decision.target != kNoTarget) {
+    tracker_.OnPacket(packet, decision.target, now);
   }
-  tracker_.OnPacket(packet, target, now);
-  return ForwardOpenFlow(target);
+  return decision;
 }
 
-packet_decision packet_director::ForwardOpenFlow(target_index target) const {
-  const bool taken = directory_.Find(target)->address_taken;
-  return {packet_verdict::kForward, target, 0,
-          taken ? kTakenAddressRule : "cookie", taken};
+open_flow_decision packet_director::FindOpenFlow(std::uint32_t cookie) const {
+  const target_index target = directory_.FindCookie(cookie);
+  return {target, target == kNoTarget ? kUnknownCookieRule : "cookie"};
 }
 
 flow_explanation packet_director::Explain(const flow_key& flow,
@@ -184,8 +187,10 @@
   }
   const bool open = explanation.tracked != nullptr &&
                     explanation.tracked->phase != flow_phase::kOpening;
-  explanation.next = open ? ForwardOpenFlow(explanation.tracked->target)
-                          : ExplainOpening(explanation, freshness, now);
+  explanation.next =
+      open ? ToPacketDecision(FindOpenFlow(
+                 directory_.Find(explanation.tracked->target)->cookie))
+           : ExplainOpening(explanation, freshness, now);
   return explanation;
 }
 
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -187,6 +187,10 @@
 
 void target_directory::ApplyTarget(const target_record& record,
                                    time_point now) {
+  if (record.wire_id == 0) {
+    report_({record.id, "entry_without_number_ignored", ""});
+    return;
+  }
   const auto known = by_id_.find(record.id);
   if (known != by_id_.end()) {
     known_target& target = *targets_[known->second];
@@ -210,12 +214,11 @@
     Update(*targets_[same], record, now);
     return;
   }
-  const target_index added = Add(record, now);
+  Add(record, now);
   report_({record.id,
            record.state == target_state::kActive ? kTargetAdded
                                                  : "target_added_draining",
            DescribeTarget(record)});
-  IndexAddress(added);
 }
 
 target_index target_directory::FindIncarnation(
@@ -234,7 +237,8 @@
 void target_directory::ApplyDeparted(const target_record& record,
                                      duration age,
                                      time_point now) {
-  if (age >= retention_ || FindIncarnation(record) != kNoTarget) {
+  if (record.wire_id == 0 || age >= retention_ ||
+      FindIncarnation(record) != kNoTarget) {
     return;
   }
   const auto newest = by_id_.find(record.id);
@@ -255,7 +259,6 @@
   report_({record.id, "target_departed",
            DescribeTarget(record) + ", " + std::to_string(ToMillis(age)) +
                " ms ago"});
-  IndexAddress(added);
 }
 
 target_index target_directory::Add(const target_record& record,
@@ -294,12 +297,6 @@
   if (record.cold_left > duration::zero()) {
     target.cold_until = now + record.cold_left;
   }
-  if (record.address != target.record.address) {
-    const target_index index = by_id_.at(record.id);
-    UnindexAddress(index);
-    UpdateTaken(std::exchange(target.record.address, record.address));
-    IndexAddress(index);
-  }
   target.record = record;
   departed_ -= std::exchange(target.departed, false) ? 1 : 0;
   SetListing(target, target_listing::kListed, "entry is back", now);
@@ -390,53 +387,6 @@
   report_({target.record.id, kOutcomes.at(static_cast<std::size_t>(listing)),
            reason});
   services_indexed_ = false;
-  UpdateTaken(target.record.address);
-}
-
-void target_directory::IndexAddress(target_index index) {
-  const ipv4_endpoint& address = targets_[index]->record.address;
-  by_address_[address].push_back(index);
-  UpdateTaken(address);
-}
-
-void target_directory::UnindexAddress(target_index index) {
-  const auto known = by_address_.find(targets_[index]->record.address);
-  std::erase(known->second, index);
-  if (known->second.empty()) {
-    by_address_.erase(known);
-  }
-}
-
-void target_directory::UpdateTaken(const ipv4_endpoint& address) {
-  const auto known = by_address_.find(address);
-  if (known == by_address_.end()) {
-    return;
-  }
-  for (const target_index index : known->second) {
-    known_target& target = *targets_[index];
-    const known_target* other = target.listing == target_listing::kListed
-                                    ? nullptr
-                                    : FindOtherAt(target);
-    const bool taken = other != nullptr;
-    if (taken != std::exchange(target.address_taken, taken)) {
-      report_({target.record.id, taken ? "address_taken" : "address_free",
-               FormatIpv4Endpoint(address) +
-                   (taken ? " is that of " + other->record.id
-                          : " is no other listed target's")});
-    }
-  }
-}
-
-const known_target* target_directory::FindOtherAt(
-    const known_target& target) const {
-  for (const target_index index : by_address_.at(target.record.address)) {
-    const known_target& other = *targets_[index];
-    if (other.listing == target_listing::kListed &&
-        other.record.id != target.record.id) {
-      return &other;
-    }
-  }
-  return nullptr;
 }
 
 void target_directory::Tick(bool store_unavailable, time_point now) {
@@ -472,7 +422,6 @@
   }
   const std::uint32_t cookie = target.cookie;
   const bool owned = FindCookie(cookie) == index;
-  UnindexAddress(index);
   departed_ -= target.departed ? 1 : 0;
   conflicts_ -= target.cookie_conflict ? 1 : 0;
   targets_[index].reset();
--- a/src/entryd/packet_forwarder.cc
+++ b/src/entryd/packet_forwarder.cc
@@ -117,8 +117,7 @@
     WriteCookie(bytes, decision.cookie);
   }
   const std::span<std::uint8_t> prefix = send_batch_->NextHeader();
-  WriteTargetPrefix(prefix,
-                    decision.any_target ? kAnyTarget : target.record.wire_id);
+  WriteTargetPrefix(prefix, target.record.wire_id);
   send_batch_->Add(kTargetPrefixBytes, bytes,
                    ToEndpoint(target.record.address));
 }
