Drop packets whose cookie two targets share

FLOW's second form by cookie: the cookie is a hash of 32 bits, and of two targets that share it the one with the earlier start got the packets of both. An instance that knew only the later one may have opened flows there; after it learned of the other, their packets went to a target that lacks them, which resets them. Among 12,000 targets the chance of such a pair is 1.7 %.

While a cookie names two targets, FindCookie() names none: packets with it are dropped by the rule shared_cookie, neither target gets new flows, and both have a line cookie_shared. Open flows of the two wait; that is the price of not guessing. What remains is an instance that knows only one of the two.

by_cookie_ is a multimap, which makes the hand-over of ownership needless, and a departed target with a shared cookie that a peer tells twice is not added twice any more.

--- a/include/rosemaryreach/target_directory.h
+++ b/include/rosemaryreach/target_directory.h
@@ -47,9 +47,8 @@
   bool lapse_excused = false;
   time_point draining_since{};  // when this instance learned of it
   time_point cold_until{};
-  // A target with an earlier start has the same cookie, so this one gets no
-  // flows.
-  bool cookie_conflict = false;
+  // Another target has the same cookie, so neither gets new flows.
+  bool shares_cookie = false;
   time_point added{};  // the same for all targets of one batch of changes
   // It left before this instance knew it.
   bool departed = false;
@@ -99,7 +98,12 @@
   void Tick(bool store_unavailable, time_point now);
 
   const known_target* Find(target_index index) const;
+  // Returns the target with this cookie; kNoTarget if there is none, or more
+  // than one, as nothing else in a packet tells them apart.
   target_index FindCookie(std::uint32_t cookie) const;
+  bool IsSharedCookie(std::uint32_t cookie) const {
+    return by_cookie_.count(cookie) > 1;
+  }
   const entry_route* FindRoute(const ipv4_endpoint& address) const;
   const entry_service* FindService(const std::string& name) const;
   // Returns the targets of a service that are not gone, ordered by id.
@@ -155,11 +159,8 @@
   void Hold(const changed_item& changed, time_point now);
   void ApplyHeld(time_point now);
   void Remove(target_index index);
-  // Gives the cookie of a target to that with the earliest start of all that
-  // have it, which is the same one on every instance.
-  void OwnCookie(target_index index);
-  // The same for the remaining targets once the owner is removed.
-  void PassCookieOn(std::uint32_t cookie);
+  // Finds out whether the targets with this cookie share it.
+  void UpdateSharing(std::uint32_t cookie);
   void IndexServices() const;
 
   duration retention_;
@@ -170,10 +171,9 @@
   std::set<std::string> evacuated_;
   std::vector<std::optional<known_target>> targets_;
   std::map<std::string, target_index> by_id_;  // latest start
-  std::map<std::uint32_t, target_index> by_cookie_;
+  std::multimap<std::uint32_t, target_index> by_cookie_;
   std::vector<target_index> free_;
-  std::size_t departed_ = 0;   // targets that are `departed`
-  std::size_t conflicts_ = 0;  // targets with `cookie_conflict`
+  std::size_t departed_ = 0;  // targets that are `departed`
   // Rebuilt lazily after changes, since a batch may change all targets.
   mutable std::map<std::string, std::vector<target_index>> by_service_;
   mutable bool services_indexed_ = false;
--- a/src/entry/packet_director.cc
+++ b/src/entry/packet_director.cc
@@ -172,7 +172,11 @@
 
 open_flow_decision packet_director::FindOpenFlow(std::uint32_t cookie) const {
   const target_index target = directory_.FindCookie(cookie);
-  return {target, target == kNoTarget ? kUnknownCookieRule : "cookie"};
+  if (target != kNoTarget) {
+    return {target, "cookie"};
+  }
+  return {kNoTarget, directory_.IsSharedCookie(cookie) ? "shared_cookie"
+                                                       : kUnknownCookieRule};
 }
 
 flow_explanation packet_director::Explain(const flow_key& flow,
--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 #include <utility>
 
 namespace rosemaryreach {
@@ -223,15 +222,13 @@
 
 target_index target_directory::FindIncarnation(
     const target_record& record) const {
-  const target_index index =
-      FindCookie(MakeCookie(record.id, record.incarnation));
-  if (index == kNoTarget) {
-    return kNoTarget;
-  }
-  const target_record& found = targets_[index]->record;
-  return found.id == record.id && found.incarnation == record.incarnation
-             ? index
-             : kNoTarget;
+  const auto [first, last] =
+      by_cookie_.equal_range(MakeCookie(record.id, record.incarnation));
+  const auto found = std::find_if(first, last, [&](const auto& one) {
+    const target_record& known = targets_[one.second]->record;
+    return known.id == record.id && known.incarnation == record.incarnation;
+  });
+  return found == last ? kNoTarget : found->second;
 }
 
 void target_directory::ApplyDeparted(const target_record& record,
@@ -279,7 +276,8 @@
   const target_index index = free_.back();
   free_.pop_back();
   targets_[index] = target;
-  OwnCookie(index);
+  by_cookie_.emplace(target.cookie, index);
+  UpdateSharing(target.cookie);
   by_id_[record.id] = index;
   services_indexed_ = false;
   return index;
@@ -421,50 +419,25 @@
     by_id_.erase(id);
   }
   const std::uint32_t cookie = target.cookie;
-  const bool owned = FindCookie(cookie) == index;
   departed_ -= target.departed ? 1 : 0;
-  conflicts_ -= target.cookie_conflict ? 1 : 0;
+  const auto [first, last] = by_cookie_.equal_range(cookie);
+  by_cookie_.erase(std::find_if(
+      first, last, [index](const auto& one) { return one.second == index; }));
   targets_[index].reset();
-  if (owned) {
-    by_cookie_.erase(cookie);
-    PassCookieOn(cookie);
-  }
+  UpdateSharing(cookie);
   free_.push_back(index);
   on_removed_(index);
   services_indexed_ = false;
 }
 
-void target_directory::OwnCookie(target_index index) {
-  known_target& target = *targets_[index];
-  const auto [owner, added] = by_cookie_.emplace(target.cookie, index);
-  if (added) {
-    return;
-  }
-  known_target& other = *targets_[owner->second];
-  const auto start = [](const known_target& one) {
-    return std::tie(one.record.incarnation, one.record.id);
-  };
-  const bool earlier = start(target) < start(other);
-  if (earlier) {
-    owner->second = index;
-  }
-  (earlier ? other : target).cookie_conflict = true;
-  ++conflicts_;
-}
-
-void target_directory::PassCookieOn(std::uint32_t cookie) {
-  if (conflicts_ == 0) {
-    return;
-  }
-  for (target_index i = 0; i < targets_.size(); ++i) {
-    if (targets_[i] && targets_[i]->cookie == cookie) {
-      targets_[i]->cookie_conflict = false;
-      --conflicts_;
-    }
-  }
-  for (target_index i = 0; i < targets_.size(); ++i) {
-    if (targets_[i] && targets_[i]->cookie == cookie) {
-      OwnCookie(i);
+void target_directory::UpdateSharing(std::uint32_t cookie) {
+  const bool shared = IsSharedCookie(cookie);
+  const auto [first, last] = by_cookie_.equal_range(cookie);
+  for (auto one = first; one != last; ++one) {
+    known_target& target = *targets_[one->second];
+    if (shared != std::exchange(target.shares_cookie, shared)) {
+      report_({target.record.id, shared ? "cookie_shared" : "cookie_unshared",
+               "cookie " + std::to_string(cookie)});
     }
   }
 }
@@ -487,7 +460,8 @@
 
 target_index target_directory::FindCookie(std::uint32_t cookie) const {
   const auto found = by_cookie_.find(cookie);
-  return found == by_cookie_.end() ? kNoTarget : found->second;
+  return found == by_cookie_.end() || IsSharedCookie(cookie) ? kNoTarget
+                                                             : found->second;
 }
 
 const entry_route* target_directory::FindRoute(
--- a/src/entry/target_picker.cc
+++ b/src/entry/target_picker.cc
@@ -207,8 +207,7 @@
                                           std::span<const target_index> tried,
                                           time_point now) const {
   const known_target& target = *directory_.Find(index);
-  if (target.cookie_conflict ||
-      directory_.evacuated(target.record.data_centre) ||
+  if (target.shares_cookie || directory_.evacuated(target.record.data_centre) ||
       !ColdRateAllows(target, now)) {
     return grade::kExcluded;
   }
