Ask for departed targets until somebody can tell, and read the history

What callers saw: packets of an open flow at a live target were dropped (unknown_cookie) by an instance that lacked its cookie; no rule is broken, but an idle flow waits for its caller's timeouts.

Cause: two answers by peers of any age ended an instance's question for the targets that left before its start. Instances that start together, and hear each other before an older one, as during a cut, told each other that there are none. After a restart of all, nobody was asked who could know.

- departed_schedule, a module without I/O, decides whom to ask and when.
An answer counts if its giver has known departures since well before the asker had a view.
Otherwise the question goes on, ever less often, and at once when an older peer is heard.
Packets with unknown cookies ask again.
- Peers older than the retention time share the questions; before, all newcomers asked the oldest one.
- If nobody can tell, the first reader of the store reads its history: what was written there and is not listed now has left.
The others ask the first readers of their data centres.
How many revisions are kept is searched for, as the store tells only by status 410.
- 16,384 departed targets are kept instead of 4,096, which is less than may lapse together among 12,000; dropping the earliest took quadratic time.

No message changes, so builds mix as before.

"Flows of targets that no instance knows are left to their callers" has the store drop its history first, as that now tells of them.

--- a/include/rosemaryreach/departed_targets.h
+++ b/include/rosemaryreach/departed_targets.h
@@ -15,9 +15,9 @@
 
 namespace rosemaryreach {
 
-// Several times the targets of a large service; the earliest departures are
-// dropped first.
-inline constexpr std::size_t kMaxDepartedTargets = 4'096;
+// More than all targets of a large deployment, whose entries may lapse together
+// in a cut; the earliest departures are dropped first.
+inline constexpr std::size_t kMaxDepartedTargets = 16'384;
 
 // A target that left, and for how long it is gone.
 struct departed_target {
@@ -42,6 +42,14 @@
   std::vector<departed_target> Merge(const departed_answer& answer,
                                      time_point now);
 
+  // Merges `history`, writes and deletions of the store in their order. Targets
+  // that were written up to the cursor of `view` and are not listed there have
+  // left; when is not known, so they count as leaving now. Returns the targets
+  // that were not known.
+  std::vector<departed_target> MergeHistory(std::span<const store_item> history,
+                                            const item_cache& view,
+                                            time_point now);
+
   // Returns what a peer that starts should know.
   departed_answer Recent(time_point now) const;
 
@@ -61,7 +69,8 @@
   // The key of the item and the incarnation.
   using target_key = std::pair<std::string, std::uint64_t>;
 
-  void Add(const target_key& key, departed_value value);
+  // Drops the earliest departures above kMaxDepartedTargets.
+  void Trim();
 
   item_decoder decode_;
   duration retention_;
--- a/include/rosemaryreach/entry_types.h
+++ b/include/rosemaryreach/entry_types.h
@@ -197,6 +197,7 @@
   std::uint16_t peer_port = 0;  // UDP, between instances
   std::vector<endpoint> seeds;  // control endpoints of some instances
   endpoint store_endpoint;
+  duration store_history = std::chrono::seconds(20);  // which the store keeps
   entry_bounds bounds;
 
   bool operator==(const entry_settings&) const = default;
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -66,6 +66,15 @@
 // of machines differ by less than the rest.
 inline constexpr duration kStartSpread = std::chrono::seconds(2);
 
+// A peer that may know of departed targets.
+struct history_source {
+  std::uint32_t address = 0;  // 0 if there is none
+  // It started before this instance by more than kStartSpread.
+  bool older = false;
+
+  bool operator==(const history_source&) const = default;
+};
+
 class peer_group {
  public:
   // Called when the state of a peer changes.
@@ -114,10 +123,12 @@
   // restart.
   std::uint32_t ViewSource(store_cursor known, std::uint32_t failed);
 
-  // Returns the live peer that started first, if it did so before this instance
-  // by more than instances that are started together differ; otherwise any live
-  // peer. None of `excluded`; 0 if there is no other.
-  std::uint32_t HistorySource(std::span<const std::uint32_t> excluded) const;
+  // Returns whom to ask for targets that left within `retention`: any peer that
+  // was older than that when this instance started, or else the oldest; if no
+  // peer is older than this instance, one that reads the store before it.
+  // None of `excluded`, and none that is leaving.
+  history_source HistorySource(std::span<const std::uint32_t> excluded,
+                               duration retention) const;
 
   // Removes peers that have timed out.
   void Tick(time_point now);
@@ -154,6 +165,10 @@
   };
 
   void MergeSummary(const peer_summary& summary, time_point now);
+  // Returns the first reader of the store in this data centre or, if that is
+  // this instance, of all; otherwise any peer. None of `excluded`; 0 if there
+  // is no other.
+  std::uint32_t ReaderToAsk(std::span<const std::uint32_t> excluded) const;
   using address_list = std::vector<std::uint32_t>;
 
   bool small() const { return peers_.size() <= kSmallFleet; }
--- a/src/entry/departed_targets.cc
+++ b/src/entry/departed_targets.cc
@@ -19,7 +19,8 @@
           decode_({key, changed.departed_value, 0, false});
       const target_item* target = std::get_if<target_item>(&before);
       if (target != nullptr) {
-        Add({key, target->record.incarnation}, {changed.departed_value, now});
+        departed_[{key, target->record.incarnation}] = {changed.departed_value,
+                                                        now};
       }
     }
     const target_item* listed = std::get_if<target_item>(&changed.decoded);
@@ -27,6 +28,7 @@
       departed_.erase({key, listed->record.incarnation});
     }
   }
+  Trim();
 }
 
 std::vector<departed_target> departed_targets::Merge(
@@ -41,14 +43,35 @@
     }
     const target_key key{item.key, target->record.incarnation};
     if (!departed_.contains(key)) {
-      Add(key, {item.value, now - item.age});
+      departed_[key] = {item.value, now - item.age};
       added.push_back({target->record, item.age});
     }
   }
+  Trim();
   OnView(now - answer.known_for);
   return added;
 }
 
+std::vector<departed_target> departed_targets::MergeHistory(
+    std::span<const store_item> history,
+    const item_cache& view,
+    time_point now) {
+  std::map<std::string, std::string> last;
+  for (const store_item& item : history) {
+    const bool departed = !item.deleted &&
+                          item.revision <= view.cursor().revision &&
+                          !view.Holds(item.key);
+    if (departed && std::holds_alternative<target_item>(decode_(item))) {
+      last[item.key] = item.value;
+    }
+  }
+  departed_answer answer;
+  for (const auto& [key, value] : last) {
+    answer.items.push_back({key, value, duration(0)});
+  }
+  return Merge(answer, now);
+}
+
 departed_answer departed_targets::Recent(time_point now) const {
   departed_answer answer;
   answer.known_for = now - known_since_.value_or(now);
@@ -71,14 +94,24 @@
   });
 }
 
-void departed_targets::Add(const target_key& key, departed_value value) {
-  departed_[key] = std::move(value);
-  if (departed_.size() > kMaxDepartedTargets) {
-    departed_.erase(std::min_element(departed_.begin(), departed_.end(),
-                                     [](const auto& a, const auto& b) {
-                                       return a.second.left < b.second.left;
-                                     }));
+void departed_targets::Trim() {
+  if (departed_.size() <= kMaxDepartedTargets) {
+    return;
+  }
+  std::vector<time_point> times;
+  for (const auto& [key, departed] : departed_) {
+    times.push_back(departed.left);
   }
+  const auto earliest_kept = times.end() - kMaxDepartedTargets;
+  std::nth_element(times.begin(), earliest_kept, times.end());
+  std::size_t excess = departed_.size() - kMaxDepartedTargets;
+  // Several may have left at the time of the earliest one that is kept.
+  std::erase_if(departed_, [&](const auto& entry) {
+    return entry.second.left < *earliest_kept && excess-- > 0;
+  });
+  std::erase_if(departed_, [&](const auto& entry) {
+    return excess > 0 && entry.second.left == *earliest_kept && excess-- > 0;
+  });
 }
 
 }  // namespace rosemaryreach
--- a/src/entry/item_cache.cc
+++ b/src/entry/item_cache.cc
@@ -291,6 +291,11 @@
   return answer;
 }
 
+bool item_cache::Holds(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found != items_.end() && !found->second.item.deleted;
+}
+
 void item_cache::Merge(const store_item& item, merge_state& merging) {
   const auto found = items_.find(item.key);
   cached_item* known = found == items_.end() ? nullptr : &found->second;
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -43,6 +43,10 @@
              : HashPair(a.address, 0) < HashPair(b.address, 0);
 }
 
+bool Contains(std::span<const std::uint32_t> addresses, std::uint32_t one) {
+  return std::find(addresses.begin(), addresses.end(), one) != addresses.end();
+}
+
 }  // namespace
 
 peer_group::peer_group(const peer_summary& self,
@@ -243,33 +247,65 @@
   return addresses[draw(random_)];
 }
 
-std::uint32_t peer_group::HistorySource(
-    std::span<const std::uint32_t> excluded) const {
-  std::uint32_t oldest = 0;
-  std::uint64_t oldest_started = self_.incarnation;
-  std::uint32_t other = 0;
-  std::uint64_t other_score = 0;
+history_source peer_group::HistorySource(
+    std::span<const std::uint32_t> excluded,
+    duration retention) const {
+  const auto started_before = [this](const peer_summary& one, duration time) {
+    return one.incarnation + static_cast<std::uint64_t>(ToMillis(time)) <=
+           self_.incarnation;
+  };
+  const peer_summary* oldest = nullptr;
+  std::uint32_t settled = 0;
+  std::uint64_t settled_score = 0;
   for (const auto& [address, peer] : peers_) {
-    if (peer.summary.leaving || std::find(excluded.begin(), excluded.end(),
-                                          address) != excluded.end()) {
+    const peer_summary& one = peer.summary;
+    if (one.leaving || Contains(excluded, address) ||
+        !started_before(one, kStartSpread)) {
       continue;
     }
-    const std::uint64_t started = peer.summary.incarnation;
-    const bool older =
-        started + static_cast<std::uint64_t>(ToMillis(kStartSpread)) <=
-        self_.incarnation;
-    if (older && started < oldest_started) {
-      oldest = address;
-      oldest_started = started;
+    if (oldest == nullptr || one.incarnation < oldest->incarnation) {
+      oldest = &one;
     }
     // Spreads the questions of instances that start together.
     const std::uint64_t score = HashPair(self_.address, address);
-    if (other == 0 || score > other_score) {
-      other = address;
-      other_score = score;
+    if (started_before(one, retention + kStartSpread) &&
+        (settled == 0 || score > settled_score)) {
+      settled = address;
+      settled_score = score;
+    }
+  }
+  if (oldest == nullptr) {
+    return {ReaderToAsk(excluded), false};
+  }
+  return {settled != 0 ? settled : oldest->address, true};
+}
+
+std::uint32_t peer_group::ReaderToAsk(
+    std::span<const std::uint32_t> excluded) const {
+  const peer_summary* local = nullptr;
+  const peer_summary* first = nullptr;
+  std::uint32_t any = 0;
+  std::uint64_t any_score = 0;
+  for (const auto& [address, peer] : peers_) {
+    const peer_summary& one = peer.summary;
+    if (one.leaving || Contains(excluded, address)) {
+      continue;
+    }
+    const bool is_local = one.data_centre == self_.data_centre;
+    if (is_local && ReadsBefore(one, local == nullptr ? self_ : *local)) {
+      local = &one;
+    }
+    if (ReadsBefore(one, first == nullptr ? self_ : *first)) {
+      first = &one;
+    }
+    const std::uint64_t score = HashPair(self_.address, address);
+    if (any == 0 || score > any_score) {
+      any = address;
+      any_score = score;
     }
   }
-  return oldest != 0 ? oldest : other;
+  const peer_summary* reader = local != nullptr ? local : first;
+  return reader != nullptr ? reader->address : any;
 }
 
 void peer_group::Tick(time_point now) {
--- a/src/entryd/departed_sync.cc
+++ b/src/entryd/departed_sync.cc
@@ -12,92 +12,160 @@
 
 // Several round trips between regions; peers answer from memory.
 constexpr duration kPullDeadline = std::chrono::milliseconds(400);
-// After a refusal or a loss; doubles with each further one. Builds that don't
-// know this call never answer.
-constexpr duration kRetryDelay = std::chrono::milliseconds(200);
-constexpr std::size_t kMaxRetryDoublings = 5;
-// The oldest peer knows the departures since its start. A second answer is a
-// guard against clocks that make a young peer look oldest.
-constexpr std::size_t kMaxAnswers = 2;
 // Instances that start together ask within less than this time, so that one
 // encoding serves them; it makes ages too short by as much.
 constexpr duration kAnswerReuseTime = std::chrono::milliseconds(200);
+// A store that sends its history slowly is still of use.
+constexpr duration kHistoryDeadline = std::chrono::seconds(2);
+// Of a longer history only the oldest part is read. A write takes some 600
+// bytes; this holds two of each item.
+constexpr std::size_t kMinHistoryBytes = 2'000'000;
+constexpr std::size_t kHistoryBytesPerItem = 1'200;
 
 }  // namespace
 
 departed_sync::departed_sync(event_loop& loop,
+                             const entry_settings& settings,
                              const peer_group& peers,
-                             std::uint16_t control_port,
+                             const item_cache& view,
                              item_decoder decode,
                              duration retention,
                              departed_hook on_departed,
-                             entry_log& log)
+                             entry_log& log,
+                             entry_metrics& metrics)
     : loop_(loop),
+      settings_(settings),
       peers_(peers),
-      control_port_(control_port),
+      view_(view),
       departed_(std::move(decode), retention),
+      schedule_(retention, settings.store_history),
       on_departed_(std::move(on_departed)),
-      log_(log) {}
+      log_(log),
+      metrics_(metrics) {}
 
 void departed_sync::Apply(const view_change& change, time_point now) {
   departed_.Apply(change, now);
 }
 
+void departed_sync::Reload(const entry_settings& settings) {
+  settings_ = settings;
+}
+
 void departed_sync::Tick(time_point now) {
   departed_.Tick(now);
-  if (!std::exchange(viewed_, true)) {
-    departed_.OnView(now);
-  }
-  if (PullInProgress() || departed_.Complete(now) || answers_ >= kMaxAnswers ||
-      now < retry_at_) {
+  departed_.OnView(now);
+  schedule_.OnView(now);
+  if (busy()) {
     return;
   }
-  std::uint32_t source = peers_.HistorySource(asked_);
-  if (source == 0 && std::exchange(unanswered_, 0) > 0) {
-    asked_.clear();
-    source = peers_.HistorySource(asked_);
-  }
-  if (source == 0) {
-    return;
+  const departed_question question =
+      schedule_.Next(peers_, departed_.Complete(now), now);
+  switch (question.source) {
+    case departed_source::kNone:
+      return;
+    case departed_source::kPeer:
+      AskPeer(question.peer);
+      return;
+    case departed_source::kHistory:
+      ReadHistory();
+      return;
   }
-  asked_.push_back(source);
-  client_ = std::make_unique<store_client>(loop_,
-                                           ToEndpoint({source, control_port_}));
+}
+
+void departed_sync::AskPeer(std::uint32_t peer) {
+  metrics_.DepartedQuestions("peer").Add();
+  client_ = std::make_unique<store_client>(
+      loop_, ToEndpoint({peer, settings_.control_endpoint.port}));
   client_->PullDeparted(kPullDeadline,
-                        [this, source](const result<departed_answer>& answer) {
-                          OnAnswer(answer, source);
+                        [this, peer](const result<departed_answer>& answer) {
+                          OnAnswer(answer, peer);
                         });
 }
 
+void departed_sync::ReadHistory() {
+  metrics_.DepartedQuestions("history").Add();
+  const std::uint64_t cursor = view_.cursor().revision;
+  const std::uint64_t after =
+      cursor - std::min(cursor, schedule_.HistoryDepth());
+  client_ = std::make_unique<store_client>(loop_, settings_.store_endpoint);
+  client_->ReadHistory(
+      after, std::max(kMinHistoryBytes, kHistoryBytesPerItem * view_.size()),
+      kHistoryDeadline, [this, after](const result<store_answer>& answer) {
+        OnHistory(answer, after);
+      });
+}
+
 void departed_sync::OnAnswer(const result<departed_answer>& answer,
-                             std::uint32_t source) {
+                             std::uint32_t peer) {
   const time_point now = BootTimeNow();
-  const std::string address = FormatIp(ToEndpoint({source, 0}).address);
+  const std::string giver = FormatIp(ToEndpoint({peer, 0}).address);
   if (!answer) {
-    ++unanswered_;
-    retry_at_ =
-        now + kRetryDelay * (1 << std::min(failures_++, kMaxRetryDoublings));
-    const std::string reason = FormatError(answer.error());
-    const std::array<log_field, 3> fields = {
-        log_field{"outcome", "departed_pull_failed"},
-        log_field{"peer", address}, log_field{"detail", reason}};
-    log_.LogStateChange("store", fields);
+    schedule_.OnNoAnswer(now);
+    LogFailed(giver, answer.error());
     return;
   }
-  ++answers_;
   const std::vector<departed_target> added =
       departed_.Merge(answer.value(), now);
-  const std::array<log_field, 4> fields = {
-      log_field{"outcome", "departed_targets_learned"},
-      log_field{"peer", address},
-      log_field{"count", static_cast<std::int64_t>(added.size())},
-      log_field{"known_for_ms", ToMillis(answer.value().known_for)}};
-  log_.LogStateChange("store", fields);
+  schedule_.OnAnswer(answer.value().known_for, !added.empty(), now);
+  LogLearned(giver, added.size(), answer.value().known_for);
+  if (!added.empty()) {
+    on_departed_(added);
+  }
+}
+
+void departed_sync::OnHistory(const result<store_answer>& answer,
+                              std::uint64_t after) {
+  const time_point now = BootTimeNow();
+  if (!answer) {
+    OnHistoryFailed(answer.error());
+    return;
+  }
+  if (answer.value().cursor.era != view_.cursor().era) {
+    OnHistoryFailed({errc::kUnavailable, "", "the store was restored"});
+    return;
+  }
+  const std::vector<departed_target> added =
+      departed_.MergeHistory(answer.value().items, view_, now);
+  schedule_.OnHistoryRead(after == 0);
+  departed_.OnView(now - schedule_.HistoryKnownFor());
+  LogLearned("the store, " + std::to_string(answer.value().items.size()) +
+                 " changes after revision " + std::to_string(after),
+             added.size(), schedule_.HistoryKnownFor());
   if (!added.empty()) {
     on_departed_(added);
   }
 }
 
+void departed_sync::OnHistoryFailed(const error& error) {
+  const time_point now = BootTimeNow();
+  if (error.code == errc::kStale) {
+    schedule_.OnHistoryGone();
+    departed_.OnView(now - schedule_.HistoryKnownFor());
+  } else {
+    schedule_.OnHistoryFailed(now);
+  }
+  LogFailed("the store", error);
+}
+
+void departed_sync::LogLearned(std::string_view giver,
+                               std::size_t count,
+                               duration known_for) {
+  const std::array<log_field, 4> fields = {
+      log_field{"outcome", "departed_targets_learned"},
+      log_field{"peer", giver},
+      log_field{"count", static_cast<std::int64_t>(count)},
+      log_field{"known_for_ms", ToMillis(known_for)}};
+  log_.LogStateChange("store", fields);
+}
+
+void departed_sync::LogFailed(std::string_view giver, const error& error) {
+  const std::string reason = FormatError(error);
+  const std::array<log_field, 3> fields = {
+      log_field{"outcome", "departed_pull_failed"}, log_field{"peer", giver},
+      log_field{"detail", reason}};
+  log_.LogStateChange("store", fields);
+}
+
 const std::string& departed_sync::Answer(time_point now) {
   if (cached_answer_.empty() || now - answer_made_ >= kAnswerReuseTime) {
     cached_answer_ = Deflate(EncodeDeparted(departed_.Recent(now)));
@@ -106,8 +174,4 @@
   return cached_answer_;
 }
 
-bool departed_sync::PullInProgress() const {
-  return client_ != nullptr && client_->busy();
-}
-
 }  // namespace rosemaryreach
--- a/src/entryd/departed_sync.h
+++ b/src/entryd/departed_sync.h
@@ -1,5 +1,5 @@
-// Serves the targets that left recently to instances that start, and pulls them
-// from instances that have run longer.
+// Serves the targets that left recently to instances that start, and learns of
+// them from instances that have run longer and from the history of the store.
 #ifndef ROSEMARYREACH_ENTRYD_DEPARTED_SYNC_H_
 #define ROSEMARYREACH_ENTRYD_DEPARTED_SYNC_H_
 
@@ -8,11 +8,13 @@
 #include <memory>
 #include <span>
 #include <string>
-#include <vector>
 
 #include "adapters/event_loop.h"
 #include "entryd/entry_log.h"
+#include "entryd/entry_metrics.h"
+#include "rosemaryreach/departed_schedule.h"
 #include "rosemaryreach/departed_targets.h"
+#include "rosemaryreach/item_cache.h"
 #include "rosemaryreach/peer_group.h"
 #include "store_client.h"
 
@@ -20,46 +22,60 @@
 
 class departed_sync {
  public:
-  // Called with the targets that an answer of a peer added.
+  // Called with the targets that an answer added.
   using departed_hook = std::function<void(std::span<const departed_target>)>;
 
-  // Peers are asked at `control_port`. Targets are kept for `retention`.
+  // Targets are kept for `retention`. `view` is what this instance holds of the
+  // store.
   departed_sync(event_loop& loop,
+                const entry_settings& settings,
                 const peer_group& peers,
-                std::uint16_t control_port,
+                const item_cache& view,
                 item_decoder decode,
                 duration retention,
                 departed_hook on_departed,
-                entry_log& log);
+                entry_log& log,
+                entry_metrics& metrics);
 
   void Apply(const view_change& change, time_point now);
 
-  // Pulls from the peer that has run longest until two peers have answered.
-  // Called periodically once there is a view.
+  // Applies the store's address of changed settings.
+  void Reload(const entry_settings& settings);
+
+  // Asks what departed_schedule finds due. Called periodically once there is a
+  // view.
   void Tick(time_point now);
 
+  // Records that a packet was dropped, as no target with its cookie is known.
+  void OnUnknownCookie() { schedule_.OnUnknownCookie(); }
+
   // Returns the message for a peer, deflated.
   const std::string& Answer(time_point now);
 
   std::size_t size() const { return departed_.size(); }
 
  private:
-  bool PullInProgress() const;
-  void OnAnswer(const result<departed_answer>& answer, std::uint32_t source);
+  bool busy() const { return client_ != nullptr && client_->busy(); }
+  void AskPeer(std::uint32_t peer);
+  void ReadHistory();
+  void OnAnswer(const result<departed_answer>& answer, std::uint32_t peer);
+  void OnHistory(const result<store_answer>& answer, std::uint64_t after);
+  void OnHistoryFailed(const error& error);
+  void LogLearned(std::string_view giver,
+                  std::size_t count,
+                  duration known_for);
+  void LogFailed(std::string_view giver, const error& error);
 
   event_loop& loop_;
+  entry_settings settings_;
   const peer_group& peers_;
-  std::uint16_t control_port_;
+  const item_cache& view_;
   departed_targets departed_;
+  departed_schedule schedule_;
   departed_hook on_departed_;
   entry_log& log_;
+  entry_metrics& metrics_;
   std::unique_ptr<store_client> client_;
-  std::vector<std::uint32_t> asked_;
-  std::size_t unanswered_ = 0;  // of `asked_`
-  std::size_t failures_ = 0;
-  std::size_t answers_ = 0;
-  time_point retry_at_{};
-  bool viewed_ = false;
   std::string cached_answer_;
   time_point answer_made_{};
 };
--- a/src/entryd/entry_instance.cc
+++ b/src/entryd/entry_instance.cc
@@ -318,6 +318,7 @@
 
 void entry_instance::OnUnknownCookie(std::uint32_t cookie) {
   dropped_cookies_.OnDropped(cookie, BootTimeNow());
+  sync_.OnUnknownCookie();
 }
 
 void entry_instance::StartForwarding(const char* reason) {
--- a/src/entryd/entry_metrics.cc
+++ b/src/entryd/entry_metrics.cc
@@ -105,6 +105,14 @@
                    "Calls to the store by outcome.", "outcome", outcome);
 }
 
+counter& entry_metrics::DepartedQuestions(const char* source) {
+  return FindOrAdd(departed_questions_,
+                   "rosemaryreach_entry_departed_questions_total",
+                   "Questions for departed targets, to peers and to the "
+                   "store.",
+                   "source", source);
+}
+
 counter& entry_metrics::FindOrAdd(std::map<const char*, counter*>& counters,
                                   const char* name,
                                   const char* help,
--- a/src/entryd/entry_metrics.h
+++ b/src/entryd/entry_metrics.h
@@ -18,6 +18,8 @@
   counter& Packets(const char* rule);
   // Returns the counter of first packets that `rule` answered with a reset.
   counter& OpeningResets(const char* rule);
+  // Returns the counter of questions for departed targets to `source`.
+  counter& DepartedQuestions(const char* source);
   // Returns the gauge that names this build in its label.
   gauge& Build(const std::string& build);
   // Returns the counter of store calls that ended with `outcome`.
@@ -59,6 +61,7 @@
   std::map<const char*, counter*> opening_resets_;
   std::map<const char*, counter*> packets_;
   std::map<const char*, counter*> store_calls_;
+  std::map<const char*, counter*> departed_questions_;
 };
 
 }  // namespace rosemaryreach
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -85,12 +85,14 @@
                OnPeerChange(address, outcome);
              }),
       departed_(loop,
+                settings,
                 peers_,
-                settings.control_endpoint.port,
+                cache_,
                 std::move(decode),
                 departed_retention,
                 std::move(on_departed),
-                log),
+                log,
+                metrics),
       store_client_(
           std::make_unique<store_client>(loop, settings.store_endpoint)),
       started_(BootTimeNow()),
@@ -122,6 +124,7 @@
         std::make_unique<store_client>(loop_, settings.store_endpoint);
   }
   settings_ = settings;
+  departed_.Reload(settings);
   ScheduleRead();
 }
 
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -60,6 +60,9 @@
   // line.
   void LogPeers();
 
+  // Records that a packet was dropped, as no target with its cookie is known.
+  void OnUnknownCookie() { departed_.OnUnknownCookie(); }
+
   // Returns the items changed after `cursor`, deflated, for a peer; nothing
   // without a view or while the bandwidth budget for such answers is used up.
   // The last answer is cached, since many peers ask the same after a change.
--- a/tests/departed_sync_test.cc
+++ b/tests/departed_sync_test.cc
@@ -20,6 +20,10 @@
 namespace rosemaryreach {
 namespace {
 
+decoded_item Decode(const store_item& item) {
+  return target_item{Target(item.key, 1)};
+}
+
 constexpr std::uint16_t kControlPort = 7'002;
 
 // A peer that answers the question for departed targets.
@@ -106,15 +110,24 @@
                    {},
                    1,
                    [](std::uint32_t, const char*) {}};
+  std::unique_ptr<metrics_registry> registry = MakeMetricsRegistry();
+  entry_metrics metrics{*registry};
+  entry_settings settings = [] {
+    entry_settings made;
+    made.control_endpoint.port = kControlPort;
+    made.store_endpoint = {UniqueLoopbackAddress(), 1};  // refuses
+    return made;
+  }();
+  item_cache view{Decode};
   departed_sync departed{loop,
+                         settings,
                          peers,
-                         kControlPort,
-                         [](const store_item& item) -> decoded_item {
-                           return target_item{Target(item.key, 1)};
-                         },
+                         view,
+                         Decode,
                          std::chrono::seconds(75),
                          [](std::span<const departed_target>) {},
-                         log};
+                         log,
+                         metrics};
 };
 
 // It may know a live target whose entry has expired.
@@ -127,8 +140,7 @@
 }
 
 // They start together, and hear of an older peer only after a cut has ended.
-TEST_CASE("Empty lists of newcomers hide no target that an older peer knows",
-          "[!mayfail]") {
+TEST_CASE("Empty lists of newcomers hide no target that an older peer knows") {
   departed_sync_fixture fixture;
   const departed_answer nothing{{}, std::chrono::milliseconds(5)};
   const answering_peer one(fixture.loop, nothing);
--- a/tests/departed_targets_test.cc
+++ b/tests/departed_targets_test.cc
@@ -92,6 +92,27 @@
   CHECK(passed.known_for == std::chrono::seconds(76));
 }
 
+// After a restart of all instances, no peer knows them.
+TEST_CASE("Targets that the history names and the view lacks have departed") {
+  item_cache view(Decode);
+  view.MergeListing(std::vector<store_item>{{"listed", "1", 8, false}},
+                    {0, 10});
+  const std::vector<store_item> history = {
+      {"left", "4", 2, false},     {"listed", "1", 3, false},
+      {"lapsed", "1", 4, false},   {"left", "5", 5, false},
+      {"left", "", 6, true},       {"odd", "?", 7, false},
+      {"listed", "1", 8, false},   {"unknown", "", 9, true},
+      {"too late", "1", 11, false}};
+  departed_targets departed(Decode, std::chrono::seconds(75));
+  const std::vector<departed_target> added =
+      departed.MergeHistory(history, view, At(100'000));
+  REQUIRE(added.size() == 2);
+  CHECK(added[0].record.id == "lapsed");
+  CHECK(added[1].record.id == "left");
+  CHECK(added[1].record.incarnation == 5);
+  CHECK(departed.MergeHistory(history, view, At(102'000)).empty());
+}
+
 TEST_CASE("The earliest departures are dropped when there are too many") {
   departed_targets departed(Decode, std::chrono::seconds(75));
   departed_answer told;
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -103,7 +103,7 @@
   CHECK(flows.outcomes[call_outcome::kTimeout] == idle_flows::kFlows);
 }
 
-// If all instances have restarted, none knows the targets that left.
+// All instances have restarted, and the store has dropped its history.
 TEST_CASE("Flows of targets that no instance knows are left to their callers") {
   entry_path_fixture fixture(1);
   entry_testbed& testbed = fixture.testbed();
@@ -112,6 +112,7 @@
   idle_flows flows(fixture, 5'000);
   fixture.Stop(0);
   idle_flows::ReplaceTargets(fixture, false);
+  testbed.store().Compact();
   fixture.Start(0);
   REQUIRE(fixture.RunUntil([&] { return testbed.open_flows() == 0; }));
   CHECK(flows.outcomes[call_outcome::kTimeout] == idle_flows::kFlows);
--- a/tests/open_flow_test.cc
+++ b/tests/open_flow_test.cc
@@ -376,8 +376,7 @@
 }
 
 // No peer can tell where the target is.
-TEST_CASE("Flows of a target that lingers are served after a restart of all",
-          "[!mayfail]") {
+TEST_CASE("Flows of a target that lingers are served after a restart of all") {
   idle_flow_fixture fixture(1);
   RestartWhileTargetLingers(fixture);
   fixture.CheckAllAnswered();
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include <algorithm>
 #include <array>
@@ -442,26 +443,86 @@
   }) == pair{10, 3});
 }
 
-// Instances that start together know no more than each other, so the questions
-// about departed targets must not all go to one of them.
-TEST_CASE("The longest-running peer is asked first, else any") {
+constexpr duration kRetention = std::chrono::seconds(75);
+
+// Adds a peer that was heard.
+void Hear(peer_group& group, const peer_summary& peer) {
+  beacon heard;
+  heard.from = peer;
+  group.ApplyBeacon(heard, At(0));
+}
+
+TEST_CASE("The longest-running peer is asked for history first") {
   peer_summary self = Summary(10);
   self.incarnation = 10'000;
   peer_group group(self, {}, 1, [](std::uint32_t, const char*) {});
-  CHECK(group.HistorySource({}) == 0);
-  beacon heard;
-  heard.from = Summary(11);
-  heard.from.incarnation = 9'000;
-  group.ApplyBeacon(heard, At(0));
-  CHECK(group.HistorySource({}) == 11);
+  CHECK(group.HistorySource({}, kRetention) == history_source{});
+  peer_summary young = Summary(11);
+  young.incarnation = 9'000;
+  Hear(group, young);
+  CHECK(group.HistorySource({}, kRetention) == history_source{11, false});
   for (const std::uint32_t address : {12U, 13U}) {
-    heard.from = Summary(address);
-    heard.from.incarnation = 8'000 - address;
-    group.ApplyBeacon(heard, At(0));
+    peer_summary older = Summary(address);
+    older.incarnation = 8'000 - address;
+    Hear(group, older);
   }
-  CHECK(group.HistorySource({}) == 13);
-  CHECK(group.HistorySource(std::vector<std::uint32_t>{13}) == 12);
-  CHECK(group.HistorySource(std::vector<std::uint32_t>{11, 12, 13}) == 0);
+  using excluded = std::vector<std::uint32_t>;
+  CHECK(group.HistorySource({}, kRetention) == history_source{13, true});
+  CHECK(group.HistorySource(excluded{13}, kRetention) ==
+        history_source{12, true});
+  CHECK(group.HistorySource(excluded{12, 13}, kRetention) ==
+        history_source{11, false});
+  CHECK(group.HistorySource(excluded{11, 12, 13}, kRetention) ==
+        history_source{});
+}
+
+// Half of a fleet that starts together would all ask the same peer.
+TEST_CASE("Peers older than what is asked for share the questions") {
+  std::set<std::uint32_t> asked;
+  for (std::uint32_t newcomer = 100; newcomer < 200; ++newcomer) {
+    peer_summary self = Summary(newcomer);
+    self.incarnation = 200'000;
+    peer_group group(self, {}, 1, [](std::uint32_t, const char*) {});
+    for (std::uint32_t address = 1; address <= 10; ++address) {
+      peer_summary older = Summary(address);
+      older.incarnation = 1'000 * address;
+      Hear(group, older);
+    }
+    const history_source source = group.HistorySource({}, kRetention);
+    CHECK(source.older);
+    asked.insert(source.address);
+  }
+  CHECK(asked.size() == 10);
+}
+
+// One that reads the history of the store tells the others.
+TEST_CASE("Peers that start together ask those that read the store first") {
+  const auto group_of = [](std::uint32_t address, std::uint32_t data_centre) {
+    peer_summary self = Summary(address);
+    self.data_centre = data_centre;
+    self.cpu_millicores = 10 * address;
+    return peer_group(self, {}, 1, [](std::uint32_t, const char*) {});
+  };
+  const auto hear = [](peer_group& group, std::uint32_t address,
+                       std::uint32_t data_centre) {
+    peer_summary peer = Summary(address);
+    peer.data_centre = data_centre;
+    peer.cpu_millicores = 10 * address;
+    Hear(group, peer);
+  };
+  peer_group last = group_of(1, 1);
+  hear(last, 2, 1);
+  hear(last, 3, 1);
+  hear(last, 4, 2);
+  CHECK(last.HistorySource({}, kRetention).address == 3);
+  peer_group local = group_of(3, 1);
+  hear(local, 1, 1);
+  hear(local, 2, 1);
+  hear(local, 4, 2);
+  CHECK(local.HistorySource({}, kRetention).address == 4);
+  peer_group first = group_of(4, 2);
+  hear(first, 3, 1);
+  CHECK(first.HistorySource({}, kRetention).address == 3);
 }
 
 }  // namespace
--- a/tests/platform_settings_file_test.cc
+++ b/tests/platform_settings_file_test.cc
@@ -45,6 +45,14 @@
   CHECK(FormatEndpoint(settings.store_endpoint) == "10.200.1.7:8169");
   CHECK(settings.bounds.grace_period == std::chrono::seconds(6));
   CHECK(settings.bounds.cold_slack == 5);
+  CHECK(settings.store_history == std::chrono::seconds(20));
+}
+
+TEST_CASE("The history of the store is as long as the settings state") {
+  const result<entry_settings> parsed =
+      ParseEntrySettings(std::string(kSettings) + "  retentionS: 7.5\n");
+  REQUIRE(parsed);
+  CHECK(parsed.value().store_history == std::chrono::milliseconds(7'500));
 }
 
 TEST_CASE("The error names the field") {
--- a/tests/store_sync_test.cc
+++ b/tests/store_sync_test.cc
@@ -29,8 +29,15 @@
 // Reads a scripted store; `keys` are those of all changes reported.
 class sync_fixture {
  public:
+  // `script` answers all calls but those for the history before the first view,
+  // which fail.
   sync_fixture(http_server_fixture::script script, item_decoder decode)
-      : server_(loop_, std::move(script)),
+      : server_(loop_,
+                [script = std::move(script)](const std::string& uri) {
+                  return uri.find("prefix=servers") == std::string::npos
+                             ? script(uri)
+                             : scripted_reply{503};
+                }),
         sync_(
             loop_,
             Settings(),
