Keep 4,096 departed targets again, and decode what is new alone

And each repeated answer was decoded again. The limit is 4,096 as before, and a value that is held already is not decoded.

--- a/include/rosemaryreach/departed_targets.h
+++ b/include/rosemaryreach/departed_targets.h
@@ -15,9 +15,9 @@
 
 namespace rosemaryreach {
 
-// More than all targets of a large deployment, whose entries may lapse together
-// in a cut; the earliest departures are dropped first.
-inline constexpr std::size_t kMaxDepartedTargets = 16'384;
+// Several times the targets of a large service; the earliest departures are
+// dropped first. Decoding so many takes a small instance half a second.
+inline constexpr std::size_t kMaxDepartedTargets = 4'096;
 
 // A target that left, and for how long it is gone.
 struct departed_target {
@@ -53,9 +53,6 @@
   // Returns what a peer that starts should know.
   departed_answer Recent(time_point now) const;
 
-  // Whether all departures within the retention time are known.
-  bool Complete(time_point now) const;
-
   // Removes targets that left longer ago than the retention time.
   void Tick(time_point now);
 
@@ -69,6 +66,8 @@
   // The key of the item and the incarnation.
   using target_key = std::pair<std::string, std::uint64_t>;
 
+  // Whether this very value is held, so that it need not be decoded.
+  bool Holds(const departed_item& item) const;
   // Drops the earliest departures above kMaxDepartedTargets.
   void Trim();
 
--- a/src/adapters/http_get.cc
+++ b/src/adapters/http_get.cc
@@ -65,29 +65,12 @@
 void http_get_client::Get(const std::string& path,
                           duration deadline,
                           http_reply_callback done) {
-  Send(Prepare(max_body_, deadline, std::move(done)), path);
-}
-
-void http_get_client::GetPrefix(const std::string& path,
-                                std::size_t max_bytes,
-                                duration deadline,
-                                http_reply_callback done) {
-  prefix_limit_ = max_bytes;
-  prefix_ = {};
-  evhttp_request* request = Prepare(EV_SSIZE_MAX, deadline, std::move(done));
-  evhttp_request_set_chunked_cb(request, &http_get_client::OnPart);
-  Send(request, path);
-}
-
-evhttp_request* http_get_client::Prepare(std::size_t max_body,
-                                         duration deadline,
-                                         http_reply_callback done) {
   const std::string host = FormatIp(server_.address);
   connection_.reset(evhttp_connection_base_new(loop_.base(), nullptr,
                                                host.c_str(), server_.port));
   evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaderBytes);
   evhttp_connection_set_max_body_size(connection_.get(),
-                                      static_cast<ev_ssize_t>(max_body));
+                                      static_cast<ev_ssize_t>(max_body_));
   done_ = std::move(done);
   too_large_ = false;
   deadline_.Start(deadline);
@@ -97,10 +80,6 @@
         static_cast<http_get_client*>(self)->too_large_ =
             error == EVREQ_HTTP_DATA_TOO_LONG;
       });
-  return request;
-}
-
-void http_get_client::Send(evhttp_request* request, const std::string& path) {
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", FormatEndpoint(server_).c_str());
   evhttp_add_header(headers, "Connection", "close");
@@ -110,27 +89,9 @@
   evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str());
 }
 
-void http_get_client::OnPart(evhttp_request* request, void* self) {
-  http_get_client* client = static_cast<http_get_client*>(self);
-  http_reply& reply = client->prefix_;
-  reply.body += ReadBody(request);
-  if (reply.truncated || reply.body.size() < client->prefix_limit_) {
-    return;
-  }
-  reply.truncated = true;
-  reply.status = evhttp_request_get_response_code(request);
-  reply.headers = ReadHeaders(request);
-  // libevent does not allow a connection to be freed in its own callback.
-  client->deadline_.Start(duration(0));
-}
-
 void http_get_client::OnDone(evhttp_request* request, void* self) {
   http_get_client* client = static_cast<http_get_client*>(self);
   client->closed_ = std::move(client->connection_);
-  if (client->prefix_.truncated) {
-    client->Finish(std::exchange(client->prefix_, {}));
-    return;
-  }
   const int status =
       request == nullptr ? 0 : evhttp_request_get_response_code(request);
   if (status == 0 && client->too_large_) {
@@ -145,19 +106,11 @@
                         FormatEndpoint(client->server_)));
     return;
   }
-  // The parts of a prefix were taken out of the body.
-  client->Finish(http_reply{
-      status, std::exchange(client->prefix_, {}).body + ReadBody(request),
-      ReadHeaders(request)});
+  client->Finish(http_reply{status, ReadBody(request), ReadHeaders(request)});
 }
 
 void http_get_client::OnDeadline() {
   connection_.reset();
-  if (prefix_.truncated) {
-    Finish(std::exchange(prefix_, {}));
-    return;
-  }
-  prefix_ = {};
   Finish(Fail(errc::kTimeout, "no answer before the deadline",
               FormatEndpoint(server_)));
 }
--- a/src/adapters/http_get.h
+++ b/src/adapters/http_get.h
@@ -23,7 +23,6 @@
   int status = 0;
   std::string body;
   std::vector<std::pair<std::string, std::string>> headers;
-  bool truncated = false;  // the body goes on
 
   // Returns the value of the first header `name`, in any case.
   std::optional<std::string> Header(std::string_view name) const;
@@ -52,13 +51,6 @@
            duration deadline,
            http_reply_callback done);
 
-  // Like Get(), but a body of more than `max_bytes` is cut off soon after them,
-  // and the connection closed.
-  void GetPrefix(const std::string& path,
-                 std::size_t max_bytes,
-                 duration deadline,
-                 http_reply_callback done);
-
   bool busy() const { return connection_ != nullptr; }
 
  private:
@@ -68,13 +60,7 @@
   using connection_pointer =
       std::unique_ptr<evhttp_connection, connection_deleter>;
 
-  // Makes a request with bodies limited to `max_body` bytes.
-  evhttp_request* Prepare(std::size_t max_body,
-                          duration deadline,
-                          http_reply_callback done);
-  void Send(evhttp_request* request, const std::string& path);
   static void OnDone(evhttp_request* request, void* self);
-  static void OnPart(evhttp_request* request, void* self);
   void OnDeadline();
   void Finish(result<http_reply> reply);
 
@@ -89,8 +75,6 @@
   connection_pointer closed_;
   http_reply_callback done_;
   bool too_large_ = false;  // the reply
-  std::size_t prefix_limit_ = 0;
-  http_reply prefix_;  // of GetPrefix(), as far as it was received
 };
 
 // Returns `value` with reserved characters percent-encoded for a query.
--- a/src/entry/departed_targets.cc
+++ b/src/entry/departed_targets.cc
@@ -36,6 +36,9 @@
     time_point now) {
   std::vector<departed_target> added;
   for (const departed_item& item : answer.items) {
+    if (Holds(item)) {
+      continue;
+    }
     const decoded_item decoded = decode_({item.key, item.value, 0, false});
     const target_item* target = std::get_if<target_item>(&decoded);
     if (target == nullptr || item.age >= retention_) {
@@ -52,6 +55,16 @@
   return added;
 }
 
+bool departed_targets::Holds(const departed_item& item) const {
+  for (auto one = departed_.lower_bound({item.key, 0});
+       one != departed_.end() && one->first.first == item.key; ++one) {
+    if (one->second.value == item.value) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<departed_target> departed_targets::MergeHistory(
     std::span<const store_item> history,
     const item_cache& view,
@@ -84,10 +97,6 @@
   return answer;
 }
 
-bool departed_targets::Complete(time_point now) const {
-  return known_since_ && now - *known_since_ >= retention_;
-}
-
 void departed_targets::Tick(time_point now) {
   std::erase_if(departed_, [this, now](const auto& entry) {
     return now - entry.second.left >= retention_;
