Ask any peer that is older than all that were asked

Found in review, with failing tests: two peers whose views were 2 s older than the asker's, and who knew nothing either, still ended its question; so did a reading of the history and one peer that had merged it. An older peer that was heard later was asked only after a packet had been dropped, up to 12 s later.

- A peer that started 2 s or more before all that were asked is asked at once, before the history, and the count of answers begins anew.
What this instance has seen itself counts by its own age, so one settled peer that was cut off from the store is not believed alone.
- With a slow store, the history took the turns of older peers, and a reading that missed its deadline threw away what earlier ones had brought.
- An answer of more than 4 MB counts as a history that is gone, instead of being read in part: a chunked answer had no limit of memory, and an answer that ended just beyond the limit was refused as invalid.
- asked_ holds a peer once; it grew with each question.

--- a/include/rosemaryreach/departed_schedule.h
+++ b/include/rosemaryreach/departed_schedule.h
@@ -36,12 +36,9 @@
   // Records that a packet was dropped, as no target with its cookie is known.
   void OnUnknownCookie() { wanted_ = true; }
 
-  // Returns the question to ask now. `complete` means that all departures
-  // within the retention time are known. Must not be called while a question
-  // is open.
-  departed_question Next(const peer_group& peers,
-                         bool complete,
-                         time_point now);
+  // Returns the question to ask now. Must not be called while a question is
+  // open.
+  departed_question Next(const peer_group& peers, time_point now);
 
   // Records an answer of a peer that knows the departures of `known_for`, and
   // whether it named targets that were not known here.
@@ -63,6 +60,9 @@
 
  private:
   bool HistoryDue(const peer_group& peers, time_point now) const;
+  // Whether a peer started well before all that were asked.
+  bool IsOldest(const history_source& source) const;
+  departed_question AskPeer(const history_source& source);
   void Delay(time_point now);
   void EndHistory(duration known_for);
 
@@ -71,8 +71,8 @@
   std::optional<time_point> viewed_at_;
   std::vector<std::uint32_t> asked_;  // in this round
   std::size_t questions_ = 0;
-  bool asked_older_ = false;
-  std::size_t answers_ = 0;    // that count
+  std::optional<std::uint64_t> oldest_asked_;  // when it started, Unix ms
+  std::size_t answers_ = 0;                    // that count
   std::size_t fruitless_ = 0;  // questions in a row that added nothing
   bool wanted_ = false;
   time_point retry_at_{};
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -71,6 +71,8 @@
   std::uint32_t address = 0;  // 0 if there is none
   // It started before this instance by more than kStartSpread.
   bool older = false;
+  // When it started, Unix ms; 0 if it was older than what is asked for.
+  std::uint64_t started = 0;
 
   bool operator==(const history_source&) const = default;
 };
--- a/src/entry/departed_schedule.cc
+++ b/src/entry/departed_schedule.cc
@@ -5,7 +5,7 @@
 namespace rosemaryreach {
 namespace {
 
-// A second answer is a guard against a giver that was cut off meanwhile.
+// A second answer is a guard against a giver that was cut off from the store.
 constexpr std::size_t kMaxAnswers = 2;
 // Between questions that add nothing; doubles with each two further ones.
 constexpr duration kFirstDelay = std::chrono::milliseconds(200);
@@ -30,33 +30,60 @@
 }
 
 departed_question departed_schedule::Next(const peer_group& peers,
-                                          bool complete,
                                           time_point now) {
-  const bool informed = complete || answers_ >= kMaxAnswers;
-  if (!viewed_at_ || (informed && !wanted_)) {
+  const bool seen_all = viewed_at_ && now - *viewed_at_ >= retention_;
+  if (!viewed_at_ || (seen_all && !wanted_)) {
+    return {};
+  }
+  const history_source best = peers.HistorySource({}, retention_);
+  if (IsOldest(best)) {
+    // What younger ones told is not enough any more.
+    answers_ = 0;
+    fruitless_ = 0;
+    return AskPeer(best);
+  }
+  const bool informed = seen_all || answers_ >= kMaxAnswers;
+  if (informed && !wanted_) {
     return {};
   }
   if (!informed && HistoryDue(peers, now)) {
     return {departed_source::kHistory, 0};
   }
+  if (now < retry_at_) {
+    return {};
+  }
+  if (now - retry_at_ >= kFirstDelay * (1 << kMaxDoublings)) {
+    fruitless_ = 0;
+  }
   // Every second question goes to the best peer, which may have learned more
   // since; the others in turn to the next best.
-  const bool best = questions_ % 2 == 0;
-  const history_source source = peers.HistorySource(
-      best ? std::span<const std::uint32_t>() : asked_, retention_);
+  const bool ask_best = questions_ % 2 == 0;
+  const history_source source =
+      ask_best ? best : peers.HistorySource(asked_, retention_);
   if (source.address == 0) {
     asked_.clear();
-    questions_ += best ? 0 : 1;
+    questions_ += ask_best ? 0 : 1;
     return {};
   }
-  const bool first_older = source.older && !asked_older_;
-  if (now < retry_at_ && !first_older) {
-    return {};
+  return AskPeer(source);
+}
+
+bool departed_schedule::IsOldest(const history_source& source) const {
+  constexpr std::uint64_t kSpreadMillis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kStartSpread)
+          .count();
+  return source.older &&
+         (!oldest_asked_ || source.started + kSpreadMillis < *oldest_asked_);
+}
+
+departed_question departed_schedule::AskPeer(const history_source& source) {
+  if (source.older) {
+    oldest_asked_ =
+        std::min(oldest_asked_.value_or(source.started), source.started);
+  }
+  if (std::find(asked_.begin(), asked_.end(), source.address) == asked_.end()) {
+    asked_.push_back(source.address);
   }
-  const bool long_ago = now - retry_at_ >= kFirstDelay * (1 << kMaxDoublings);
-  fruitless_ = first_older || long_ago ? 0 : fruitless_;
-  asked_older_ = asked_older_ || source.older;
-  asked_.push_back(source.address);
   ++questions_;
   wanted_ = false;
   return {departed_source::kPeer, source.address};
@@ -128,6 +155,10 @@
 }
 
 void departed_schedule::OnHistoryFailed(time_point now) {
+  if (readable_) {
+    EndHistory(history_ / kDepthFactor);
+    return;
+  }
   ++history_failures_;
   history_retry_at_ = now + kHistoryRetryDelay;
 }
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -275,9 +275,11 @@
     }
   }
   if (oldest == nullptr) {
-    return {ReaderToAsk(excluded), false};
+    return {ReaderToAsk(excluded), false, 0};
   }
-  return {settled != 0 ? settled : oldest->address, true};
+  return settled != 0
+             ? history_source{settled, true, 0}
+             : history_source{oldest->address, true, oldest->incarnation};
 }
 
 std::uint32_t peer_group::ReaderToAsk(
--- a/src/entryd/departed_sync.cc
+++ b/src/entryd/departed_sync.cc
@@ -17,10 +17,6 @@
 constexpr duration kAnswerReuseTime = std::chrono::milliseconds(200);
 // A store that sends its history slowly is still of use.
 constexpr duration kHistoryDeadline = std::chrono::seconds(2);
-// Of a longer history only the oldest part is read: some 7,000 changes, which a
-// small instance decodes in tenths of a second.
-constexpr std::size_t kMaxHistoryBytes = 4'000'000;
-
 }  // namespace
 
 departed_sync::departed_sync(event_loop& loop,
@@ -57,8 +53,7 @@
   if (busy()) {
     return;
   }
-  const departed_question question =
-      schedule_.Next(peers_, departed_.Complete(now), now);
+  const departed_question question = schedule_.Next(peers_, now);
   switch (question.source) {
     case departed_source::kNone:
       return;
@@ -87,7 +82,7 @@
   const std::uint64_t after =
       cursor - std::min(cursor, schedule_.HistoryDepth());
   client_ = std::make_unique<store_client>(loop_, settings_.store_endpoint);
-  client_->ReadHistory(after, kMaxHistoryBytes, kHistoryDeadline,
+  client_->ReadHistory(after, kHistoryDeadline,
                        [this, after](const result<store_answer>& answer) {
                          OnHistory(answer, after);
                        });
@@ -136,12 +131,12 @@
 
 void departed_sync::OnHistoryFailed(const error& error) {
   const time_point now = BootTimeNow();
-  if (error.code == errc::kStale) {
+  if (error.code == errc::kStale || error.code == errc::kTooLarge) {
     schedule_.OnHistoryGone();
-    departed_.OnView(now - schedule_.HistoryKnownFor());
   } else {
     schedule_.OnHistoryFailed(now);
   }
+  departed_.OnView(now - schedule_.HistoryKnownFor());
   LogFailed("the store", error);
 }
 
