Test which departed targets are kept, and that order doesn't matter

Two properties of departed_targets. Blocks of up to 12,000 of 20,000 targets, told in any order, alone or together with others at one time: never more than kMaxDepartedTargets are kept, no fewer if there are as many, and none that left later than one that is kept is dropped. Answers of peers and readings of parts of the history, merged in any order and again: what is kept is each target that left within the retention time by any of them, and each is returned as new once.

--- a/tests/departed_targets_test.cc
+++ b/tests/departed_targets_test.cc
@@ -1,7 +1,16 @@
 #include "rosemaryreach/departed_targets.h"
 
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
 #include "entry_fixture.h"
 
 namespace rosemaryreach {
@@ -124,5 +133,184 @@
   CHECK(departed.Recent(At(100'000)).items.front().key == "0");
 }
 
+constexpr duration kRetention = std::chrono::seconds(75);
+
+// Returns the keys and values that are kept.
+std::set<std::pair<std::string, std::string>> KeptAt(
+    const departed_targets& departed,
+    time_point now) {
+  std::set<std::pair<std::string, std::string>> kept;
+  for (const departed_item& item : departed.Recent(now).items) {
+    kept.emplace(item.key, item.value);
+  }
+  return kept;
+}
+
+// The i-th target left i steps ago, or together with its neighbours; the last
+// ones too long ago.
+constexpr std::size_t kTargets = 20'000;
+constexpr duration kStep = std::chrono::milliseconds(4);
+
+// Peers tell of them in any order, and again.
+TEST_CASE("Of too many departures the latest are kept") {
+  using block = std::pair<std::size_t, std::size_t>;  // first, count
+  CHECK(rc::check([] {
+    const std::size_t together = *rc::gen::element<std::size_t>(1, 7, 5'000);
+    const std::vector<block> blocks = *rc::gen::container<std::vector<block>>(
+        rc::gen::pair(rc::gen::inRange<std::size_t>(0, kTargets),
+                      rc::gen::element<std::size_t>(1, 100, 3'000, 12'000)));
+    const auto age_of = [together](std::size_t i) {
+      return kStep * (i / together * together);
+    };
+    const time_point now = At(100'000);
+    departed_targets departed(Decode, kRetention);
+    std::vector<bool> told(kTargets);
+    for (std::size_t b = 0; b < std::min<std::size_t>(blocks.size(), 4); ++b) {
+      const auto [first, count] = blocks[b];
+      departed_answer answer;
+      for (std::size_t i = first; i < std::min(first + count, kTargets); ++i) {
+        told[i] = told[i] || age_of(i) < kRetention;
+        answer.items.push_back({std::to_string(i), "1", age_of(i)});
+      }
+      departed.Merge(answer, now);
+      RC_ASSERT(departed.size() <= kMaxDepartedTargets);
+    }
+    const departed_answer kept = departed.Recent(now);
+    const std::size_t all =
+        static_cast<std::size_t>(std::count(told.begin(), told.end(), true));
+    RC_ASSERT(kept.items.size() == std::min(all, kMaxDepartedTargets));
+    duration oldest_kept{};
+    std::vector<bool> dropped = told;
+    for (const departed_item& item : kept.items) {
+      const std::size_t i = std::stoull(item.key);
+      RC_ASSERT(told[i]);
+      RC_ASSERT(item.age == age_of(i));
+      dropped[i] = false;
+      oldest_kept = std::max(oldest_kept, item.age);
+    }
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      RC_ASSERT(!dropped[i] || age_of(i) >= oldest_kept);
+    }
+  }));
+}
+
+// Answers of peers and readings of the history, as one instance gets them, or
+// another one in a different order.
+class told_departures {
+ public:
+  told_departures() {
+    // Some targets are listed, and the cursor is amid the history.
+    std::vector<store_item> listed;
+    for (int i = 0; i < kKeys; i += 3) {
+      listed.push_back({Key(i), "1", 1, false});
+    }
+    view_.MergeListing(listed, {0, kCursor});
+    const std::vector<std::tuple<int, int>> drawn =
+        *rc::gen::container<std::vector<std::tuple<int, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, kKeys), rc::gen::inRange(0, 5)));
+    for (const auto& [key, value] : drawn) {
+      const std::uint64_t revision = history_.size() + 1;
+      if (value == 0) {
+        history_.push_back({Key(key), "", revision, true});
+      } else {
+        history_.push_back({Key(key), value == 4 ? "?" : std::to_string(value),
+                            revision, false});
+      }
+    }
+  }
+
+  // Returns a reading of a part of the history.
+  std::vector<store_item> DrawReading() const {
+    const std::size_t first =
+        *rc::gen::inRange<std::size_t>(0, history_.size() + 1);
+    const std::size_t last =
+        *rc::gen::inRange<std::size_t>(first, history_.size() + 1);
+    return {history_.begin() + static_cast<std::ptrdiff_t>(first),
+            history_.begin() + static_cast<std::ptrdiff_t>(last)};
+  }
+  static departed_answer DrawAnswer() {
+    departed_answer answer;
+    const std::vector<std::tuple<int, int, int>> drawn =
+        *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, kKeys), rc::gen::inRange(1, 5),
+                           rc::gen::inRange(0, 100)));
+    for (const auto& [key, value, age] : drawn) {
+      answer.items.push_back({Key(key),
+                              value == 4 ? "?" : std::to_string(value),
+                              std::chrono::seconds(age)});
+    }
+    return answer;
+  }
+
+  // Returns the targets that left by a reading: their last readable values.
+  std::set<std::pair<std::string, std::string>> Left(
+      const std::vector<store_item>& reading) const {
+    std::map<std::string, std::string> last;
+    for (const store_item& item : reading) {
+      const bool listed = std::stoi(item.key) % 3 == 0;
+      if (!listed && !item.deleted && item.value != "?" &&
+          item.revision <= kCursor) {
+        last[item.key] = item.value;
+      }
+    }
+    return {last.begin(), last.end()};
+  }
+
+  const item_cache& view() const { return view_; }
+
+ private:
+  static constexpr int kKeys = 12;
+  static constexpr std::uint64_t kCursor = 30;
+
+  static std::string Key(int i) { return std::to_string(i); }
+
+  item_cache view_{Decode};
+  std::vector<store_item> history_;
+};
+
+TEST_CASE("What is told of departures counts once, in any order") {
+  CHECK(rc::check([] {
+    const told_departures told;
+    const time_point now = At(100'000);
+    std::vector<departed_answer> answers;
+    std::vector<std::vector<store_item>> readings;
+    std::vector<std::pair<bool, std::size_t>> order;  // answer or reading
+    std::set<std::pair<std::string, std::string>> expected;
+    for (std::size_t i = 0; i < 3; ++i) {
+      answers.push_back(told_departures::DrawAnswer());
+      for (const departed_item& item : answers.back().items) {
+        if (item.value != "?" && item.age < kRetention) {
+          expected.emplace(item.key, item.value);
+        }
+      }
+      readings.push_back(told.DrawReading());
+      expected.merge(told.Left(readings.back()));
+      order.emplace_back(true, i);
+      order.emplace_back(false, i);
+    }
+    const int orders = *rc::gen::inRange(0, 720);
+    for (int i = 0; i < orders; ++i) {
+      std::next_permutation(order.begin(), order.end());
+    }
+    departed_targets departed(Decode, kRetention);
+    const auto merge = [&](const auto& one) {
+      return one.first ? departed.Merge(answers[one.second], now)
+                       : departed.MergeHistory(readings[one.second],
+                                               told.view(), now);
+    };
+    std::size_t added = 0;
+    for (const auto& one : order) {
+      added += merge(one).size();
+      RC_ASSERT(merge(one).empty());
+    }
+    RC_ASSERT(KeptAt(departed, now) == expected);
+    RC_ASSERT(added == expected.size());
+    for (const auto& one : order) {
+      RC_ASSERT(merge(one).empty());
+    }
+    RC_ASSERT(KeptAt(departed, now) == expected);
+  }));
+}
+
 }  // namespace
 }  // namespace rosemaryreach
