Test where instances send cookies of entries that lack a start time at times

An entry without a start time is ignored once a start of its id is known, so which targets an instance knows depends on the order in which it read the entries. If two such ids share a cookie, one instance may know the one alone, and another instance the other alone, and packets of one cookie go to both.

Smallest case: entries of two ids that share a cookie without a start time, each listed with a start and without one; one instance reads first that without of the one id, another instance first that without of the other.

--- a/tests/own_target_test.cc
+++ b/tests/own_target_test.cc
@@ -343,5 +343,11 @@
   }));
 }
 
+// The first entry without a start time makes its target known, unless a start
+// of its id is known.
+TEST_CASE("So do instances that saw entries with and without a start time") {
+  CHECK(rc::check([] { CheckTwoInstances(*Steps()); }));
+}
+
 }  // namespace
 }  // namespace rosemaryreach
