Ask peers that can answer, and tell silent seeds of a view sooner

Seeds that had been killed together knew nobody, and survivors told them of a view with their next beacon only, up to a second later. Now one instance of the fleet on average, drawn every 0.2 s, sends its beacon to the seeds that were not heard of for 1.5 s. So a seed that starts again hears at the same rate in a fleet of any size, and a calm small fleet sends nothing more. Peers that were heard directly go first, and one that has not answered is passed over until another has. Changes discard the encoded answer, and only a history that was read whole counts.

"A peer that was heard directly is asked for history first", "Seeds that were not heard lately are told of the view" and "A peer that does not answer is not asked twice in a row" fail on the parent. Left: a data centre that is cut off and in which nobody has a view.

--- a/include/rosemaryreach/departed_schedule.h
+++ b/include/rosemaryreach/departed_schedule.h
@@ -55,7 +55,8 @@
   // The store no longer has the history of HistoryDepth().
   void OnHistoryGone();
   void OnHistoryFailed(time_point now);
-  // Returns how long before the reading departures are known from it.
+  // Returns how long before the reading departures are known from it: nothing
+  // unless all of the history was read, as revisions don't tell times.
   duration HistoryKnownFor() const;
 
  private:
@@ -69,7 +70,9 @@
   duration retention_;
   duration history_;
   std::optional<time_point> viewed_at_;
-  std::vector<std::uint32_t> asked_;  // in this round
+  std::vector<std::uint32_t> asked_;   // in this round
+  std::vector<std::uint32_t> failed_;  // to answer, since the last answer
+  std::uint32_t last_asked_ = 0;
   std::size_t questions_ = 0;
   std::optional<std::uint64_t> oldest_asked_;  // when it started, Unix ms
   std::size_t answers_ = 0;                    // that count
--- a/include/rosemaryreach/peer_group.h
+++ b/include/rosemaryreach/peer_group.h
@@ -116,6 +116,10 @@
   // of this data centre only, since traffic between data centres is expensive.
   std::vector<std::uint32_t> RelayRecipients();
 
+  // Returns the seeds that were not heard of lately. One that has started again
+  // knows no other instance but the seeds, so it waits to be told of a view.
+  std::vector<std::uint32_t> SilentSeeds(time_point now) const;
+
   // Returns some peers that had no view of the store by their last summary.
   std::vector<std::uint32_t> PeersWithoutView();
 
@@ -167,6 +171,11 @@
   };
 
   void MergeSummary(const peer_summary& summary, time_point now);
+  // Returns an older peer as HistorySource() does, of those heard directly or
+  // of the others.
+  history_source OlderPeer(std::span<const std::uint32_t> excluded,
+                           duration retention,
+                           bool direct) const;
   // Returns the first reader of the store in this data centre or, if that is
   // this instance, of all; otherwise any peer. None of `excluded`; 0 if there
   // is no other.
--- a/src/entry/departed_schedule.cc
+++ b/src/entry/departed_schedule.cc
@@ -35,7 +35,7 @@
   if (!viewed_at_ || (seen_all && !wanted_)) {
     return {};
   }
-  const history_source best = peers.HistorySource({}, retention_);
+  const history_source best = peers.HistorySource(failed_, retention_);
   if (IsOldest(best)) {
     // What younger ones told is not enough any more.
     answers_ = 0;
@@ -62,6 +62,7 @@
       ask_best ? best : peers.HistorySource(asked_, retention_);
   if (source.address == 0) {
     asked_.clear();
+    failed_.clear();
     questions_ += ask_best ? 0 : 1;
     return {};
   }
@@ -84,6 +85,7 @@
   if (std::find(asked_.begin(), asked_.end(), source.address) == asked_.end()) {
     asked_.push_back(source.address);
   }
+  last_asked_ = source.address;
   ++questions_;
   wanted_ = false;
   return {departed_source::kPeer, source.address};
@@ -103,6 +105,7 @@
                                  time_point now) {
   const bool counts = known_for >= now - *viewed_at_ + kStartSpread;
   answers_ += counts ? 1 : 0;
+  failed_.clear();
   if (added) {
     fruitless_ = 0;
   }
@@ -114,6 +117,7 @@
 }
 
 void departed_schedule::OnNoAnswer(time_point now) {
+  failed_.push_back(last_asked_);
   Delay(now);
 }
 
@@ -129,7 +133,7 @@
   if (whole) {
     EndHistory(history_);
   } else if (longest || ++history_calls_ >= kMaxHistoryCalls) {
-    EndHistory(history_ / kDepthFactor);
+    EndHistory(duration(0));
   } else {
     depth_ *= kDepthFactor;
   }
@@ -137,7 +141,7 @@
 
 void departed_schedule::OnHistoryGone() {
   if (readable_) {
-    EndHistory(history_ / kDepthFactor);
+    EndHistory(duration(0));
   } else if (++history_calls_ >= kMaxHistoryCalls || depth_ < kDepthFactor) {
     EndHistory(duration(0));
   } else {
@@ -156,7 +160,7 @@
 
 void departed_schedule::OnHistoryFailed(time_point now) {
   if (readable_) {
-    EndHistory(history_ / kDepthFactor);
+    EndHistory(duration(0));
     return;
   }
   ++history_failures_;
--- a/src/entry/peer_group.cc
+++ b/src/entry/peer_group.cc
@@ -28,6 +28,9 @@
 // Peers that timed out get beacons for this long.
 constexpr duration kLostPeerRetention = std::chrono::seconds(90);
 
+// Longer than between two beacons that reach an instance of a small fleet.
+constexpr duration kSilentSeedTime = std::chrono::milliseconds(1'500);
+
 // Returns whether `a` is a newer state of the same instance than `b`.
 bool IsNewer(const peer_summary& a, const peer_summary& b) {
   return a.incarnation != b.incarnation ? a.incarnation > b.incarnation
@@ -195,6 +198,18 @@
   return to;
 }
 
+std::vector<std::uint32_t> peer_group::SilentSeeds(time_point now) const {
+  address_list silent;
+  for (const std::uint32_t address : seeds_) {
+    const auto known = peers_.find(address);
+    if (known == peers_.end() ||
+        now - known->second.last_heard >= kSilentSeedTime) {
+      silent.push_back(address);
+    }
+  }
+  return silent;
+}
+
 std::vector<std::uint32_t> peer_group::PeersWithoutView() {
   address_list without_view;
   for (const auto& [address, peer] : peers_) {
@@ -250,6 +265,19 @@
 history_source peer_group::HistorySource(
     std::span<const std::uint32_t> excluded,
     duration retention) const {
+  // What is known of others alone may be behind a cut by now.
+  for (const bool direct : {true, false}) {
+    const history_source older = OlderPeer(excluded, retention, direct);
+    if (older.address != 0) {
+      return older;
+    }
+  }
+  return {ReaderToAsk(excluded), false, 0};
+}
+
+history_source peer_group::OlderPeer(std::span<const std::uint32_t> excluded,
+                                     duration retention,
+                                     bool direct) const {
   const auto started_before = [this](const peer_summary& one, duration time) {
     return one.incarnation + static_cast<std::uint64_t>(ToMillis(time)) <=
            self_.incarnation;
@@ -259,7 +287,7 @@
   std::uint64_t settled_score = 0;
   for (const auto& [address, peer] : peers_) {
     const peer_summary& one = peer.summary;
-    if (one.leaving || Contains(excluded, address) ||
+    if (one.leaving || peer.direct != direct || Contains(excluded, address) ||
         !started_before(one, kStartSpread)) {
       continue;
     }
@@ -274,11 +302,11 @@
       settled_score = score;
     }
   }
-  if (oldest == nullptr) {
-    return {ReaderToAsk(excluded), false, 0};
+  if (settled != 0) {
+    return {settled, true, 0};
   }
-  return settled != 0
-             ? history_source{settled, true, 0}
+  return oldest == nullptr
+             ? history_source{}
              : history_source{oldest->address, true, oldest->incarnation};
 }
 
--- a/src/entryd/departed_sync.cc
+++ b/src/entryd/departed_sync.cc
@@ -40,6 +40,7 @@
 
 void departed_sync::Apply(const view_change& change, time_point now) {
   departed_.Apply(change, now);
+  cached_answer_.clear();
 }
 
 void departed_sync::Reload(const entry_settings& settings) {
@@ -101,7 +102,12 @@
       departed_.Merge(answer.value(), now);
   schedule_.OnAnswer(answer.value().known_for, !added.empty(), now);
   LogLearned(giver, added.size(), answer.value().known_for);
+  PassOn(added);
+}
+
+void departed_sync::PassOn(std::span<const departed_target> added) {
   if (!added.empty()) {
+    cached_answer_.clear();
     on_departed_(added);
   }
 }
@@ -124,9 +130,7 @@
   LogLearned("the store, " + std::to_string(answer.value().items.size()) +
                  " changes after revision " + std::to_string(after),
              added.size(), schedule_.HistoryKnownFor());
-  if (!added.empty()) {
-    on_departed_(added);
-  }
+  PassOn(added);
 }
 
 void departed_sync::OnHistoryFailed(const error& error) {
--- a/src/entryd/departed_sync.h
+++ b/src/entryd/departed_sync.h
@@ -59,6 +59,7 @@
   void AskPeer(std::uint32_t peer);
   void ReadHistory();
   void OnAnswer(const result<departed_answer>& answer, std::uint32_t peer);
+  void PassOn(std::span<const departed_target> added);
   void OnHistory(const result<store_answer>& answer, std::uint64_t after);
   void OnHistoryFailed(const error& error);
   void LogLearned(std::string_view giver,
--- a/src/entryd/store_sync.cc
+++ b/src/entryd/store_sync.cc
@@ -30,6 +30,9 @@
 // has a view. Instances that are started together start within 0.3 s of each
 // other.
 constexpr duration kSearchPeriod = std::chrono::milliseconds(40);
+// Period in which one instance of the fleet, on average, tells silent seeds of
+// its view.
+constexpr duration kSeedBeaconPeriod = std::chrono::milliseconds(200);
 // If nobody has a view for so long, periodic beacons tell when one has.
 constexpr duration kMaxSearchTime = std::chrono::seconds(2);
 
@@ -100,7 +103,9 @@
       read_timer_(loop, [this] { StartRead(); }),
       page_timer_(loop, [this] { ReadPage(); }),
       pull_timer_(loop, [this] { RetryPull(); }),
-      beacon_timer_(loop, [this] { OnBeaconTimer(); }) {}
+      beacon_timer_(loop, [this] { OnBeaconTimer(); }),
+      seed_timer_(loop, [this] { OnSeedTimer(); }),
+      random_(seed) {}
 
 result<void> store_sync::Start() {
   endpoint local = settings_.control_endpoint;
@@ -111,6 +116,7 @@
   watch_ = std::make_unique<descriptor_watch>(
       loop_, socket_->fd(), io_event::kRead, [this] { OnDatagrams(); });
   OnBeaconTimer();
+  seed_timer_.StartEvery(kSeedBeaconPeriod);
   ScheduleRead();
   return success();
 }
@@ -520,6 +526,13 @@
   beacon_timer_.Start(searching ? kSearchPeriod : kBeaconPeriod);
 }
 
+void store_sync::OnSeedTimer() {
+  std::uniform_int_distribution<std::size_t> draw(0, peers_.size());
+  if (cache_.has_view() && draw(random_) == 0) {
+    SendBeacon(peers_.SilentSeeds(BootTimeNow()), false);
+  }
+}
+
 void store_sync::OnPeerChange(std::uint32_t address, const char* outcome) {
   if (++peer_change_count_ <= kMaxPeersPerLine) {
     peer_changes_ += peer_changes_.empty() ? "" : ", ";
--- a/src/entryd/store_sync.h
+++ b/src/entryd/store_sync.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -113,6 +114,8 @@
   void SendBeacon(std::span<const std::uint32_t> to, bool wants_answer);
   void SendUpdateBeacon();
   void OnBeaconTimer();
+  // Tells silent seeds of the view, at a rate that the fleet shares.
+  void OnSeedTimer();
   void OnPeerChange(std::uint32_t address, const char* outcome);
   void LogStore(const char* outcome, const std::string& detail);
 
@@ -160,6 +163,8 @@
   loop_timer page_timer_;
   loop_timer pull_timer_;
   loop_timer beacon_timer_;
+  loop_timer seed_timer_;
+  std::mt19937_64 random_;
 };
 
 }  // namespace rosemaryreach
--- a/tests/departed_schedule_test.cc
+++ b/tests/departed_schedule_test.cc
@@ -118,6 +118,22 @@
   CHECK(question.peer == 3);
 }
 
+TEST_CASE("A peer that does not answer is not asked twice in a row") {
+  schedule_fixture fixture;
+  fixture.Hear(1, 40'000);
+  fixture.Hear(2, 50'000);
+  std::vector<std::uint32_t> asked;
+  for (std::int64_t ms = 0; asked.size() < 3; ms += 100) {
+    const departed_question question = fixture.Next(ms);
+    if (question.source == departed_source::kPeer) {
+      asked.push_back(question.peer);
+      fixture.schedule.OnNoAnswer(At(ms));
+    }
+  }
+  CHECK(asked[0] == 1);
+  CHECK(asked[1] == 2);
+}
+
 // A slow store would keep the instance from asking for seconds.
 TEST_CASE("An older peer is asked before the history") {
   schedule_fixture fixture;
@@ -130,7 +146,7 @@
   schedule_fixture fixture;
   fixture.schedule.OnHistoryRead(false);
   fixture.schedule.OnHistoryFailed(At(2'400));
-  CHECK(fixture.schedule.HistoryKnownFor() == kHistory / 4);
+  CHECK(fixture.schedule.HistoryKnownFor() == duration(0));
   CHECK(fixture.Next(4'000).source == departed_source::kNone);
 }
 
@@ -208,10 +224,10 @@
   CHECK(young.schedule.HistoryKnownFor() == kHistory);
   schedule_fixture large;
   CHECK(DepthsRead(large, 1'000, 10'000) == depths{64, 256, 1'024});
-  CHECK(large.schedule.HistoryKnownFor() == kHistory / 4);
+  CHECK(large.schedule.HistoryKnownFor() == duration(0));
   schedule_fixture small;
   CHECK(DepthsRead(small, 20, 10'000) == depths{64, 16});
-  CHECK(small.schedule.HistoryKnownFor() == kHistory / 4);
+  CHECK(small.schedule.HistoryKnownFor() == duration(0));
   schedule_fixture compacted;
   CHECK(DepthsRead(compacted, 0, 10'000) == depths{64, 16, 4, 1});
   CHECK(compacted.schedule.HistoryKnownFor() == duration(0));
--- a/tests/departed_sync_test.cc
+++ b/tests/departed_sync_test.cc
@@ -114,11 +114,15 @@
     }
   }
 
-  std::size_t Failures() const {
+  // Returns the questions that peers, or the store, did not answer.
+  std::size_t Failures() const { return CountFailures(false); }
+  std::size_t StoreFailures() const { return CountFailures(true); }
+
+  std::size_t CountFailures(bool of_store) const {
     return static_cast<std::size_t>(std::count_if(
-        lines.begin(), lines.end(), [](const nlohmann::json& line) {
+        lines.begin(), lines.end(), [of_store](const nlohmann::json& line) {
           return line.value("outcome", "") == "departed_pull_failed" &&
-                 line.value("peer", "") != "the store";
+                 (line.value("peer", "") == "the store") == of_store;
         }));
   }
 
@@ -283,7 +287,7 @@
   departed_sync_fixture fixture;
   history_store store(fixture, 0);
   store.SetEra("1");
-  fixture.RunUntil([&] { return fixture.Failures() >= 1; });
+  fixture.RunUntil([&] { return fixture.StoreFailures() >= 1; });
   fixture.RunFor(kPause);
   CHECK(store.readings().size() == 1);
   CHECK(fixture.learned.empty());
@@ -295,7 +299,7 @@
   history_store store(fixture, 0);
   store.SetStatus(503);
   for (std::size_t i = 1; i <= 5; ++i) {
-    fixture.RunUntil([&] { return fixture.Failures() >= i; });
+    fixture.RunUntil([&] { return fixture.StoreFailures() >= i; });
     CHECK(store.readings().size() == i);
     fixture.skipped += std::chrono::seconds(1);
   }
--- a/tests/peer_group_test.cc
+++ b/tests/peer_group_test.cc
@@ -495,6 +495,31 @@
   CHECK(asked.size() == 10);
 }
 
+TEST_CASE("A peer that was heard directly is asked for history first") {
+  peer_summary self = Summary(10);
+  self.incarnation = 100'000;
+  peer_group group(self, {}, 1, [](std::uint32_t, const char*) {});
+  beacon heard;
+  heard.from = Summary(12);
+  heard.from.incarnation = 50'000;
+  heard.others = {Summary(11)};
+  heard.others.front().incarnation = 40'000;
+  group.ApplyBeacon(heard, At(0));
+  CHECK(group.HistorySource({}, kRetention).address == 12);
+  CHECK(
+      group.HistorySource(std::vector<std::uint32_t>{12}, kRetention).address ==
+      11);
+}
+
+TEST_CASE("Seeds that were not heard lately are told of the view") {
+  peer_group group(Summary(10), {10, 11, 12}, 1,
+                   [](std::uint32_t, const char*) {});
+  Hear(group, Summary(11));
+  using addresses = std::vector<std::uint32_t>;
+  CHECK(group.SilentSeeds(At(1'000)) == addresses{12});
+  CHECK(group.SilentSeeds(At(1'500)) == addresses{11, 12});
+}
+
 // One that reads the history of the store tells the others.
 TEST_CASE("Peers that start together ask those that read the store first") {
   const auto group_of = [](std::uint32_t address, std::uint32_t data_centre) {
