--- a/tests/departed_sync_test.cc
+++ b/tests/departed_sync_test.cc
@@ -92,6 +92,7 @@
   // Lists these targets, as of revision 1,000.
   void List(const std::vector<std::string>& keys) {
     std::vector<store_item> items;
+    items.reserve(keys.size());
     for (const std::string& key : keys) {
       items.push_back({key, "value", 990, false});
     }
--- a/tests/own_target_test.cc
+++ b/tests/own_target_test.cc
@@ -59,7 +59,7 @@
 
 // Returns the starts that entries are drawn from; many share cookies.
 const std::vector<target_start>& Starts() {
-  static const std::vector<target_start> starts = [] {
+  static const std::vector<target_start> kStarts = [] {
     const auto [first, second] = IdsOfOneCookie(1);
     const auto [third, fourth] = IdsOfOneCookie(0);
     const std::string again = "i-20000000";
@@ -77,7 +77,7 @@
     }
     return made;
   }();
-  return starts;
+  return kStarts;
 }
 
 enum class act : std::uint8_t {
@@ -307,6 +307,7 @@
 // packets of open flows.
 void CheckTwoInstances(const std::vector<step>& steps) {
   std::vector<std::pair<int, step>> reordered;
+  reordered.reserve(steps.size());
   for (const step& drawn : steps) {
     reordered.emplace_back(*rc::gen::inRange(0, 1'000), drawn);
   }
