Know targets of entries without a start time by their cookies

Such an entry was ignored once a start of its id was known, so the cookies that an instance knew depended on the order of its reading; of two such ids that share a cookie, two instances could know one each. It is now kept as a departed target: no new flows, and packets of its flows reach it alone.

--- a/src/entry/target_directory.cc
+++ b/src/entry/target_directory.cc
@@ -203,6 +203,8 @@
     }
     if (record.incarnation == 0) {
       report_({record.id, "entry_without_start_ignored", ""});
+      // Other instances may know it, and have opened flows at it.
+      ApplyDeparted(record, duration::zero(), now);
       return;
     }
     SetListing(target, target_listing::kGone, "started again", now);
