--- a/src/entry/departed_schedule.cc
+++ b/src/entry/departed_schedule.cc
@@ -130,19 +130,16 @@
   readable_ = true;
   // Four times as far back is gone, if it was tried before.
   const bool longest = depth_ < kFirstDepth;
-  if (whole) {
-    EndHistory(history_);
-  } else if (longest || ++history_calls_ >= kMaxHistoryCalls) {
-    EndHistory(duration(0));
+  if (whole || longest || ++history_calls_ >= kMaxHistoryCalls) {
+    EndHistory(whole ? history_ : duration(0));
   } else {
     depth_ *= kDepthFactor;
   }
 }
 
 void departed_schedule::OnHistoryGone() {
-  if (readable_) {
-    EndHistory(duration(0));
-  } else if (++history_calls_ >= kMaxHistoryCalls || depth_ < kDepthFactor) {
+  if (readable_ || ++history_calls_ >= kMaxHistoryCalls ||
+      depth_ < kDepthFactor) {
     EndHistory(duration(0));
   } else {
     depth_ /= kDepthFactor;
