See flows that instances lose for good in the soak

A caller that gave up an open flow counted as a timeout, whatever the cause, so a build in which no instance asks for departed targets passed.

- A caller whose open flow gets no answer for 4.5 s reports it as lost.
That breaks a promise if the flow's target lives and was not cut off, no unplanned fault was active for 4 s, and the store kept its history of the target.

A pause of 0.2 s to 1 s of one instance may break this promise too: its waiting first packet opens the flow at a second target, whose cookie the stand-in caller then uses.

--- a/tests/standins/entry_caller.h
+++ b/tests/standins/entry_caller.h
@@ -89,7 +89,8 @@
   kAnswered,
   kReset,
   kTimeout,
-  kMismatched
+  kMismatched,
+  kLost  // after kTimeout: no answer for all of the caller's patience either
 };
 
 struct call_report {
@@ -234,8 +235,9 @@
   void Finish(call_outcome outcome) {
     finished_ = true;
     timer_.Stop();
-    if (!timed_out_) {
-      report_({outcome, requests_.at(request_index_), target_, opened_});
+    if (!timed_out_ || outcome == call_outcome::kTimeout) {
+      report_({timed_out_ ? call_outcome::kLost : outcome,
+               requests_.at(request_index_), target_, opened_});
     }
   }
 
--- a/tests/standins/entry_store.h
+++ b/tests/standins/entry_store.h
@@ -66,8 +66,10 @@
   // Drops the history of changes: watches of older revisions get status 410.
   void Compact() {
     compacted_ = revision_;
+    compacted_at_ = loop_.now();
     events_.clear();
   }
+  time_point compacted_at() const { return compacted_at_; }
 
   // Goes back to the state of the latest time that is at least `age` ago, or to
   // the oldest one kept: later writes are lost, their revisions are given out
@@ -213,6 +215,7 @@
   std::deque<store_copy> copies_;  // oldest first
   std::uint64_t revision_ = 1;
   std::uint64_t compacted_ = 0;
+  time_point compacted_at_{};
   std::uint64_t era_ = 0;
   std::uint64_t calls_ = 0;
   std::size_t page_items_ = 10;
--- a/tests/standins/entry_target.h
+++ b/tests/standins/entry_target.h
@@ -77,6 +77,7 @@
   // Deletes the entry in the store, as a target does when it leaves.
   void Deregister() {
     registered_ = false;
+    deregistered_at_ = loop_.now();
     heartbeat_timer_.Stop();
     store_.Delete("servers/" + options_.id);
   }
@@ -122,6 +123,7 @@
   }
   void EndCut() {
     cut_off_ = false;
+    cut_ended_ = loop_.now();
     if (listener_ < 0) {
       OpenProbePort();
     }
@@ -135,6 +137,11 @@
     FillBacklog(full);
   }
 
+  // Whether the target was cut off at some time since `time`.
+  bool CutOffSince(time_point time) const {
+    return cut_off_ || cut_ended_ >= time;
+  }
+
   bool full() const { return full_; }
   bool registered() const { return registered_; }  // false without an entry
   const entry_target_options& options() const { return options_; }
@@ -150,6 +157,7 @@
     return flows_.contains({caller.address, caller.port});
   }
   time_point draining_since() const { return draining_since_; }
+  time_point deregistered_at() const { return deregistered_at_; }
 
  private:
   using caller_endpoint = std::pair<std::uint32_t, std::uint16_t>;
@@ -335,7 +343,9 @@
   bool hold_answers_ = false;
   std::vector<std::function<void()>> held_answers_;
   bool cut_off_ = false;
+  time_point cut_ended_{};
   time_point draining_since_{};
+  time_point deregistered_at_{};
 };
 
 }  // namespace rosemaryreach
--- a/tests/standins/entry_testbed.h
+++ b/tests/standins/entry_testbed.h
@@ -174,7 +174,9 @@
   }
 
   // Has callers keep open flows in use for some time after a timeout.
-  void KeepFlowsAfterTimeouts() {
+  // `check_lost`: no flow of a live target may get no answer in all that time.
+  void KeepFlowsAfterTimeouts(bool check_lost) {
+    check_lost_flows_ = check_lost;
     for (const std::unique_ptr<entry_caller>& caller : callers_) {
       caller->SetPatience(kPatience);
     }
@@ -294,6 +296,10 @@
   static constexpr duration kEvacuationBound = std::chrono::seconds(5);
   static constexpr duration kConfigBound = std::chrono::seconds(3);
   static constexpr duration kPatience = std::chrono::seconds(3);
+  // Longer than a caller waits for an answer, with its patience.
+  static constexpr duration kLostTime = std::chrono::seconds(5);
+  // Longer than a target's heartbeats are apart.
+  static constexpr duration kHeartbeatBound = std::chrono::seconds(1);
   static constexpr int kMaxStrayedPackets = 3;
   static constexpr std::uint64_t kToggledRouteShare = 15;
   static constexpr duration kRecoveryTime = std::chrono::seconds(4);
@@ -419,6 +425,28 @@
       case call_outcome::kReset:
         OnReset(report);
         return;
+      case call_outcome::kLost:
+        OnLost(report);
+        return;
+    }
+  }
+
+  // Instances learn of a target that left the store before their start from
+  // each other, or from the store's history unless that was dropped.
+  void OnLost(const call_report& report) {
+    const auto found = targets_.find(report.target);
+    if (!check_lost_flows_ || !check_time_bounds_ || !RecoveredFromFaults() ||
+        found == targets_.end()) {
+      return;
+    }
+    const entry_target& target = *found->second;
+    const bool may_be_forgotten =
+        !target.registered() &&
+        store_->compacted_at() + kHeartbeatBound >= target.deregistered_at();
+    if (!target.silent() && !may_be_forgotten &&
+        !target.CutOffSince(loop_.now() - kLostTime)) {
+      AddViolation("open flow of \"" + report.request + "\" at live target " +
+                   report.target + " was lost");
     }
   }
 
@@ -442,6 +470,7 @@
   endpoint proxy_address_;
   bool proxied_ = false;
   bool check_time_bounds_ = true;
+  bool check_lost_flows_ = false;
   std::vector<ip_address> addresses_;
   std::unique_ptr<entry_store> store_;
   std::unique_ptr<entry_fabric> fabric_;
--- a/tests/standins/soak.cc
+++ b/tests/standins/soak.cc
@@ -49,7 +49,8 @@
         fault_timer_(loop_, [this] { InjectNextFault(); }),
         restart_timer_(loop_, [this] { RestartEndedProcesses(); }) {
     testbed_.SetCheckTimeBounds(options.check_time_bounds);
-    testbed_.KeepFlowsAfterTimeouts();
+    // Earlier builds may lose flows when all instances restart.
+    testbed_.KeepFlowsAfterTimeouts(options.previous_program.empty());
     proxy_ = std::make_unique<tcp_proxy>(loop_, testbed_.ProxyAddress(),
                                          testbed_.StoreAddress());
     testbed_.PublishConfiguration();
@@ -388,12 +389,19 @@
   }
 
   // Drains the target and deletes its entry; it serves its flows until later.
+  // Among hard faults, all instances are killed meanwhile: they must learn of
+  // the target again before callers give up.
   duration Linger(const std::string& id) {
     entry_target& target = *testbed_.targets().at(id);
     testbed_.AddTarget(target.options().service, target.options().data_centre);
     target.Drain();
     const duration drained = RandomDuration(1'000, 4'000);
-    RunAfter(drained, id, [](entry_target& left) { left.Deregister(); });
+    RunAfter(drained, id, [this](entry_target& left) {
+      left.Deregister();
+      if (options_.hard_faults) {
+        RunAfter(kLingerBeforeKill, [this] { KillAll(); });
+      }
+    });
     RunAfter(drained + RandomDuration(8'000, 15'000), id,
              [this, id](entry_target&) { testbed_.RemoveTarget(id); });
     return drained;
@@ -470,15 +478,19 @@
     const std::string data_centre = "dc-" + std::string(1, "abc"[Draw(3)]);
     return {"all killed", false,
             [this, data_centre] {
-              for (const std::unique_ptr<entry_process>& process : processes_) {
-                process->Signal(SIGKILL);
-              }
+              KillAll();
               testbed_.ReplaceDataCentre(data_centre);
               return RandomDuration(1'000, 2'000);
             },
             [] {}};
   }
 
+  void KillAll() {
+    for (const std::unique_ptr<entry_process>& process : processes_) {
+      process->Signal(SIGKILL);
+    }
+  }
+
   fault SignalFault(const char* name,
                     bool planned,
                     int first,
@@ -590,6 +602,7 @@
   static constexpr int kSurgeFactor = 8;
   static constexpr std::uint64_t kIdleFlowShare = 4;
   static constexpr duration kIdleTime = seconds(8);
+  static constexpr duration kLingerBeforeKill = seconds(2);
   static constexpr int kRolledProcesses = 4;
   static constexpr duration kRollPause = milliseconds(1'200);
   static constexpr int kStormConfigurations = 20;
