--- a/tests/suspicion_accuracy_test.cc
+++ b/tests/suspicion_accuracy_test.cc
@@ -15,7 +15,7 @@
 struct full_service {
   full_service() {
     for (std::uint32_t i = 0; i < kTargets; ++i) {
-      targets.push_back(entry.Add(Target("l" + std::to_string(i), i,
+      targets.push_back(entry.Add(Target("l" + std::to_string(i), i + 1,
                                          "dc-" + std::string(1, 'a' + i % 3))));
       Answer(targets.back(), 0);
     }
