--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -19,6 +19,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -50,6 +51,7 @@
 constexpr std::uint8_t kRst = 8;
 constexpr std::uint64_t kHeartbeatMs = 770;
 constexpr std::uint32_t kSlots = 4;
+constexpr double kProbeTimeoutMs = 200;
 // What a cold host bears a second, and what the rule allows.
 constexpr double kColdPerS = 6;
 constexpr double kColdOver = 1.5;
@@ -539,7 +541,17 @@
   std::string outcome = "open";
 };
 
+// A reset of an open flow, as its requester got it.
+struct reset {
+  std::string request;
+  std::uint32_t host;   // at which the flow opened
+  std::uint32_t from;   // sender of the reset
+  std::uint32_t taker;  // instance that got the flow's last packet
+  double at_ms;
+};
+
 std::map<std::string, call> calls;
+std::vector<reset> resets;
 int foreign_packets = 0;  // at either end, not as their sender wrote them
 
 // A host: registers itself, takes flows and runs their requests.
@@ -622,6 +634,7 @@
 
  private:
   struct flow {
+    std::uint32_t first = 0;     // sequence number of the first packet
     std::uint32_t sequence = 0;  // of the next byte sent
     std::uint32_t received = 0;  // of the next byte expected
     std::uint32_t echo = 0;
@@ -664,12 +677,16 @@
     const caller from{one.from, one.from_port};
     if ((one.flags & kSyn) != 0) {
       flow& opened = flows_[from];
-      if (opened.received != one.sequence + 1) {
+      if (opened.sequence == 0 || opened.first != one.sequence) {
         opened = {};
+        opened.first = one.sequence;
+        opened.received = one.sequence + 1;
         opened.sequence = ++next_sequence_ * 1'000'000;
         opened.syn_arrived_ms = NowMs();
       }
-      opened.received = one.sequence + 1;
+      if (opened.open) {
+        return;  // a late copy
+      }
       opened.echo = one.echo;
       Reply(one, opened, opened.sequence, kSyn | kAck, "");
       return;
@@ -863,7 +880,7 @@
     }
   }
 
-  // Asks once; an answer of 200 within 400 ms counts.
+  // Asks once; an answer of 200 within kProbeTimeoutMs counts.
   static void ProbeOne(instance& one) {
     const int fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -887,7 +904,7 @@
         loop.Forget(fd);
       });
     });
-    loop.After(400, [fd, good, &one] {
+    loop.After(kProbeTimeoutMs, [fd, good, &one] {
       loop.Forget(fd);
       close(fd);
       const int before = one.misses;
@@ -913,24 +930,29 @@
     loop.Watch(fd_, POLLIN, [this] { OnPackets(); });
   }
 
-  void Ask(const std::string& service, std::uint16_t route_port) {
-    static int next = 0;
+  // Opens a flow for `requests` requests with pauses between them.
+  void Ask(const std::string& service,
+           std::uint16_t route_port,
+           int requests = 1) {
     const std::uint16_t port = ++next_port_;
-    const std::string name = zone_ + "-" + std::to_string(++next);
-    calls[name].name = name;
-    calls[name].service = service;
     flow& opened = flows_[port];
     opened = {};
-    opened.name = name;
+    opened.service = service;
+    opened.requests = requests;
     opened.route_port = route_port;
+    BeginCall(opened);
     opened.sequence = 1'000U * port;
     SendSyn(port, 0);
   }
 
  private:
   struct flow {
-    std::string name;
+    std::string name;  // of the present request
+    std::string service;
+    int requests = 1;  // the present one and those after it
     std::uint16_t route_port = 0;
+    std::uint32_t host = 0;   // address of the one that it opened at
+    std::uint32_t taker = 0;  // instance that the last packet was sent to
     std::uint32_t sequence = 0;
     std::uint32_t received = 0;
     std::uint32_t echo = 0;
@@ -938,6 +960,14 @@
     bool ended = false;
   };
 
+  void BeginCall(flow& flow) const {
+    static int next = 0;
+    flow.name = zone_ + "-" + std::to_string(++next);
+    calls[flow.name].name = flow.name;
+    calls[flow.name].service = flow.service;
+    calls[flow.name].sent_ms = NowMs();
+  }
+
   void SendSyn(std::uint16_t port, std::uint32_t copy) {
     flow& one = flows_[port];
     if (one.open || one.ended) {
@@ -979,29 +1009,34 @@
   void OnPackets() {
     std::array<char, 2'048> bytes{};
     ssize_t count = 0;
-    while ((count = recv(fd_, bytes.data(), bytes.size(), 0)) > 0) {
+    sockaddr_in from{};
+    socklen_t size = sizeof(from);
+    while ((count = recvfrom(fd_, bytes.data(), bytes.size(), 0,
+                             reinterpret_cast<sockaddr*>(&from), &size)) > 0) {
       packet one;
       if (!Parse({bytes.data(), static_cast<std::size_t>(count)}, one)) {
         ++foreign_packets;
         continue;
       }
-      OnPacket(one);
+      OnPacket(one, ntohl(from.sin_addr.s_addr));
     }
   }
 
-  void OnPacket(const packet& one) {
+  void OnPacket(const packet& one, std::uint32_t from) {
     const auto found = flows_.find(one.to_port);
     if (found == flows_.end() || found->second.ended) {
       return;
     }
     flow& flow = found->second;
     if ((one.flags & kRst) != 0) {
-      End(flow, flow.open ? "reset while open" : "refused");
+      OnReset(flow, from);
       return;
     }
+    // The last echo that was received on the flow, whoever sent it.
+    flow.echo = one.echo;
     if ((one.flags & kSyn) != 0) {
       if (!std::exchange(flow.open, true)) {
-        flow.echo = one.echo;
+        flow.host = from;
         flow.received = one.sequence + 1;
         ++flow.sequence;
         calls[flow.name].opened_ms = NowMs();
@@ -1010,13 +1045,33 @@
       return;
     }
     if (!one.data.empty() && one.sequence == flow.received) {
-      flow.echo = one.echo;
       flow.received += static_cast<std::uint32_t>(one.data.size());
-      const bool own = one.data.ends_with("answer to " + flow.name);
       flow.sequence = one.acknowledged;
-      SendPacket(one.to_port, kAck | kFin, flow.received, "");
+      OnAnswer(flow, one.to_port, one.data.ends_with("answer to " + flow.name));
+    }
+  }
+
+  void OnAnswer(flow& flow, std::uint16_t port, bool own) {
+    if (!own || --flow.requests == 0) {
+      SendPacket(port, kAck | kFin, flow.received, "");
       End(flow, own ? "answered" : "foreign answer");
+      return;
     }
+    calls[flow.name].outcome = "answered";
+    SendPacket(port, kAck, flow.received, "");
+    BeginCall(flow);
+    loop.After(150, [this, port, name = flow.name] {
+      if (flows_[port].name == name) {
+        SendRequest(port, 200, NowMs() + 3'000);
+      }
+    });
+  }
+
+  void OnReset(flow& flow, std::uint32_t from) {
+    if (flow.open) {
+      resets.push_back({flow.name, flow.host, from, flow.taker, NowMs()});
+    }
+    End(flow, flow.open ? "reset while open" : "refused");
   }
 
   void End(flow& flow, const char* outcome) {
@@ -1028,7 +1083,7 @@
                   std::uint8_t flags,
                   std::uint32_t acknowledged,
                   const std::string& data) {
-    const flow& flow = flows_[port];
+    flow& flow = flows_[port];
     packet one;
     one.flags = flags;
     one.from = address_;
@@ -1042,6 +1097,7 @@
     const std::uint32_t to =
         router_.Pick(zone_, static_cast<std::uint64_t>(address_) << 32 |
                                 port << 16 | flow.route_port);
+    flow.taker = to;
     if (to != 0) {
       Send(fd_, to, kPacketPort, Encode(one));
     }
@@ -1122,10 +1178,12 @@
                      std::uint16_t port,
                      double per_s,
                      double begin_ms,
-                     double end_ms) {
+                     double end_ms,
+                     int requests = 1) {
     for (double at = begin_ms; at < end_ms; at += 1'000 / per_s) {
-      loop.At(at, [this, service, port] {
-        requesters_[++asked_ % requesters_.size()]->Ask(service, port);
+      loop.At(at, [this, service, port, requests] {
+        requesters_[++asked_ % requesters_.size()]->Ask(service, port,
+                                                        requests);
       });
     }
   }
@@ -1223,7 +1281,7 @@
   all.StartRequests("ledger", kLedgerPort, 180, 4'000, 15'000);
   all.StartRequests("files", kFilesPort, 10, 4'000, 15'000);
   const host::options& files = all.hosts().at(3)->about();
-  constexpr std::uint64_t kWriterStartMs = 10'100;
+  constexpr std::uint64_t kWriterStartMs = 10'400;
   const std::string entry =
       R"({"service":"ledger","address":")" + FormatAddress(files.address) +
       ":" + std::to_string(kHostPort) + R"(","zone":")" + files.zone +
@@ -1297,6 +1355,85 @@
   return FailbackBroken(all);
 }
 
+struct freeze {
+  std::uint32_t instance;
+  double begin_ms;
+  double end_ms;
+};
+
+// Reads the process of the instance at `address` from the file that PIDS names.
+pid_t ProcessOf(const std::string& address) {
+  const char* path = std::getenv("PIDS");
+  FILE* file = path == nullptr ? nullptr : std::fopen(path, "r");
+  pid_t found = 0;
+  std::array<char, 64> name{};
+  int pid = 0;
+  while (file != nullptr &&
+         std::fscanf(file, "%63s %d", name.data(), &pid) == 2) {
+    found = address == name.data() ? pid : found;
+  }
+  if (file != nullptr) {
+    std::fclose(file);
+  }
+  return found;
+}
+
+// Returns whether an open flow was reset by another than its host, while the
+// host lived and the instance that took its last packet was in touch.
+bool FlowBroken(const std::vector<freeze>& freezes) {
+  constexpr double kStableWindowMs = 4'000;
+  std::size_t broken = 0;
+  for (const reset& one : resets) {
+    const bool in_touch =
+        std::none_of(freezes.begin(), freezes.end(), [&](const freeze& other) {
+          return other.instance == one.taker && one.at_ms >= other.begin_ms &&
+                 one.at_ms < other.end_ms + kStableWindowMs;
+        });
+    const bool counts = one.from != one.host && in_touch;
+    broken += counts ? 1 : 0;
+    Record(
+        "the flow of %s, open at %s, got a reset of %s; its last packet went "
+        "through %s, which was %sin touch",
+        one.request.c_str(), FormatAddress(one.host).c_str(),
+        FormatAddress(one.from).c_str(), FormatAddress(one.taker).c_str(),
+        in_touch ? "" : "not ");
+  }
+  Record("%zu open flows were reset by another than their host", broken);
+  return broken > 0;
+}
+
+// Instances are suspended for less than a second, one after the other.
+bool PlayShortPauses(deployment& all,
+                     bool trouble,
+                     const std::vector<router::instance>& instances) {
+  constexpr double kPauseMs = 950;
+  constexpr double kPeriodMs = 5'300;
+  constexpr int kPauses = 14;
+  AddUsualHosts(all);
+  constexpr double kEndMs = 8'000 + kPauses * kPeriodMs;
+  all.StartRequests("ledger", kLedgerPort, 100, 4'000, kEndMs, 4);
+  std::vector<freeze> freezes;
+  for (int i = 0; trouble && i < kPauses; ++i) {
+    const std::uint32_t address =
+        instances.at(static_cast<std::size_t>(i) % instances.size()).address;
+    loop.At(8'000 + i * kPeriodMs, [address, &freezes] {
+      const pid_t pid = ProcessOf(FormatAddress(address));
+      if (pid <= 0) {
+        return;
+      }
+      Record("instance %s is stopped", FormatAddress(address).c_str());
+      kill(pid, SIGSTOP);
+      freezes.push_back({address, NowMs(), NowMs() + kPauseMs});
+      loop.After(kPauseMs, [pid, address] {
+        kill(pid, SIGCONT);
+        Record("instance %s goes on", FormatAddress(address).c_str());
+      });
+    });
+  }
+  loop.RunUntil(kEndMs + 5'000);
+  return FlowBroken(freezes);
+}
+
 int Main(const std::vector<std::string>& arguments) {
   const std::string& scenario = arguments.at(1);
   const std::string& prefix = arguments.at(2);
@@ -1314,7 +1451,7 @@
   const char* set = std::getenv("TROUBLE");
   const bool trouble = set == nullptr || std::string_view(set) != "0";
   constexpr double kColdStartMs = 2'000;
-  deployment all(prefix, std::move(instances), kColdStartMs / 1'000);
+  deployment all(prefix, instances, kColdStartMs / 1'000);
   Record("scenario %s, %s disruption", scenario.c_str(),
          trouble ? "with the" : "without its");
   bool broken = false;
@@ -1322,6 +1459,8 @@
     broken = PlayOddEntry(all, trouble);
   } else if (scenario == "cold-again") {
     broken = PlayColdAgain(all, trouble, kColdStartMs);
+  } else if (scenario == "short-pauses") {
+    broken = PlayShortPauses(all, trouble, instances);
   } else if (scenario == "taken-back") {
     broken = PlayTakenBack(all, trouble, kColdStartMs);
   } else {
--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -88,6 +88,7 @@
   ROSEMARYREACH_SETTINGS="$work/$name.yaml" \
     target/bin/rosemaryreach-entry --metrics-port 9109 >"$work/$name.log" 2>&1 &
   pids+=($!)
+  echo "$ip $!" >>"$work/pids"
 }
 
 # start_entries COUNT SEED_OCTET...: starts COUNT instances in each zone
@@ -110,7 +111,7 @@
 }
 # start_deployment SCENARIO INSTANCE...: starts everything around the instances
 start_deployment() {
-  target/review-2/deployment "$1" "$prefix" "$case_dir/record.txt" "${@:2}" &
+  PIDS="$work/pids" target/review-2/deployment "$1" "$prefix" "$case_dir/record.txt" "${@:2}" &
   deployment=$!
   pids+=($deployment)
 }
